--- /dev/null
+++ b/cmd/fawnrock/config.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/settings"
+)
+
+// config is what a sidecar is told at its start.
+type config struct {
+	listen, discovery string
+	seed              uint64
+	cores             float64
+	memoryMB, sockets int
+	known             *discovery.List // nil: none
+	settings          *settings.Settings
+	asks              bool // discovery must be asked
+}
+
+// Less than this and nothing could be served.
+const (
+	memoryLeast  = 32
+	socketsLeast = 32
+)
+
+// load reads the configuration from the environment and the file it names.
+// Errors name the field.
+func load(getenv func(string) string) (*config, error) {
+	path := getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	var raw struct {
+		Listen, Discovery string
+		Seed              string
+		Limits            struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	c := &config{
+		listen:    raw.Listen,
+		discovery: raw.Discovery,
+		cores:     raw.Limits.Cores,
+		memoryMB:  int(raw.Limits.MemoryMB),
+		sockets:   int(raw.Limits.Sockets),
+	}
+	if v := getenv("BALANCER_LISTEN"); v != "" {
+		c.listen = v
+	}
+	if v := getenv("BALANCER_DISCOVERY"); v != "" {
+		c.discovery = v
+	}
+	for _, f := range []struct{ name, addr string }{{"listen", c.listen}, {"discovery", c.discovery}} {
+		if _, _, err := net.SplitHostPort(f.addr); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", f.name, err)
+		}
+	}
+	if c.seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: %w", err)
+	}
+	switch {
+	case !(c.cores > 0):
+		return nil, errors.New("config: limits.cores must be above 0")
+	case c.memoryMB < memoryLeast:
+		return nil, fmt.Errorf("config: limits.memory_mb must be at least %d", memoryLeast)
+	case c.sockets < socketsLeast:
+		return nil, fmt.Errorf("config: limits.sockets must be at least %d", socketsLeast)
+	case len(raw.Settings) == 0:
+		return nil, errors.New("config: settings is missing")
+	}
+	if len(raw.Known) > 0 && string(raw.Known) != "null" {
+		if c.known, err = discovery.Parse(raw.Known); err != nil {
+			return nil, fmt.Errorf("config: known: %w", err)
+		}
+	}
+	if c.settings, err = settings.Parse(raw.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	s := c.settings
+	switch {
+	case s.DialTimeout <= 0:
+		return nil, errors.New("config: settings.caps.dialTimeoutUs must be above 0")
+	case s.ConnIdle <= 0:
+		return nil, errors.New("config: settings.caps.connIdleUs must be above 0")
+	case s.MostHeld < 0:
+		return nil, errors.New("config: settings.caps.mostHeld must be 0 or more")
+	case s.DrainGrace < 0:
+		return nil, errors.New("config: settings.guarantees.drainGraceUs must be 0 or more")
+	}
+	c.asks = s.Config.AskWithin > 0
+	return c, nil
+}
--- /dev/null
+++ b/cmd/fawnrock/main.go
@@ -0,0 +1,140 @@
+// Command fawnrock is the real sidecar: one process between an application and
+// the servers, which hosts one balancer. It runs until SIGTERM.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/front"
+	"chalkrack/internal/limitlog"
+	"chalkrack/internal/sidecar"
+	"chalkrack/internal/upstream"
+)
+
+const (
+	// Descriptors kept for the listener, discovery, the runtime and the log.
+	socketsSpare = 24
+	// A start waits for the list at most so long: what it was told may be old.
+	listMost = 250 * time.Millisecond
+	// How long a watch's answer may take to begin: from an agent at once, from
+	// a service that serves its callers in turn after its own time-out.
+	pushWait = 1500 * time.Millisecond
+	askWait  = 5 * time.Second
+	// New connections go on coming for a while after SIGTERM.
+	lameFor = 700 * time.Millisecond
+	// All is answered so long after SIGTERM, beside the longest deadline. SIGKILL
+	// comes 0.7 s after that.
+	quitAfter = 300 * time.Millisecond
+	sweepEach = 2 * time.Second
+)
+
+func main() {
+	slog.SetDefault(limitlog.New(os.Stderr, slog.LevelInfo))
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	c, err := load(os.Getenv)
+	if err == nil {
+		err = run(c, term)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fawnrock:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until term, and then until all that was taken is answered.
+func run(c *config, term <-chan os.Signal) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	// Requests are short-lived garbage over a small live heap: collecting less
+	// often saves CPU, as far as the memory goes.
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
+
+	conns := c.sockets - socketsSpare
+	pool := upstream.New(upstream.Config{
+		ConnIdle:    c.settings.ConnIdle,
+		DialTimeout: c.settings.DialTimeout,
+		DrainGrace:  c.settings.DrainGrace,
+		MostConns:   conns - conns/2,
+	})
+	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
+	if c.asks {
+		watcher.Wait = askWait
+	}
+	if c.known != nil {
+		c.known.Whole = true
+		watcher.Index = c.known.Index
+	}
+	host, err := sidecar.New(c.settings, c.seed, pool, watcher)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if c.known != nil {
+		host.Listed(c.known)
+	}
+	ln, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := front.New(front.Config{MostConns: conns / 2, MostBody: int64(c.memoryMB) << 20 * 3 / 8}, host)
+	go srv.Serve(ln)
+
+	if !c.asks {
+		listed := make(chan struct{}, 1)
+		watcher.Listed = func(l *discovery.List) {
+			host.Listed(l)
+			select {
+			case listed <- struct{}{}:
+			default:
+			}
+		}
+		go watcher.Follow()
+		select {
+		case <-listed:
+		case <-time.After(listMost):
+		case <-term:
+			quit(c, host, srv)
+			return nil
+		}
+	}
+	host.SetReady(true)
+	slog.Info("ready", "listen", c.listen)
+
+	sweep := time.NewTicker(sweepEach)
+	defer sweep.Stop()
+	for {
+		select {
+		case now := <-sweep.C:
+			pool.Sweep(now)
+		case <-term:
+			quit(c, host, srv)
+			return nil
+		}
+	}
+}
+
+// quit serves on as long as connections may come, and until all is answered.
+func quit(c *config, host *sidecar.Host, srv *front.Server) {
+	began := time.Now()
+	var longest time.Duration
+	for _, d := range c.settings.Deadlines {
+		longest = max(longest, d)
+	}
+	slog.Info("stopping", "held", host.Held())
+	host.QuitAt(longest + quitAfter)
+	srv.Drain()
+	for time.Since(began) < lameFor || srv.Busy() > 0 && time.Since(began) < longest+quitAfter+100*time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+	}
+	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,233 @@
+// Package discovery follows the list of servers.
+package discovery
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"chalkrack"
+)
+
+const (
+	lineMost = 8 << 20 // of one line of a watch
+	// An empty line comes every 2 s: a watch that is silent for longer is dead,
+	// and what it fails to tell counts as told within seconds all the same.
+	silenceMost = 2700 * time.Millisecond
+	dialMost    = time.Second
+	backoffMin  = 20 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond
+)
+
+// Entry is one server on the list.
+type Entry struct {
+	chalkrack.Endpoint
+	Address string
+}
+
+// List is a list of servers, or of those that changed.
+type List struct {
+	Index   int64
+	Whole   bool
+	Entries []Entry
+}
+
+// Parse reads a list in discovery's form. An entry that is of no use is left out.
+func Parse(data []byte) (*List, error) {
+	var raw struct {
+		Index     *int64
+		Snapshot  bool
+		Endpoints []json.RawMessage
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if raw.Index == nil {
+		return nil, errors.New("discovery: a list without index")
+	}
+	l := &List{Index: *raw.Index, Whole: raw.Snapshot, Entries: make([]Entry, 0, len(raw.Endpoints))}
+	for _, r := range raw.Endpoints {
+		e, err := parseEntry(r)
+		if err != nil {
+			slog.Warn("entry of the server list skipped", "entry", string(r[:min(len(r), 200)]), "err", err)
+			continue
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l, nil
+}
+
+var states = map[string]chalkrack.State{"up": chalkrack.Serving, "draining": chalkrack.Draining, "removed": chalkrack.Gone}
+
+func parseEntry(data []byte) (Entry, error) {
+	var raw struct {
+		Name, Address, Zone, Status string
+		Group                       int
+		Weight                      float64
+		SinceMs                     float64 `json:"since_ms"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return Entry{}, err
+	}
+	state, ok := states[raw.Status]
+	switch {
+	case raw.Name == "":
+		return Entry{}, errors.New("no name")
+	case !ok:
+		return Entry{}, fmt.Errorf("unknown status %q", raw.Status)
+	case raw.SinceMs < 0 || raw.SinceMs > math.MaxInt64/1e6:
+		return Entry{}, errors.New("since_ms out of range")
+	}
+	if state != chalkrack.Gone {
+		if _, _, err := net.SplitHostPort(raw.Address); err != nil {
+			return Entry{}, err
+		}
+	}
+	return Entry{
+		Endpoint: chalkrack.Endpoint{
+			Name:    raw.Name,
+			Zone:    raw.Zone,
+			Group:   raw.Group,
+			Hint:    raw.Weight,
+			Started: time.Duration(raw.SinceMs * float64(time.Millisecond)),
+			State:   state,
+		},
+		Address: raw.Address,
+	}, nil
+}
+
+// Watcher follows the list at an address.
+type Watcher struct {
+	Addr   string
+	Index  int64         // the version held
+	Listed func(*List)   // takes a list or its changes
+	Failed func(error)   // a call has failed or a watch has ended
+	Wait   time.Duration // how long an answer may take to begin
+
+	mu   sync.Mutex
+	conn net.Conn // of the watch
+	shut bool
+}
+
+// Follow keeps a watch open until Close, and calls Failed at each break.
+func (w *Watcher) Follow() {
+	backoff := backoffMin
+	for !w.closed() {
+		began := time.Now()
+		err := w.Watch()
+		if w.closed() {
+			return
+		}
+		w.Failed(err)
+		if time.Since(began) > time.Second {
+			backoff = backoffMin // it worked: what was missed is wanted at once
+		}
+		time.Sleep(backoff/2 + rand.N(backoff))
+		backoff = min(2*backoff, backoffMax)
+	}
+}
+
+// Close ends the watch.
+func (w *Watcher) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shut = true
+	if w.conn != nil {
+		w.conn.Close()
+	}
+}
+
+func (w *Watcher) closed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.shut
+}
+
+// Watch opens one watch and hands on what it brings until it ends.
+func (w *Watcher) Watch() error {
+	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
+	conn, err := d.Dial("tcp", w.Addr)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	defer conn.Close()
+	w.mu.Lock()
+	w.conn = conn
+	shut := w.shut
+	w.mu.Unlock()
+	if shut {
+		return net.ErrClosed
+	}
+	path := "/catalog/members?watch=1"
+	if w.Index > 0 {
+		path += fmt.Sprintf("&after=%d", w.Index)
+	}
+	conn.SetDeadline(time.Now().Add(w.Wait))
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	br := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery: answered %s", resp.Status)
+	}
+	lines := bufio.NewReader(resp.Body)
+	for first := true; ; first = false {
+		if !first {
+			conn.SetDeadline(time.Now().Add(silenceMost))
+		}
+		line, err := readLine(lines)
+		if err == nil && len(line) > 1 {
+			err = w.take(line)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func readLine(br *bufio.Reader) (line []byte, err error) {
+	for {
+		part, err := br.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return line, nil
+		case err != bufio.ErrBufferFull:
+			if len(line) > 0 && err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, fmt.Errorf("discovery: watch ended: %w", err)
+		case len(line) > lineMost:
+			return nil, errors.New("discovery: line too long")
+		}
+	}
+}
+
+// take hands a line on. After one that can't be read, or that has gone back, the
+// next watch asks for the whole list: the one held can't be relied on to go on from.
+func (w *Watcher) take(line []byte) error {
+	l, err := Parse(line)
+	if err == nil && !l.Whole && l.Index < w.Index {
+		err = fmt.Errorf("discovery: changes of version %d after version %d", l.Index, w.Index)
+	}
+	if err != nil {
+		w.Index = 0
+		return err
+	}
+	w.Index = l.Index
+	w.Listed(l)
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,161 @@
+// Package settings reads the settings of a deployment into what the balancer
+// and its hosts need of them, so that all hosts share one mapping.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"chalkrack"
+)
+
+// Settings is what a deployment's settings say.
+type Settings struct {
+	Config    chalkrack.Config
+	Deadlines []time.Duration // by class: how long a client waits at most
+
+	// What only a host on real sockets needs.
+	ConnIdle    time.Duration // a server closes a connection that has been idle for so long
+	DialTimeout time.Duration
+	DrainGrace  time.Duration // sends to a server that drains must stop within it
+	MostHeld    int           // requests held at once
+
+	classes, tenants map[string]int
+}
+
+// env is the settings object; keys that have no use here are skipped.
+type env struct {
+	Caps struct {
+		AttemptsCap     int
+		MayCancel       bool
+		SecondCopies    bool
+		Probes          bool
+		MaxRetryAfterUs int64
+		RetryAfter      bool
+		ConnIdleUs      int64
+		DialTimeoutUs   int64
+		MostHeld        int
+	}
+	Classes []struct {
+		Name           string
+		PromiseUs      int64
+		HardLimitUs    int64
+		Effect         string
+		DedupScope     string
+		LateValue      float64
+		RepeatWindowUs int64
+		Worth          float64
+	}
+	Costs      struct{ Connection, CrossZone, Probe, Waste float64 }
+	FamilyInfo struct{ WarmKeys bool }
+	Feedback   struct{ How string }
+	Guarantees struct {
+		AskWithinUs    int64
+		ColdFrom       float64
+		ColdUs         int64
+		DrainGraceUs   int64
+		OverloadFactor float64
+		OverloadForUs  int64
+	}
+	OverShareWorth float64
+	Tenants        []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	RegistryMode string
+	ReplicasOfMe int
+	Zone         string
+}
+
+// Parse reads the settings object.
+func Parse(data []byte) (*Settings, error) {
+	var e env
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{
+		Config:      config(&e),
+		ConnIdle:    micros(e.Caps.ConnIdleUs),
+		DialTimeout: micros(e.Caps.DialTimeoutUs),
+		DrainGrace:  micros(e.Guarantees.DrainGraceUs),
+		MostHeld:    e.Caps.MostHeld,
+		classes:     make(map[string]int),
+		tenants:     make(map[string]int),
+	}
+	for n, c := range e.Classes {
+		s.classes[c.Name] = n
+		s.Deadlines = append(s.Deadlines, micros(c.HardLimitUs))
+	}
+	for n, t := range e.Tenants {
+		s.tenants[t.Name] = n
+	}
+	return s, nil
+}
+
+// Class is the place of a class, -1 if there is none of that name.
+func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
+
+// Tenant is the place of a tenant, -1 if there is none of that name.
+func (s *Settings) Tenant(name []byte) int { return index(s.tenants, name) }
+
+func index(places map[string]int, name []byte) int {
+	if n, ok := places[string(name)]; ok {
+		return n
+	}
+	return -1
+}
+
+func config(e *env) chalkrack.Config {
+	cfg := chalkrack.Config{
+		Instances:      e.ReplicasOfMe,
+		Zone:           e.Zone,
+		OverShareWorth: e.OverShareWorth,
+		MaxAttempts:    e.Caps.AttemptsCap,
+		MayCancel:      e.Caps.MayCancel,
+		SecondCopies:   e.Caps.SecondCopies,
+		WasteCost:      e.Costs.Waste,
+		Probes:         e.Caps.Probes && e.Feedback.How == "probe",
+		ProbeCost:      e.Costs.Probe,
+		WarmKeys:       e.FamilyInfo.WarmKeys,
+		ConnectionCost: e.Costs.Connection,
+		CrossZoneCost:  e.Costs.CrossZone,
+		ColdFrom:       e.Guarantees.ColdFrom,
+		ColdFor:        micros(e.Guarantees.ColdUs),
+		OverloadFactor: e.Guarantees.OverloadFactor,
+		OverloadFor:    micros(e.Guarantees.OverloadForUs),
+	}
+	if e.RegistryMode == "subscribe" {
+		cfg.AskWithin = micros(e.Guarantees.AskWithinUs)
+	}
+	if e.Caps.RetryAfter {
+		cfg.MaxRetryAfter = micros(e.Caps.MaxRetryAfterUs)
+	}
+	for _, t := range e.Tenants {
+		cfg.Tenants = append(cfg.Tenants, t.AllowancePerS)
+	}
+	for _, c := range e.Classes {
+		class := chalkrack.Class{
+			Aim:       micros(c.PromiseUs),
+			LateWorth: c.LateValue,
+			Worth:     c.Worth,
+			Window:    micros(c.RepeatWindowUs),
+		}
+		switch c.Effect {
+		case "by_key":
+			class.Effect = chalkrack.Keyed
+		case "once":
+			class.Effect = chalkrack.Unsafe
+		}
+		switch c.DedupScope {
+		case "zone":
+			class.Scope = chalkrack.ScopeZone
+		case "cell":
+			class.Scope = chalkrack.ScopeGroup
+		}
+		cfg.Classes = append(cfg.Classes, class)
+	}
+	return cfg
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,473 @@
+// Package sidecar hosts one Balancer on real sockets. It brings the events of
+// clients, servers and discovery to the Balancer and carries out its decisions;
+// it makes none itself, beyond guarding its limits.
+package sidecar
+
+import (
+	"container/heap"
+	"io"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/front"
+	"chalkrack/internal/settings"
+	"chalkrack/internal/upstream"
+)
+
+const (
+	// tick is the least time between two looks at the timers: due ones share one.
+	tick = 2 * time.Millisecond
+	// A deadline is met this much before the client's own clock says so: the
+	// answer has still to reach it.
+	deadlineMargin = 5 * time.Millisecond
+	// longestWait bounds what a client may ask to wait.
+	longestWait = 10 * time.Minute
+)
+
+// Host is the chalkrack.Host of a real sidecar. One lock guards the Balancer and
+// all that belongs to it. The Balancer's wishes are written down under the lock
+// and carried out after it is freed, by whoever brought the event.
+type Host struct {
+	set     *settings.Settings
+	pool    *upstream.Pool
+	watcher *discovery.Watcher
+
+	start time.Time
+	unix  time.Duration // at start
+
+	mu      sync.Mutex
+	b       *chalkrack.Balancer
+	held    map[chalkrack.RequestID]*request
+	last    chalkrack.RequestID
+	alarms  alarms
+	alarm   *time.Timer
+	alarmAt time.Duration // when alarm goes off; 0: it is not set
+	actions []func()
+	quitAt  time.Duration // nothing is held past it; 0: no end is planned
+	ready   bool
+}
+
+// request is one that is owed an answer or attempts' ends.
+type request struct {
+	id       chalkrack.RequestID
+	x        *front.Exchange
+	deadline time.Duration
+	attempts []*attempt
+	out      int
+	over     bool // has its final answer, or needs none any more
+	stream   *front.Stream
+	streamer *attempt // whose answer streams
+}
+
+// attempt is a request's attempt and its place.
+type attempt struct {
+	upstream.Attempt
+	host *Host
+	q    *request
+	n    int
+	done bool
+}
+
+// New returns a Host of a new Balancer, which the watcher tells of the servers.
+func New(set *settings.Settings, seed uint64, pool *upstream.Pool, watcher *discovery.Watcher) (*Host, error) {
+	start := time.Now()
+	h := &Host{
+		set:     set,
+		pool:    pool,
+		watcher: watcher,
+		start:   start,
+		unix:    time.Duration(start.UnixNano()),
+		held:    make(map[chalkrack.RequestID]*request),
+	}
+	watcher.Listed, watcher.Failed = h.Listed, h.DiscoveryFailed
+	h.alarm = time.AfterFunc(time.Hour, h.ring)
+	var err error
+	h.locked(func(time.Duration) { h.b, err = chalkrack.New(set.Config, seed, h) })
+	return h, err
+}
+
+// now is Unix time that never goes back. It is read under the lock, so that the
+// Balancer's events are in the order of their times.
+func (h *Host) now() time.Duration { return h.unix + time.Since(h.start) }
+
+// locked brings an event to the Balancer and then does what it asked for.
+func (h *Host) locked(event func(now time.Duration)) {
+	for _, act := range h.decide(event) {
+		act()
+	}
+}
+
+// decide frees the lock also if the Balancer panics: others' requests go on.
+func (h *Host) decide(event func(now time.Duration)) []func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	event(h.now())
+	h.wind()
+	acts := h.actions
+	h.actions = nil
+	return acts
+}
+
+// Arrive implements front.Handler.
+func (h *Host) Arrive(x *front.Exchange) {
+	h.locked(func(now time.Duration) {
+		if h.set.MostHeld > 0 && len(h.held) >= h.set.MostHeld {
+			slog.Warn("request refused: too many held", "held", len(h.held))
+			h.actions = append(h.actions, func() { x.Refuse(h.set.Config.MaxRetryAfter / 10) }, x.Release)
+			return
+		}
+		class := h.set.Class([]byte(x.Class))
+		wait := x.Wait
+		if wait == 0 {
+			wait = h.longest(class)
+		}
+		deadline := now - time.Since(x.Received) + min(wait, longestWait) - min(deadlineMargin, wait/10)
+		if h.quitAt > 0 {
+			deadline = min(deadline, h.quitAt)
+		}
+		h.last++
+		q := &request{id: h.last, x: x, deadline: deadline}
+		x.State = q
+		h.held[q.id] = q
+		h.after(alarm{at: deadline, q: q})
+		h.b.Arrive(now, chalkrack.Request{
+			ID:       q.id,
+			Class:    class,
+			Tenant:   h.set.Tenant([]byte(x.Tenant)),
+			Key:      x.Key,
+			Deadline: deadline,
+		})
+	})
+}
+
+// longest is a class's own deadline, that of the longest for one unknown.
+func (h *Host) longest(class int) (d time.Duration) {
+	for n, own := range h.set.Deadlines {
+		if n == class {
+			return own
+		}
+		d = max(d, own)
+	}
+	return max(d, time.Second)
+}
+
+// Gone implements front.Handler.
+func (h *Host) Gone(x *front.Exchange) (taken bool) {
+	h.locked(func(now time.Duration) {
+		q, _ := x.State.(*request)
+		if q == nil || q.over || q.stream != nil {
+			return // the stream's own writes will notice
+		}
+		q.over, taken = true, true
+		h.b.ClientGone(now, q.id)
+		h.forget(q)
+	})
+	return taken
+}
+
+// Ready implements front.Handler.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
+// SetReady says whether clients may come.
+func (h *Host) SetReady(ready bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = ready
+}
+
+// Known implements front.Handler.
+func (h *Host) Known(class string) bool { return h.set.Class([]byte(class)) >= 0 }
+
+// QuitAt sees to it that all is answered by then, and clients are told to wait no longer.
+func (h *Host) QuitAt(in time.Duration) {
+	h.locked(func(now time.Duration) {
+		h.quitAt = now + in
+		for _, q := range h.held {
+			if q.deadline > h.quitAt {
+				h.after(alarm{at: h.quitAt, q: q})
+			}
+		}
+	})
+}
+
+// Held is the number of requests held.
+func (h *Host) Held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.held)
+}
+
+// Listed takes what discovery says.
+func (h *Host) Listed(l *discovery.List) {
+	endpoints := make([]chalkrack.Endpoint, len(l.Entries))
+	h.locked(func(now time.Duration) {
+		// The pool is told under the lock too: it must know of a server before an
+		// attempt goes there.
+		listed := make(map[string]bool, len(l.Entries))
+		for n, e := range l.Entries {
+			endpoints[n] = e.Endpoint
+			listed[e.Name] = true
+			if e.State == chalkrack.Serving {
+				h.pool.Serve(e.Name, e.Address, e.Started)
+			} else {
+				h.pool.Leave(e.Name, e.State == chalkrack.Gone)
+			}
+		}
+		if l.Whole {
+			h.pool.Keep(listed)
+			h.b.ServersListed(now, endpoints)
+		} else {
+			h.b.ServersChanged(now, endpoints)
+		}
+	})
+}
+
+// DiscoveryFailed takes a failed call or a watch that ended.
+func (h *Host) DiscoveryFailed(err error) {
+	slog.Warn("discovery failed", "err", err)
+	h.locked(func(now time.Duration) { h.b.DiscoveryFailed(now) })
+}
+
+// Send implements chalkrack.Host.
+func (h *Host) Send(id chalkrack.RequestID, server string, timeout time.Duration) {
+	q := h.held[id]
+	if q == nil {
+		return
+	}
+	a := &attempt{host: h, q: q, n: len(q.attempts)}
+	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: time.Now().Add(timeout), Sink: a}
+	q.attempts = append(q.attempts, a)
+	q.out++
+	h.actions = append(h.actions, func() { h.pool.Start(&a.Attempt) })
+}
+
+// Cancel implements chalkrack.Host.
+func (h *Host) Cancel(id chalkrack.RequestID, n int) {
+	if q := h.held[id]; q != nil && n < len(q.attempts) {
+		a := q.attempts[n]
+		a.Abandon()
+		h.actions = append(h.actions, func() {
+			a.Close()
+			a.Done(chalkrack.Cancelled, nil, chalkrack.Report{})
+		})
+	}
+}
+
+// Refuse implements chalkrack.Host.
+func (h *Host) Refuse(id chalkrack.RequestID, retryAfter time.Duration) {
+	h.end(id, func(x *front.Exchange) { x.Refuse(retryAfter) })
+}
+
+// Fail implements chalkrack.Host.
+func (h *Host) Fail(id chalkrack.RequestID) { h.end(id, (*front.Exchange).Fail) }
+
+func (h *Host) end(id chalkrack.RequestID, answer func(*front.Exchange)) {
+	q := h.held[id]
+	if q == nil || q.over {
+		return
+	}
+	q.over = true
+	x := q.x
+	h.actions = append(h.actions, func() { answer(x) })
+	h.forget(q)
+}
+
+// SetTimer implements chalkrack.Host.
+func (h *Host) SetTimer(cookie uint64, after time.Duration) {
+	h.after(alarm{at: h.now() + max(after, 0), cookie: cookie})
+}
+
+// CloseIdle implements chalkrack.Host.
+func (h *Host) CloseIdle(server string) {
+	h.actions = append(h.actions, func() { h.pool.CloseIdle(server) })
+}
+
+// probeMost is how long a probe may take.
+const probeMost = 500 * time.Millisecond
+
+// probe is the Sink of a probe.
+type probe struct {
+	upstream.Attempt
+	host *Host
+}
+
+var probeRequest = &upstream.Request{Method: "GET", Head: []byte("GET /_load HTTP/1.1\r\nHost: server\r\n")}
+
+// Probe implements chalkrack.Host.
+func (h *Host) Probe(server string) {
+	p := &probe{host: h}
+	p.Attempt = upstream.Attempt{Request: probeRequest, Server: server, Deadline: time.Now().Add(probeMost), Sink: p}
+	h.actions = append(h.actions, func() {
+		time.AfterFunc(probeMost, func() {
+			p.Abandon()
+			p.Close()
+		})
+		h.pool.Start(&p.Attempt)
+	})
+}
+
+// Stream implements upstream.Sink: no report is that long.
+func (p *probe) Stream(*upstream.Answer) io.Writer { return nil }
+
+// Done implements upstream.Sink.
+func (p *probe) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
+	if o != chalkrack.OK || ans == nil {
+		return
+	}
+	if !rep.HasInFlight && !rep.HasUtil {
+		rep = upstream.ParseLoad(string(ans.Body))
+	}
+	p.host.locked(func(now time.Duration) { p.host.b.Probed(now, p.Server, rep) })
+}
+
+// Subscribe implements chalkrack.Host.
+func (h *Host) Subscribe() {
+	h.actions = append(h.actions, func() {
+		go func() { h.DiscoveryFailed(h.watcher.Watch()) }()
+	})
+}
+
+// forget drops a request that needs nothing more. Its deadline still points to
+// it, but not to its body.
+func (h *Host) forget(q *request) {
+	if q.over && q.out == 0 && q.x != nil {
+		delete(h.held, q.id)
+		h.actions = append(h.actions, q.x.Release)
+		q.x, q.attempts, q.stream, q.streamer = nil, nil, nil, nil
+	}
+}
+
+// Stream implements upstream.Sink.
+func (a *attempt) Stream(ans *upstream.Answer) (w io.Writer) {
+	h := a.host
+	h.locked(func(now time.Duration) {
+		q := a.q
+		if q.over || q.stream != nil || a.done {
+			return
+		}
+		q.stream, q.streamer = q.x.Stream(ans), a
+		w = q.stream
+		h.b.Started(now, q.id, a.n)
+	})
+	return w
+}
+
+// Done implements upstream.Sink.
+func (a *attempt) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
+	a.host.locked(func(now time.Duration) { a.host.done(now, a, o, ans, rep) })
+}
+
+// done takes an attempt's outcome, of which only the first counts.
+func (h *Host) done(now time.Duration, a *attempt, o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
+	if a.done {
+		return
+	}
+	q := a.q
+	a.done = true
+	q.out--
+	switch {
+	case q.over:
+	case q.streamer == a:
+		q.over = true
+		w, whole := q.stream, o == chalkrack.OK
+		h.actions = append(h.actions, func() { w.End(whole) })
+	case q.stream != nil: // another attempt has the client
+	case o == chalkrack.OK && ans != nil:
+		q.over = true
+		x := q.x
+		h.actions = append(h.actions, func() { x.Serve(ans) })
+	case o == chalkrack.OK: // nothing to show for it
+		o = chalkrack.Reset
+	}
+	over := q.over
+	h.b.Done(now, q.id, a.n, o, over, rep)
+	h.forget(q)
+}
+
+// expire ends what a request still has out at its deadline.
+func (h *Host) expire(now time.Duration, q *request) {
+	if h.held[q.id] == nil {
+		return
+	}
+	for _, a := range q.attempts {
+		if a.done || a == q.streamer {
+			continue
+		}
+		o := chalkrack.TimedOut
+		if !a.Abandon() {
+			o = chalkrack.ConnectFailed // not a byte of it went out
+		}
+		h.actions = append(h.actions, a.Close)
+		h.done(now, a, o, nil, chalkrack.Report{})
+	}
+	if !q.over && q.stream == nil {
+		// Guards the rule of one final answer, whatever the Balancer makes of it.
+		slog.Error("request unanswered at its deadline", "class", q.x.Class)
+		h.b.ClientGone(now, q.id)
+		h.end(q.id, (*front.Exchange).Fail)
+	}
+}
+
+// alarm is a timer of the Balancer's, or a request's deadline.
+type alarm struct {
+	at     time.Duration
+	cookie uint64
+	q      *request
+}
+
+// alarms is a heap of alarms: one runtime timer serves them all.
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*a = old[:len(old)-1]
+	return x
+}
+
+func (h *Host) after(a alarm) { heap.Push(&h.alarms, a) }
+
+// wind sets the runtime timer for the next alarm.
+func (h *Host) wind() {
+	if len(h.alarms) == 0 {
+		return
+	}
+	if at := h.alarms[0].at; h.alarmAt == 0 || at < h.alarmAt {
+		h.alarmAt = at
+		h.alarm.Reset(max(at-h.now(), tick))
+	}
+}
+
+// ring brings the Balancer the timers that are due, and ends what is overdue.
+func (h *Host) ring() {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic at a timer", "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	h.locked(func(now time.Duration) {
+		h.alarmAt = 0
+		defer h.wind() // also if the Balancer panics: the next ones must ring
+		for len(h.alarms) > 0 && h.alarms[0].at <= now {
+			a := heap.Pop(&h.alarms).(alarm)
+			if a.q != nil {
+				h.expire(now, a.q)
+			} else {
+				h.b.Timer(now, a.cookie)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+func decode(t *testing.T, line string) Event {
+	t.Helper()
+	var d Decoder
+	var e Event
+	if err := d.Decode([]byte(line), &e); err != nil {
+		t.Fatalf("%s: %v", line, err)
+	}
+	return e
+}
+
+func TestDecode(t *testing.T) {
+	e := decode(t, `{"t":"tick","tsUs":8412250,"turn":12}`)
+	if e.Kind != Tick || e.TimeUs != 8412250 || e.Turn != 12 {
+		t.Errorf("tick: %+v", e)
+	}
+	e = decode(t, `{"t":"knock","sidecarId":"sidecar/3","id":"069fa6f45d3a91c4","resource":"k:x","cls":"c","project":"p","clientDeadlineUs":8652250,"new":{"a":[1]}}`)
+	if e.Kind != Knock || e.ID != 0x069fa6f45d3a91c4 || string(e.Key) != "k:x" || string(e.Class) != "c" || string(e.Tenant) != "p" || e.Deadline != 8652250 {
+		t.Errorf("knock: %+v", e)
+	}
+	e = decode(t, `{"t":"finished","sidecarId":"s","id":"069fa6f45d3a91c4","copy":2,"noMore":true,"ending":429,"feedback":{"cpu_share":0.5,"odd":1}}`)
+	if e.Copy != 2 || !e.Over || e.Ending != 429 || !e.Load.HasCPUShare || e.Load.CPUShare != 0.5 || e.Load.HasBusyReqs {
+		t.Errorf("finished: %+v", e)
+	}
+	e = decode(t, `{"t":"checked","sidecarId":"s","server":"10.0.0.1:1","ending":200,"durationUs":1400,"feedback":{"busy_reqs":3}}`)
+	if e.Kind != Checked || string(e.Server) != "10.0.0.1:1" || e.Ending != 200 || !e.Load.HasBusyReqs || e.Load.BusyReqs != 3 {
+		t.Errorf("checked: %+v", e)
+	}
+	e = decode(t, `{"t":"ledger","list":3,"hosts":[{"health":"SERVING","powerHint":1.5,"server":"10.0.0.1:1","startTimeUs":6,"unitGroup":4,"generationHw":"g","az":"z"}]}`)
+	if want := (Host{Server: "10.0.0.1:1", Health: "SERVING", Zone: "z", Hint: 1.5, StartUs: 6, Group: 4}); e.List != 3 || len(e.Hosts) != 1 || e.Hosts[0] != want {
+		t.Errorf("ledger: %+v", e)
+	}
+	e = decode(t, `{"t":"powerOn","sidecarId":"s","entropy":18446744073709551615,"env":{"zone":"z","overShareWorth":0.5,"tenants":[{"name":"p","allowancePerS":7.5,"share":1}],"unknown":1,"classes":[{"name":"c","promiseUs":5}]}}`)
+	if e.Seed != 1<<64-1 || !json.Valid(e.Env) {
+		t.Errorf("powerOn: %+v", e)
+	}
+}
+
+func TestDecodeErrors(t *testing.T) {
+	for _, line := range []string{
+		"", "nonsense", "[]", `{"t":"new"}`, `{}`, `{"t":"wakeup","cookie":1}`,
+		`{"t":"knock","sidecarId":"s","id":"xyz"}`, `{"t":"powerOn","sidecarId":"s"}`,
+		`{"t":"ledger","list":0,"hosts":[{}]}`,
+	} {
+		var d Decoder
+		var e Event
+		if err := d.Decode([]byte(line), &e); err == nil {
+			t.Errorf("%q: no error", line)
+		}
+	}
+}
+
+// Every action must come out as JSON with the fields put in.
+func TestReply(t *testing.T) {
+	odd := "a\"b\\c\né"
+	for _, c := range []struct {
+		write func(r *Reply)
+		want  map[string]any
+	}{
+		{func(r *Reply) { r.Route("s", 0xab, odd, 80) }, map[string]any{"t": "route", "sidecarId": "s", "id": "00000000000000ab", "server": odd, "giveUpAfterUs": 80.0}},
+		{func(r *Reply) { r.AbortAttempt("s", 1, 2) }, map[string]any{"t": "abortAttempt", "sidecarId": "s", "id": "0000000000000001", "copy": 2.0}},
+		{func(r *Reply) { r.NotNow("s", 1, 9) }, map[string]any{"t": "notNow", "sidecarId": "s", "id": "0000000000000001", "holdOffUs": 9.0}},
+		{func(r *Reply) { r.DropRequest("s", 1) }, map[string]any{"t": "dropRequest", "sidecarId": "s", "id": "0000000000000001"}},
+		{func(r *Reply) { r.SetTimer("s", 7, 5) }, map[string]any{"t": "setTimer", "sidecarId": "s", "cookie": 7.0, "inUs": 5.0}},
+		{func(r *Reply) { r.DropConns("s", "x") }, map[string]any{"t": "dropConns", "sidecarId": "s", "server": "x"}},
+		{func(r *Reply) { r.KeepInformed("s") }, map[string]any{"t": "keepInformed", "sidecarId": "s", "on": true}},
+		{func(r *Reply) { r.BailOut("s", odd) }, map[string]any{"t": "bailOut", "sidecarId": "s", "reasonText": odd}},
+		{func(r *Reply) { r.EndOfReply(3) }, map[string]any{"t": "eor", "turn": 3.0}},
+	} {
+		var r Reply
+		c.write(&r)
+		var got map[string]any
+		if err := json.Unmarshal(r.Bytes(), &got); err != nil {
+			t.Errorf("%s: %v", r.Bytes(), err)
+			continue
+		}
+		if len(got) != len(c.want) {
+			t.Errorf("got %v, want %v", got, c.want)
+		}
+		for k, v := range c.want {
+			if got[k] != v {
+				t.Errorf("%s: %s is %v, want %v", r.Bytes(), k, got[k], v)
+			}
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{
+		`{"t":"end"}`, `{"t":"wakeup","sidecarId":"s","cookie":77}`,
+		`{"t":"finished","sidecarId":"s","id":"869fa6f45d3a91c4","copy":-1,"ending":1e99,"feedback":[]}`,
+		`{"t":"ledger","list":99999999999999999999,"hosts":{}}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var d Decoder
+		var e Event
+		if err := d.Decode(line, &e); err == nil && e.Kind > Ledger && len(e.Instance) == 0 {
+			t.Errorf("%q: an event of no instance", line)
+		}
+	})
+}
+
+func FuzzReplyString(f *testing.F) {
+	f.Add("plain")
+	f.Add("\x00\"\\ \u2028")
+	f.Fuzz(func(t *testing.T, s string) {
+		var r Reply
+		r.BailOut("i", s)
+		if !json.Valid(r.Bytes()) {
+			t.Errorf("%q gave %s", s, r.Bytes())
+		}
+	})
+}
--- /dev/null
+++ b/pick.go
@@ -0,0 +1,397 @@
+package chalkrack
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	samplerAge = 200 * time.Millisecond // how long sampling weights are kept
+	// localPreference multiplies the odds that a server of the balancer's own
+	// zone is in its working set, where crossing zones has a price.
+	localPreference = 3.0
+	// A balancer keeps to a working set that it can know: setPerRate servers
+	// for each send a second, at least setMin. Where open connections have a
+	// price, connBudget (in points) shrinks the set further, to connMin at least.
+	setPerRate = 1.0
+	setMin     = 4
+	connBudget = 0.08
+	connMin    = 3
+	// learnLatency is how strongly one latency corrects a server's learned weight,
+	// which stays within learnMax of the hint's, above and below.
+	learnLatency = 0.2
+	learnMax     = 4.0
+	learnEvery   = 2 * time.Second
+	meanStep     = 0.04            // of running means over all servers
+	rateMemory   = 4 * time.Second // what the count of recent sends looks back on
+	// latencyPrior is the weight, in samples, of "as fast as the fleet" in a
+	// server's latency estimate; latencyMemory is how fast old samples fade.
+	latencyPrior  = 1.0
+	latencyMemory = 12 * time.Second
+	inFlightFirst = 1e4 // puts one request in flight above all other signs of cost
+	warmSaving    = 0.5 // this share of its cost draws a request from its key's warm server
+	// ejectAfter consecutive failures make a server suspect. It is ejected for
+	// ejectBase, doubled each time up to ejectMax, with a random part so that
+	// balancers do not return together.
+	ejectAfter = 2
+	ejectBase  = time.Second
+	ejectMax   = 16 * time.Second
+	// ejectShare of the fleet at most: past it, failures are everyone's or our own.
+	ejectShare   = 0.4
+	coldPart     = 0.5             // of what fells a cold server is sent at most; the rest is for chance
+	reportMemory = 3 * time.Second // how fast a load report loses its weight: queues stay seconds
+	// The load that a late answer stands for, and what it leaves of the weight.
+	jammedLoad   = 8.0
+	jammedWeight = 0.7
+)
+
+// server is one member as this balancer sees it.
+type server struct {
+	name, zone          string
+	hash                uint64
+	group               int
+	hint                float64       // the list's capacity hint, 1 where it gives none
+	learned             float64       // corrects the hint by what was seen
+	started, warmAt     time.Duration // last start; when it is warm at the latest
+	serving, inSet      bool          // listed as serving; in the working set
+	inFlight            int
+	failures, ejections int           // in a row; for the backoff
+	ejectedUntil        time.Duration // suspect until then
+	latSum, latN        float64       // fading sum and weight of relative latencies
+	load                float64       // last load report, in requests held
+	latAt, loadAt       time.Duration
+	learnedAt           time.Duration
+	priority            float64 // order among members, lowest first
+	cold                bucket  // sends that it may get while cold
+}
+
+// fleet is the membership, the working set and the sampling table over it.
+type fleet struct {
+	cfg     *Config
+	rand    func() float64
+	byName  map[string]*server
+	members []*server     // serving servers, by priority
+	set     []*server     // the working set
+	weights []float64     // running sums over set
+	fresh   time.Duration // when weights were made
+	dirty   bool          // membership or ejections changed
+	ejected []*server
+	sent    float64 // fading count of sends
+	taken   float64 // running share of sends that were not turned away
+	sentAt  time.Duration
+	perHeld float64 // running median of latency by requests held
+	meanLat float64 // running mean of latencies, in fractions of the aim
+}
+
+// update takes over what discovery says of one server. Members stay sorted: in a
+// large fleet many small changes come, and sorting it for each cost more than requests.
+func (f *fleet) update(e Endpoint, now time.Duration) {
+	f.dirty = true
+	s := f.byName[e.Name]
+	if s == nil && e.State == Gone {
+		return
+	}
+	if s == nil {
+		// The order differs by balancer and stays, so that a working set changes little.
+		s = &server{name: e.Name, hash: hashName(e.Name), cold: bucket{1, now}, learned: 1, priority: -math.Log(1 - f.rand())}
+		if f.cfg.CrossZoneCost > 0 && e.Zone == f.cfg.Zone {
+			s.priority /= localPreference
+		}
+		f.byName[e.Name] = s
+	}
+	if serving := e.State == Serving; serving != s.serving {
+		s.serving = serving
+		i, _ := slices.BinarySearchFunc(f.members, s, func(a, b *server) int {
+			return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.name, b.name))
+		})
+		if serving {
+			f.members = slices.Insert(f.members, i, s)
+		} else {
+			f.members = slices.Delete(f.members, i, i+1)
+		}
+	}
+	if e.State == Gone {
+		delete(f.byName, e.Name) // attempts still out hold their own pointer
+		return
+	}
+	s.zone, s.group, s.hint = e.Zone, e.Group, e.Hint
+	if !(s.hint > 0) || math.IsInf(s.hint, 0) {
+		s.hint = 1
+	}
+	if e.Started > s.started {
+		// A restarted process has none of its old faults and none of its speed.
+		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
+		s.latSum, s.latN, s.learned = 0, 0, 1
+	}
+	s.started, s.warmAt = e.Started, 0
+	if e.Started > 0 {
+		s.warmAt = e.Started + f.cfg.ColdFor
+	}
+}
+
+// replace takes a whole list: servers missing from it are gone.
+func (f *fleet) replace(list []Endpoint, now time.Duration) {
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.Name] = true
+	}
+	for name := range f.byName { // in any order: what goes leaves the others as they are
+		if !listed[name] {
+			f.update(Endpoint{Name: name, State: Gone}, now)
+		}
+	}
+	for _, e := range list {
+		f.update(e, now)
+	}
+}
+
+// warmth is the share of its full capacity that a server surely has by now.
+func (f *fleet) warmth(s *server, now time.Duration) float64 {
+	if now >= s.warmAt || f.cfg.ColdFor <= 0 {
+		return 1
+	}
+	age := float64(max(0, now-s.started)) / float64(f.cfg.ColdFor)
+	return f.cfg.ColdFrom + (1-f.cfg.ColdFrom)*age
+}
+
+// refresh rebuilds the sampling table when it is old or what it stands on changed.
+func (f *fleet) refresh(now time.Duration) {
+	ejected := len(f.ejected)
+	f.ejected = slices.DeleteFunc(f.ejected, func(s *server) bool { return now >= s.ejectedUntil || !s.serving })
+	f.dirty = f.dirty || len(f.ejected) < ejected
+	if !f.dirty && now-f.fresh < samplerAge {
+		return
+	}
+	if size := f.setSize(now); f.dirty || size > len(f.set) || size < len(f.set)*2/3 {
+		f.chooseSet(size, now)
+	}
+	f.dirty, f.fresh = false, now
+	f.weights = f.weights[:0]
+	sum := 0.0
+	for _, s := range f.set {
+		w := s.hint * s.learned * f.warmth(s, now)
+		if now < s.ejectedUntil {
+			w = 0
+		}
+		sum += w
+		f.weights = append(f.weights, sum)
+	}
+}
+
+// setSize is how many servers this balancer's traffic lets it know well.
+func (f *fleet) setSize(now time.Duration) int {
+	n := len(f.members)
+	size := max(setMin, int(setPerRate*f.rate(now)))
+	if f.cfg.ConnectionCost > 0 && n > 0 {
+		each := f.cfg.ConnectionCost * float64(f.cfg.Instances) / (100 * float64(n))
+		size = max(connMin, min(size, int(math.Sqrt(connBudget/each)+0.5)))
+	}
+	return min(size, n)
+}
+
+// chooseSet takes the first servers by priority into the working set, ejected ones last.
+func (f *fleet) chooseSet(size int, now time.Duration) {
+	for _, s := range f.set {
+		s.inSet = false
+	}
+	f.set = f.set[:0]
+	for _, ejected := range []bool{false, true} {
+		for i := 0; i < len(f.members) && len(f.set) < size; i++ {
+			if s := f.members[i]; now < s.ejectedUntil == ejected {
+				s.inSet = true
+				f.set = append(f.set, s)
+			}
+		}
+	}
+}
+
+// draw samples one member by weight, nil if none has any.
+func (f *fleet) draw() *server {
+	n := len(f.weights)
+	if n == 0 || f.weights[n-1] <= 0 {
+		return nil
+	}
+	// The next float up: a server of no weight is never hit, even by a draw of 0.
+	i, _ := slices.BinarySearch(f.weights, math.Nextafter(f.rand()*f.weights[n-1], math.Inf(1)))
+	return f.set[min(i, n-1)]
+}
+
+// pick is the two-choice pick: of two random servers the one with the lower
+// cost. ok restricts the choice to servers that the request may go to.
+func (f *fleet) pick(now time.Duration, key uint64, ok func(*server) bool) *server {
+	f.refresh(now)
+	if key != 0 {
+		if s := f.pickWarm(now, key, ok); s != nil {
+			return s
+		}
+	}
+	var best *server
+	bestCost := math.Inf(1)
+	for tries, found := 0, 0; tries < 8 && found < 2; tries++ {
+		s := f.draw()
+		if s == nil {
+			break
+		}
+		if s == best || !ok(s) || !f.coldRoom(s, now) {
+			continue
+		}
+		found++
+		if c := f.cost(s, now); c < bestCost {
+			best, bestCost = s, c
+		}
+	}
+	// Else any server, ejected too, from a random place: balancers must not herd.
+	n := len(f.members)
+	start := int(f.rand() * float64(n))
+	for i := 0; i < n && (best == nil || now < best.ejectedUntil); i++ {
+		if s := f.members[(start+i)%n]; ok(s) && f.coldRoom(s, now) && (best == nil || now >= s.ejectedUntil) {
+			best = s
+		}
+	}
+	return best
+}
+
+// pickWarm draws the two candidates by the request's key: the highest two of the
+// working set by weighted rendezvous hashing. All balancers rank alike, so a key
+// meets a server that has it warm, unless that one is busier than the saving.
+func (f *fleet) pickWarm(now time.Duration, key uint64, ok func(*server) bool) *server {
+	var first, second *server
+	var high, next float64
+	for i, s := range f.set {
+		weight := f.weights[i]
+		if i > 0 {
+			weight -= f.weights[i-1]
+		}
+		if weight <= 0 || !ok(s) || !f.coldRoom(s, now) {
+			continue
+		}
+		u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
+		switch r := weight / -math.Log(u); {
+		case r > high:
+			first, second, high, next = s, first, r, high
+		case r > next:
+			second, next = s, r
+		}
+	}
+	if second != nil && f.cost(second, now) < warmSaving*f.cost(first, now) {
+		return second
+	}
+	return first
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// hashName hashes a key or server name; 0 stands for the empty one.
+func hashName(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// cost compares candidates: own in-flight first; quiet balancers mostly tie
+// there, so that the seen latency and the load report decide between equals.
+func (f *fleet) cost(s *server, now time.Duration) float64 {
+	return inFlightFirst*float64(s.inFlight) + s.held(now)*s.latency(now)
+}
+
+// held is how many requests s holds with one more, by its load report.
+func (s *server) held(now time.Duration) float64 { return 1 + s.load*fade(now-s.loadAt, reportMemory) }
+
+// latency is a server's recent latency relative to the fleet's.
+func (s *server) latency(now time.Duration) float64 {
+	w := fade(now-s.latAt, latencyMemory)
+	return (s.latSum*w + latencyPrior) / (s.latN*w + latencyPrior)
+}
+
+// report logs how long a send took, in fractions of the aim, takes its load
+// report over and corrects its learned weight. Guards against capacity hints
+// that are missing or wrong: with equal shares a slow kind of server fills first.
+func (f *fleet) report(s *server, o Outcome, rep Report, took, held float64, now time.Duration) {
+	took = max(took, 1e-6)
+	f.meanLat = cmp.Or(f.meanLat, took) // starts at the first
+	f.meanLat += meanStep * (took - f.meanLat)
+	if f.cfg.Probes { // only their limit reads it
+		f.perHeld = cmp.Or(f.perHeld, took/held)
+		f.perHeld *= math.Pow(1+meanStep, math.Copysign(1, took-f.perHeld*held))
+	}
+	w := fade(now-s.latAt, latencyMemory)
+	s.latSum, s.latN, s.latAt = s.latSum*w+took/f.meanLat, s.latN*w+1, now
+	// Scaled to time: a busy balancer has many answers before a step shows.
+	strength := learnLatency * min(1, float64(now-s.learnedAt)/float64(learnEvery))
+	s.learnedAt = now
+	correct := math.Pow(f.meanLat/took, strength)
+	if o == TimedOut || took > 1 {
+		// Guards against a jam that feeds itself: each balancer keeps just one
+		// send there, yet all of them together hold the queue full.
+		s.load, s.loadAt, correct = jammedLoad, now, jammedWeight
+	} else {
+		s.heed(rep, now)
+	}
+	s.learned = max(1/learnMax, min(s.learned*correct, learnMax))
+}
+
+// heed takes a load report over.
+func (s *server) heed(rep Report, now time.Duration) {
+	switch {
+	case rep.HasInFlight:
+		s.load, s.loadAt = rep.InFlight, now
+	case rep.HasUtil:
+		s.load, s.loadAt = min(rep.Util/(1.01-min(rep.Util, 1)), jammedLoad), now
+	}
+}
+
+// failed counts a failure against a server and ejects it when they add up.
+func (f *fleet) failed(s *server, now time.Duration) {
+	s.failures++
+	if s.failures < ejectAfter || now < s.ejectedUntil || float64(len(f.ejected)+1) > ejectShare*float64(len(f.members)) {
+		return
+	}
+	span := min(ejectBase<<min(s.ejections, 10), ejectMax)
+	s.ejections++
+	s.failures = ejectAfter - 1 // one more failure on return ejects it again
+	s.ejectedUntil = now + span/2 + time.Duration(f.rand()*float64(span))
+	f.ejected = append(f.ejected, s)
+	f.dirty = true
+}
+
+// coldRoom says whether a cold server can take one more send from here, guided by
+// what a warm one takes: all balancers do the same, so the sum stays under the
+// fleet's limit. Guests, which all may fall back on, get none.
+func (f *fleet) coldRoom(s *server, now time.Duration) bool {
+	if now >= s.warmAt || !s.inSet {
+		return now >= s.warmAt
+	}
+	// what a warm server gets in a second, times what this one can stand
+	rate := f.taken * f.rate(now) / float64(max(1, len(f.set))) * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
+	s.cold.refill(rate, rate*f.cfg.OverloadFor.Seconds(), now)
+	return s.cold.tokens >= 1
+}
+
+// rate is this balancer's recent sends a second.
+func (f *fleet) rate(now time.Duration) float64 {
+	return f.sent * fade(now-f.sentAt, rateMemory) / rateMemory.Seconds()
+}
+
+// fade is the weight left to what is age old.
+func fade(age, memory time.Duration) float64 { return math.Exp(-float64(age) / float64(memory)) }
+
+// noteSend books a send to s.
+func (f *fleet) noteSend(s *server, now time.Duration) {
+	f.sent = f.sent*fade(now-f.sentAt, rateMemory) + 1
+	f.sentAt = now
+	s.inFlight++
+	if now < s.warmAt {
+		s.cold.tokens--
+	}
+}
--- /dev/null
+++ b/pick_test.go
@@ -0,0 +1,339 @@
+package chalkrack
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func fleetOf(n int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{Name: fmt.Sprintf("s%03d", i)})
+	}
+	return list
+}
+
+// Each request stays out, so that two-choice must keep the in-flight even.
+func TestTwoChoiceEvensInFlight(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(setMin)...)
+	b.noCopies()
+	for id := RequestID(1); id <= 100; id++ {
+		b.Arrive(0, Request{ID: id, Deadline: 300 * ms})
+	}
+	count := map[string]int{}
+	for _, s := range r.servers {
+		count[s]++
+	}
+	for name, n := range count {
+		if n < 18 || n > 32 {
+			t.Errorf("%s holds %d of 100 over %d servers", name, n, setMin)
+		}
+	}
+}
+
+func TestDefinedAnswersWithoutServers(t *testing.T) {
+	for name, list := range map[string][]Endpoint{
+		"none":         nil,
+		"all draining": {{Name: "a", State: Draining}, {Name: "b", State: Draining}},
+		"all gone":     {{Name: "a", State: Gone}},
+	} {
+		b, r := newTest(t, testConfig(), list...)
+		for class := range 3 {
+			b.Arrive(0, Request{ID: RequestID(class + 1), Class: class, Deadline: 300 * ms})
+		}
+		if len(r.got) != 3 || r.got[0] != "refuse 1" || r.got[1] != "refuse 2" || r.got[2] != "refuse 3" {
+			t.Errorf("%s: %v, want three refusals", name, r.got)
+		}
+	}
+	b, r := newTest(t, testConfig(), fleetOf(2)...)
+	b.Arrive(time.Second, Request{ID: 1, Deadline: time.Second})
+	b.Arrive(time.Second, Request{ID: 2, Class: 9, Deadline: 2 * time.Second})
+	if len(r.got) != 2 || r.got[0] != "refuse 1" || r.got[1] != "refuse 2" {
+		t.Errorf("deadline past, no such class: %v, want two refusals", r.got)
+	}
+}
+
+// All suspect: the capped share keeps some in, and a lone suspect still serves.
+func TestEjectionIsCapped(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(10)...)
+	b.fleet.refresh(0)
+	for _, s := range b.fleet.members {
+		for range 3 {
+			b.fleet.failed(s, 0)
+		}
+	}
+	if len(b.fleet.ejected) != 4 {
+		t.Errorf("%d of 10 ejected, want 4", len(b.fleet.ejected))
+	}
+	b.fleet.refresh(time.Minute)
+	if len(b.fleet.ejected) != 0 {
+		t.Errorf("%d still ejected after a minute", len(b.fleet.ejected))
+	}
+}
+
+// A restarted server must get only its cold share: no more than coldPart of
+// what would fell it, judged by what its warm peers get.
+func TestColdPacing(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes = cfg.Classes[2:] // no copies
+	list := fleetOf(4)
+	list[0].Started = 100 * time.Second
+	b, r := newTest(t, cfg, list...)
+	now, cold := 100*time.Second, 0
+	for id := RequestID(1); id <= 400; id++ {
+		now += 5 * ms
+		b.Arrive(now, Request{ID: id, Deadline: now + 300*ms})
+		if r.servers[id-1] == "s000" {
+			cold++
+		}
+		b.Done(now, id, 0, OK, true, Report{})
+	}
+	// 2 s, a quarter of the sends would be 100; it has 0.2 to 0.36 of its capacity.
+	if cold == 0 || cold > 60 {
+		t.Errorf("%d of 400 sends to a server that just started", cold)
+	}
+}
+
+// Sampling and pacing each hold a cold server back by themselves.
+func TestColdSamplingAndRoom(t *testing.T) {
+	list := fleetOf(2)
+	list[0].Started = 100 * time.Second
+	b, _ := newTest(t, testConfig(), list...)
+	f, now := &b.fleet, 100*time.Second
+	f.refresh(now)
+	cold, warm := f.weights[0], f.weights[1]-f.weights[0]
+	if f.set[0].name != "s000" {
+		cold, warm = warm, cold
+	}
+	if cold != 0.2*warm {
+		t.Errorf("a fresh server weighs %v of a warm one's %v, want its cold share", cold, warm)
+	}
+	s := f.byName["s000"]
+	if !f.coldRoom(s, now) {
+		t.Error("no room for a first send")
+	}
+	f.noteSend(s, now)
+	if f.coldRoom(s, now) {
+		t.Error("room for a second send at once")
+	}
+	if !f.coldRoom(s, now+10*time.Second) {
+		t.Error("no room once warm")
+	}
+}
+
+// A cold server outside the working set gets nothing: all balancers could fall
+// back on it together, each with a full share.
+func TestColdGuestGetsNothing(t *testing.T) {
+	list := fleetOf(12)
+	for i := range list {
+		list[i].Started = 100 * time.Second
+	}
+	b, _ := newTest(t, testConfig(), list...)
+	f, now := &b.fleet, 100*time.Second
+	f.refresh(now)
+	if len(f.set) == len(f.members) {
+		t.Fatal("no guests to test with")
+	}
+	for _, s := range f.members {
+		if f.coldRoom(s, now) != s.inSet {
+			t.Errorf("%s: in the set %v, room %v", s.name, s.inSet, !s.inSet)
+		}
+	}
+}
+
+// Where servers turn most sends away, what is sent to a warm one says too much
+// of what a cold one can take.
+func TestColdRoomCountsTakenSends(t *testing.T) {
+	room := func(o Outcome) (n int) {
+		cfg := testConfig()
+		cfg.Classes = cfg.Classes[2:] // no copies
+		list := fleetOf(4)
+		b, _ := newTest(t, cfg, list...)
+		now := 90 * time.Second
+		for id := RequestID(1); id <= 400; id++ {
+			now += 5 * ms
+			b.Arrive(now, Request{ID: id, Deadline: now + 300*ms})
+			for k := range 4 {
+				b.Done(now, id, k, o, o == OK, Report{})
+			}
+		}
+		list[0].Started = now
+		b.ServersChanged(now, list[:1])
+		f := &b.fleet
+		f.refresh(now)
+		s := f.byName["s000"]
+		f.coldRoom(s, now)
+		for end := now + time.Second; now < end; now += ms {
+			f.sent, f.sentAt = 800, now // the same rate all the time
+			if f.coldRoom(s, now) {
+				f.noteSend(s, now)
+				n++
+			}
+		}
+		return n
+	}
+	if taken, full := room(OK), room(Full); full > taken/4 {
+		t.Errorf("%d sends to a cold server where all are taken, %d where none is", taken, full)
+	}
+}
+
+// Where connections have a price, a large tier keeps small working sets.
+func TestWorkingSetByConnectionPrice(t *testing.T) {
+	cfg := testConfig()
+	cfg.Instances, cfg.ConnectionCost = 1200, 0.05
+	b, r := newTest(t, cfg, fleetOf(60)...)
+	b.noCopies()
+	used := map[string]bool{}
+	for id := RequestID(1); id <= 200; id++ {
+		b.Arrive(0, Request{ID: id, Deadline: 300 * ms})
+		b.Done(0, id, 0, OK, true, Report{})
+		used[r.servers[id-1]] = true
+	}
+	if len(used) > 4 {
+		t.Errorf("%d servers used, want a handful", len(used))
+	}
+}
+
+// Two balancers that know the same servers send a key to the same one.
+func TestWarmKeysAgree(t *testing.T) {
+	cfg := testConfig()
+	cfg.WarmKeys = true
+	one, r1 := newTest(t, cfg, fleetOf(setMin)...)
+	r2 := new(recorder)
+	two, err := New(cfg, 99, r2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two.ServersListed(0, fleetOf(setMin))
+	for id := RequestID(1); id <= 20; id++ {
+		for _, b := range []*Balancer{one, two} {
+			b.noCopies()
+			b.Arrive(0, Request{ID: id, Key: fmt.Sprint(id % 7), Deadline: 300 * ms})
+			b.Done(0, id, 0, OK, true, Report{})
+		}
+		if a, b := r1.servers[id-1], r2.servers[id-1]; a != b {
+			t.Errorf("key %d went to %s and %s", id%7, a, b)
+		}
+	}
+}
+
+// A quiet balancer whose sends mostly come late must shed nearly all: a level that
+// fades between any two outcomes rests far lower.
+func TestShedLevelHoldsBetweenOutcomes(t *testing.T) {
+	cfg := testConfig()
+	a := newAdmitter(&cfg)
+	for i := range 200 { // half are late, twice a second
+		a.outcome(false, i%2 == 0, 2, time.Duration(i)*500*ms)
+	}
+	if a.level < 0.9 {
+		t.Errorf("level %v with half of the answers late", a.level)
+	}
+}
+
+// What is shed brings no answers to lower the level: a quiet balancer takes
+// larger steps, and the level fades by itself, or it outlives its cause.
+func TestShedLevelFallsWhenQuiet(t *testing.T) {
+	a := newAdmitter(&Config{Classes: make([]Class, 1)})
+	a.level = 0.6
+	for range 15 {
+		a.outcome(false, false, 1, 0)
+	}
+	if a.level > 0.05 {
+		t.Errorf("level %v after 15 calm answers of a quiet balancer", a.level)
+	}
+	a.level, a.share[0] = 0.9, 1
+	if before, after := a.odds(0, 0), a.odds(0, 2*shedMemory); before < 0.5 || after > before/4 {
+		t.Errorf("odds went from %v to %v with no outcome for long", before, after)
+	}
+}
+
+// Own in-flight comes before every other sign: a server that holds one of this
+// balancer's requests may be a jam that its old answers do not show yet.
+func TestInFlightComesFirst(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(2)...)
+	busy, slow := b.fleet.byName["s000"], b.fleet.byName["s001"]
+	busy.inFlight = 1
+	slow.load, slow.latSum, slow.latN = jammedLoad, 40, 10
+	if b.fleet.cost(busy, 0) <= b.fleet.cost(slow, 0) {
+		t.Error("a server with a request in flight costs less than an idle one")
+	}
+}
+
+// The least worth is shed first, and all of it before the next class.
+func TestShedsLeastWorthFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[2].Worth = 10
+	b, _ := newTest(t, cfg)
+	for range 300 {
+		b.admit.arrived(0, -1, 0)
+		b.admit.arrived(2, -1, 0)
+	}
+	b.admit.level = 0.3
+	if lo, hi := b.admit.odds(0, 0), b.admit.odds(2, 0); lo < 0.4 || hi != 0 {
+		t.Errorf("odds %v for the cheap class and %v for the dear one", lo, hi)
+	}
+	for range 1000 {
+		b.admit.outcome(false, false, 10, 0)
+	}
+	if b.admit.level != 0 {
+		t.Errorf("level %v after calm", b.admit.level)
+	}
+}
+
+// What a tenant asks above its share is shed before what others ask within
+// theirs, whatever the class.
+func TestShedsAboveShareFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants, cfg.OverShareWorth = []float64{9, 9}, 0.1
+	cfg.Classes[2].Worth = 5
+	a := newAdmitter(&cfg)
+	within, above := 0, 0
+	for i := range 200 { // 20 dear requests a second of the first tenant, whose share here is 3
+		now := time.Duration(i) * 50 * ms
+		if a.arrived(2, 0, now) == 2 {
+			within++
+		} else {
+			above++
+		}
+	}
+	if within < 38 || within > 45 {
+		t.Errorf("%d of 200 within the share, want 3 a second and what was saved up", within)
+	}
+	a.level, a.at = 0.5, 10*time.Second
+	modest := a.arrived(0, 1, 10*time.Second)
+	if lo, hi := a.odds(5, a.at), a.odds(modest, a.at); modest != 0 || lo < 0.4 || hi != 0 {
+		t.Errorf("odds %v above the share, %v within it", lo, hi)
+	}
+}
+
+// Sorting a large fleet anew for each of many small changes cost a quiet balancer
+// more than its requests did: members stay sorted as changes come.
+func TestMembersStaySorted(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(20)...)
+	f, rng := &b.fleet, rand.New(rand.NewPCG(7, 7))
+	for step := range 500 {
+		list := fleetOf(30)
+		e := list[rng.IntN(len(list))]
+		e.State = State(rng.IntN(3))
+		b.ServersChanged(0, []Endpoint{e})
+		if step%50 == 49 {
+			b.ServersListed(0, list[rng.IntN(10):])
+		}
+		serving := 0
+		for _, s := range f.byName {
+			if s.serving {
+				serving++
+			}
+		}
+		if serving != len(f.members) {
+			t.Fatalf("step %d: %d members, %d servers serve", step, len(f.members), serving)
+		}
+		for i, s := range f.members {
+			if !s.serving || f.byName[s.name] != s || i > 0 && f.members[i-1].priority > s.priority {
+				t.Fatalf("step %d: member %d is out of place", step, i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/reissue.go
@@ -0,0 +1,191 @@
+package chalkrack
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+)
+
+// SingleR (Kaler, He, Elnikety, SPAA 2017): a request still unanswered after
+// delay d gets, with probability q, one copy on another server. Times here are
+// fractions of the class's aim, so that quiet balancers can pool the samples of
+// all classes.
+const (
+	reissueBudget = 0.10 // B, copies per first send: well under the spare capacity
+	// reissuePrice bounds what copies may cost where wasted work has a price:
+	// B is at most reissuePrice over that price.
+	reissuePrice   = 0.002
+	tailPercentile = 0.95 // k, the percentile of response times to minimise
+	// learningRate is λ at a full batch of new samples; smaller batches step
+	// in proportion, or the delay of a quiet balancer would swing.
+	learningRate = 0.3
+	// The sample windows. They are short because the fleet's state changes
+	// within seconds and because a recompute sorts them.
+	primaryWindow = 256
+	copyWindow    = 96
+	pairWindow    = 64
+	// recomputeEvery new samples and recomputeAfter, stretched at random so that
+	// balancers do not shift d together, lie between two recomputes.
+	recomputeEvery = 32
+	recomputeAfter = time.Second
+	// pairShare of the copies run without cancelling the loser, so that some
+	// pairs are seen whole and feed Pr(Y <= t-d | X > t).
+	pairShare = 0.1
+	// pairPrior is how many whole pairs the unconditional estimate weighs when
+	// mixed with the conditional one, which has few samples.
+	pairPrior      = 12.0
+	hedgeTokensMax = 4.0 // bounds copies saved up in quiet times
+)
+
+// sample is one logged response time. A send that was cancelled is censored:
+// its answer would have come later than at.
+type sample struct {
+	at       float64
+	censored bool
+}
+
+// pair is a first send and its copy, both run to their answers.
+type pair struct{ x, y float64 }
+
+// window is a ring of the latest values.
+type window[T any] struct {
+	buf  []T
+	next int
+}
+
+func (w *window[T]) add(v T, limit int) {
+	if len(w.buf) < limit {
+		w.buf = append(w.buf, v)
+		return
+	}
+	w.buf[w.next] = v
+	w.next = (w.next + 1) % limit
+}
+
+// reissuer holds the logs and the parameters of SingleR.
+type reissuer struct {
+	primary window[sample]
+	copies  window[sample]
+	pairs   window[pair]
+	budget  float64 // B
+	d, q    float64
+	fresh   int // primary samples since the last recompute
+	due     time.Duration
+	tokens  float64
+	scratch []sample
+	x, y    survival // reused between recomputes
+}
+
+func newReissuer(wasteCost float64) reissuer {
+	budget := min(reissueBudget, reissuePrice/max(wasteCost, 1e-9))
+	// The paper's starting policy: no delay, probability B.
+	return reissuer{budget: budget, q: budget, tokens: 1}
+}
+
+func (r *reissuer) addPrimary(s sample) {
+	r.primary.add(s, primaryWindow)
+	r.fresh++
+}
+
+// recompute takes one step towards the delay that the present logs make best.
+// jitter is in [0, 1).
+func (r *reissuer) recompute(now time.Duration, jitter float64) {
+	if r.fresh < recomputeEvery || now < r.due {
+		return
+	}
+	r.due = now + recomputeAfter + time.Duration(jitter*float64(recomputeAfter))
+	step := learningRate * min(1, float64(r.fresh)/primaryWindow*4)
+	r.fresh = 0
+	r.x.estimate(r.primary.buf, &r.scratch)
+	// Copies log too few answers at first; until then first sends stand in.
+	if len(r.copies.buf) >= pairPrior {
+		r.y.estimate(r.copies.buf, &r.scratch)
+	} else {
+		r.y.estimate(r.primary.buf, &r.scratch)
+	}
+	local := computeOptimalSingleR(&r.x, &r.y, r.pairs.buf, tailPercentile, r.budget)
+	r.d += step * (local - r.d)
+	r.q = r.x.reissueOdds(r.d, r.budget)
+}
+
+// survival is a Kaplan-Meier estimate: tail[i] is Pr(T > times[i]).
+type survival struct {
+	times []float64
+	tail  []float64
+}
+
+// estimate fits s to samples, some of them censored. Without censoring the
+// tail is the plain share of samples above each time.
+func (s *survival) estimate(samples []sample, scratch *[]sample) {
+	sorted := append((*scratch)[:0], samples...)
+	*scratch = sorted
+	slices.SortFunc(sorted, func(a, b sample) int { return cmp.Compare(a.at, b.at) })
+	s.times, s.tail = s.times[:0], s.tail[:0]
+	alive := 1.0
+	for i := 0; i < len(sorted); {
+		at, answered, j := sorted[i].at, 0, i
+		for ; j < len(sorted) && sorted[j].at == at; j++ {
+			if !sorted[j].censored {
+				answered++
+			}
+		}
+		if answered > 0 {
+			alive *= 1 - float64(answered)/float64(len(sorted)-i)
+			s.times = append(s.times, at)
+			s.tail = append(s.tail, alive)
+		}
+		i = j
+	}
+}
+
+// after is Pr(T > t).
+func (s *survival) after(t float64) float64 {
+	if i := sort.Search(len(s.times), func(i int) bool { return s.times[i] > t }); i > 0 {
+		return s.tail[i-1]
+	}
+	return 1
+}
+
+// reissueOdds is q: the probability of a copy at delay d that spends the budget.
+func (s *survival) reissueOdds(d, budget float64) float64 {
+	return min(1, budget/max(s.after(d), 1e-9))
+}
+
+// computeOptimalSingleR is the paper's search with correlation (its Figure 1
+// and section 4.2): it walks d up and t down over the sorted response times
+// and returns the d that brings the k-th percentile lowest within budget B.
+func computeOptimalSingleR(x, y *survival, pairs []pair, k, budget float64) float64 {
+	if len(x.times) == 0 {
+		return 0
+	}
+	top := len(x.times) - 1
+	best := x.times[0]
+	for i := 0; i <= top; i++ {
+		d := x.times[i]
+		for top > i && successRate(x, y, pairs, budget, x.times[top], d) > k {
+			top--
+			best = d
+		}
+	}
+	return best
+}
+
+// successRate is the probability that a request is answered within t under
+// SingleR with delay d.
+func successRate(x, y *survival, pairs []pair, budget, t, d float64) float64 {
+	late := x.after(t)
+	q := x.reissueOdds(d, budget)
+	saved := 1 - y.after(t-d)
+	var n, inTime float64
+	for _, p := range pairs {
+		if p.x > t {
+			n++
+			if p.y <= t-d {
+				inTime++
+			}
+		}
+	}
+	saved = (inTime + pairPrior*saved) / (n + pairPrior)
+	return 1 - late + q*late*saved
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Everything that must hold before a change lands: format, vet, staticcheck,
+# the tests under the race detector, and the build that operators run.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+	echo "not gofmt'd: $unformatted" >&2
+	exit 1
+fi
+go vet ./...
+go run honnef.co/go/tools/cmd/staticcheck@v0.7.0 ./...
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
+test -n "$build"
+sh -c "$build"
+test -x bin/drill
+go test -race -count=1 ./...
