--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -23,6 +23,17 @@
 	asks              bool // discovery must be asked
 }
 
+// reload reads the file again. The environment is as it was at the start, so that
+// the file alone can tell where discovery has moved.
+func reload(getenv func(string) string) (*config, error) {
+	return load(func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 // Less than this and nothing could be served.
 const (
 	memoryLeast  = 32
@@ -94,6 +105,11 @@
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	s := c.settings
+	for n, d := range s.Deadlines {
+		if d <= 0 {
+			return nil, fmt.Errorf("config: settings.classes[%d].hardLimitUs must be above 0", n)
+		}
+	}
 	switch {
 	case s.DialTimeout <= 0:
 		return nil, errors.New("config: settings.caps.dialTimeoutUs must be above 0")
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -40,11 +40,12 @@
 
 func main() {
 	slog.SetDefault(limitlog.New(os.Stderr, slog.LevelInfo))
-	term := make(chan os.Signal, 1)
+	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(hup, syscall.SIGHUP)
 	c, err := load(os.Getenv)
 	if err == nil {
-		err = run(c, term)
+		err = run(c, term, hup)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fawnrock:", err)
@@ -52,21 +53,29 @@
 	}
 }
 
-// run serves until term, and then until all that was taken is answered.
-func run(c *config, term <-chan os.Signal) error {
+// limit sets the limits of the process and returns those of its parts.
+func limit(c *config) (upstream.Config, front.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
+	conns := c.sockets - socketsSpare
+	return upstream.Config{
+			ConnIdle:    c.settings.ConnIdle,
+			DialTimeout: c.settings.DialTimeout,
+			DrainGrace:  c.settings.DrainGrace,
+			MostConns:   conns - conns/2,
+		}, front.Config{
+			MostConns: conns / 2,
+			MostBody:  int64(c.memoryMB) << 20 * 3 / 8,
+		}
+}
+
+// run serves until term, and then until all that was taken is answered.
+func run(c *config, term, hup <-chan os.Signal) error {
 	// Requests are short-lived garbage over a small live heap: collecting less
 	// often saves CPU, as far as the memory goes.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
-
-	conns := c.sockets - socketsSpare
-	pool := upstream.New(upstream.Config{
-		ConnIdle:    c.settings.ConnIdle,
-		DialTimeout: c.settings.DialTimeout,
-		DrainGrace:  c.settings.DrainGrace,
-		MostConns:   conns - conns/2,
-	})
+	up, in := limit(c)
+	pool := upstream.New(up)
 	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
 	if c.asks {
 		watcher.Wait = askWait
@@ -86,11 +95,20 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: conns / 2, MostBody: int64(c.memoryMB) << 20 * 3 / 8}, host)
+	srv := front.New(in, host)
 	go srv.Serve(ln)
 
-	if !c.asks {
-		listed := make(chan struct{}, 1)
+	wait := time.NewTimer(listMost)
+	defer wait.Stop()
+	listed := make(chan struct{}, 1)
+	ready := func() {
+		wait.Stop()
+		host.SetReady(true)
+		slog.Info("ready", "listen", c.listen)
+	}
+	if c.asks {
+		ready()
+	} else {
 		watcher.Listed = func(l *discovery.List) {
 			host.Listed(l)
 			select {
@@ -99,23 +117,26 @@
 			}
 		}
 		go watcher.Follow()
-		select {
-		case <-listed:
-		case <-time.After(listMost):
-		case <-term:
-			quit(c, host, srv)
-			return nil
-		}
 	}
-	host.SetReady(true)
-	slog.Info("ready", "listen", c.listen)
-
 	sweep := time.NewTicker(sweepEach)
 	defer sweep.Stop()
 	for {
 		select {
+		case <-listed:
+			if !host.Ready() {
+				ready()
+			}
+		case <-wait.C:
+			ready()
 		case now := <-sweep.C:
 			pool.Sweep(now)
+		case <-hup:
+			next, err := reload(os.Getenv)
+			if err != nil {
+				slog.Error("configuration not taken over: the one before stays", "err", err)
+				continue
+			}
+			apply(next, pool, srv, watcher)
 		case <-term:
 			quit(c, host, srv)
 			return nil
@@ -123,6 +144,17 @@
 	}
 }
 
+// apply takes a new configuration over while requests go on: where discovery is,
+// and the limits. The listener and the classes stay as they are until a restart,
+// which requests under way could not be carried over.
+func apply(c *config, pool *upstream.Pool, srv *front.Server, watcher *discovery.Watcher) {
+	up, in := limit(c)
+	pool.Limit(up)
+	srv.Limit(in)
+	watcher.Move(c.discovery)
+	slog.Info("configuration taken over", "discovery", c.discovery)
+}
+
 // quit serves on as long as connections may come, and until all is answered.
 func quit(c *config, host *sidecar.Host, srv *front.Server) {
 	began := time.Now()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -113,9 +113,30 @@
 	Failed func(error)   // a call has failed or a watch has ended
 	Wait   time.Duration // how long an answer may take to begin
 
-	mu   sync.Mutex
-	conn net.Conn // of the watch
-	shut bool
+	mu    sync.Mutex
+	conn  net.Conn // of the watch
+	shut  bool
+	moves int // how often Addr has changed
+}
+
+// Move follows the list at another address from now on. The watch that is open
+// ends, and the next one asks for the whole list: versions at the new address
+// need not be those of the old.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Addr, w.Index = addr, 0
+	w.moves++
+	if w.conn != nil {
+		w.conn.Close()
+	}
+}
+
+// place is where to watch from which version on, and how many moves led there.
+func (w *Watcher) place() (addr string, index int64, moves int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Addr, w.Index, w.moves
 }
 
 // Follow keeps a watch open until Close, and calls Failed at each break.
@@ -152,24 +173,35 @@
 	return w.shut
 }
 
-// Watch opens one watch and hands on what it brings until it ends.
+// Watch opens a watch and hands on what it brings until it ends. One that a move
+// has ended goes on at the new address at once.
 func (w *Watcher) Watch() error {
+	for {
+		addr, index, moves := w.place()
+		err := w.watch(addr, index, moves)
+		if _, _, now := w.place(); now == moves || w.closed() {
+			return err
+		}
+	}
+}
+
+func (w *Watcher) watch(addr string, index int64, moves int) error {
 	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
-	conn, err := d.Dial("tcp", w.Addr)
+	conn, err := d.Dial("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
 	defer conn.Close()
 	w.mu.Lock()
 	w.conn = conn
-	shut := w.shut
+	stale := w.shut || w.moves != moves
 	w.mu.Unlock()
-	if shut {
+	if stale {
 		return net.ErrClosed
 	}
 	path := "/catalog/members?watch=1"
-	if w.Index > 0 {
-		path += fmt.Sprintf("&after=%d", w.Index)
+	if index > 0 {
+		path += fmt.Sprintf("&after=%d", index)
 	}
 	conn.SetDeadline(time.Now().Add(w.Wait))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
@@ -190,7 +222,7 @@
 		}
 		line, err := readLine(lines)
 		if err == nil && len(line) > 1 {
-			err = w.take(line)
+			err = w.take(line, moves)
 		}
 		if err != nil {
 			return err
@@ -218,16 +250,24 @@
 
 // take hands a line on. After one that can't be read, or that has gone back, the
 // next watch asks for the whole list: the one held can't be relied on to go on from.
-func (w *Watcher) take(line []byte) error {
+func (w *Watcher) take(line []byte, moves int) error {
 	l, err := Parse(line)
+	w.mu.Lock()
+	if w.moves != moves {
+		w.mu.Unlock()
+		return net.ErrClosed
+	}
 	if err == nil && !l.Whole && l.Index < w.Index {
 		err = fmt.Errorf("discovery: changes of version %d after version %d", l.Index, w.Index)
 	}
-	if err != nil {
+	if err == nil {
+		w.Index = l.Index
+	} else {
 		w.Index = 0
-		return err
 	}
-	w.Index = l.Index
-	w.Listed(l)
-	return nil
+	w.mu.Unlock()
+	if err == nil {
+		w.Listed(l)
+	}
+	return err
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -4,11 +4,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"chalkrack"
 	"chalkrack/internal/upstream"
 )
 
@@ -23,11 +25,12 @@
 	Received time.Time
 	State    any // the handler's
 
-	conn     *conn
-	body     [][]byte
-	reserved int64 // bytes of the budget
-	keep     bool  // the connection may go on
-	http10   bool
+	conn      *conn
+	id        string
+	reserved  int64 // bytes of the budget
+	keep      bool  // the connection may go on
+	http10    bool
+	answering bool // guarded by the server's lock
 }
 
 // Fields that belong to one connection, or that each attempt sets itself.
@@ -36,22 +39,47 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Req-Deadline-Ms": true,
 }
 
-// parse takes r over; it returns the status to answer at once, 0 for none.
+// Fields that say what a request is: given twice, they say nothing.
+var single = []string{"Req-Id", "Req-Kind", "Req-Deadline-Ms", "Idempotency-Key"}
+
+// parse takes r's head over; it returns the status to answer at once, 0 for none.
+// It lets nothing pass that says two things about itself: a class in the path and
+// another in the header, a method or key that its class does not have. Guards
+// against an unsafe request that is repeated as a safe one. It may do harm to an
+// application that strays from the protocol's forms.
 func (x *Exchange) parse(r *http.Request, h Handler) (status int) {
-	x.http10 = !r.ProtoAtLeast(1, 1)
-	x.Class = r.Header.Get("Req-Kind")
-	if x.Class == "" {
-		x.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		if !h.Known(x.Class) {
-			return http.StatusNotFound
+	for _, name := range single {
+		if len(r.Header[name]) > 1 {
+			return http.StatusBadRequest
 		}
 	}
-	if r.Header.Get("Req-Id") == "" {
+	x.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != x.Class {
+		return http.StatusBadRequest
+	}
+	effect, ok := h.Effect(x.Class)
+	if !ok {
+		return http.StatusNotFound
+	}
+	method := http.MethodPost
+	if effect == chalkrack.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return http.StatusMethodNotAllowed
+	}
+	if effect == chalkrack.Safe && r.ContentLength != 0 {
+		return http.StatusBadRequest
+	}
+	if x.id = strings.Clone(r.Header.Get("Req-Id")); x.id == "" || len(x.id) > idMost {
 		return http.StatusBadRequest
 	}
-	if d := r.Header.Get("Req-Deadline-Ms"); d != "" {
-		ms, err := strconv.ParseInt(d, 10, 32)
-		if err != nil || ms < 0 {
+	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (effect == chalkrack.Keyed) {
+		return http.StatusBadRequest
+	}
+	if d, ok := r.Header["Req-Deadline-Ms"]; ok {
+		ms, err := strconv.ParseUint(d[0], 10, 31)
+		if err != nil {
 			return http.StatusBadRequest
 		}
 		x.Wait = max(time.Duration(ms)*time.Millisecond, 1)
@@ -73,16 +101,52 @@
 	b = append(b, " HTTP/1.1\r\nHost: "...)
 	b = append(b, r.Host...)
 	b = append(b, "\r\n"...)
-	b = appendHeader(b, r.Header)
-	if x.body != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		size := 0
-		for _, p := range x.body {
-			size += len(p)
+	x.Request = upstream.Request{Method: r.Method, Head: appendHeader(b, r.Header)}
+	return 0
+}
+
+// readBody reads a request's body under the byte budget, and completes the head.
+// What the budget can't hold is read off; fits is false then.
+func (x *Exchange) readBody(r *http.Request) (fits bool, status int) {
+	if r.Body == http.NoBody {
+		if r.Method != http.MethodGet {
+			x.Request.Head = appendLength(x.Request.Head, 0)
 		}
-		b = appendLength(b, int64(size))
+		return true, 0
 	}
-	x.Request = upstream.Request{Method: r.Method, Head: b, Body: x.body}
-	return 0
+	size := r.ContentLength
+	if size < 0 {
+		size = bodyMost
+	}
+	if fits = x.conn.srv.budget.take(size); fits {
+		x.reserved = size
+	}
+	var body []byte
+	var err error
+	switch {
+	case !fits:
+		size, err = io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost+1))
+	case r.ContentLength > 0:
+		body = make([]byte, size)
+		_, err = io.ReadFull(r.Body, body)
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body) // its end
+		}
+	default:
+		body, err = io.ReadAll(io.LimitReader(r.Body, bodyMost+1))
+		size = int64(len(body))
+	}
+	switch {
+	case size > bodyMost:
+		return fits, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fits, http.StatusRequestTimeout
+	case err != nil:
+		return fits, http.StatusBadRequest
+	}
+	x.Request.Body = body
+	x.Request.Head = appendLength(x.Request.Head, size)
+	return fits, 0
 }
 
 func appendHeader(b []byte, h http.Header) []byte {
@@ -126,22 +190,27 @@
 // answer writes a whole answer, in one write, and readies the connection for the
 // next request.
 func (x *Exchange) answer(status int, field string, h http.Header, body []byte) {
-	c := x.conn
-	x.keep = x.keep && !c.srv.closing()
+	s := x.conn.srv
+	s.mu.Lock()
+	x.answering = true
+	x.keep = x.keep && !s.draining
+	s.mu.Unlock()
+	x.end(x.write(status, field, h, body))
+}
+
+// write writes a whole answer.
+func (x *Exchange) write(status int, field string, h http.Header, body []byte) error {
 	buf := buffers.Get().(*[]byte)
 	b := appendLength(x.head((*buf)[:0], status, field, h), int64(len(body)))
 	b = append(b, "\r\n"...)
 	b = append(b, body...)
-	if len(body) > 4<<10 { // less fits the connection's buffer
-		c.nc.SetWriteDeadline(time.Now().Add(writeMost))
-		defer c.nc.SetWriteDeadline(time.Time{})
-	}
-	_, err := c.nc.Write(b)
+	x.conn.nc.SetWriteDeadline(time.Now().Add(writeMost))
+	_, err := x.conn.nc.Write(b)
 	if cap(b) <= 80<<10 {
 		*buf = b
 		buffers.Put(buf)
 	}
-	x.end(err == nil)
+	return err
 }
 
 // head begins an answer: all but its length and the empty line.
@@ -161,23 +230,26 @@
 	return b
 }
 
-func (s *Server) closing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
-// end is the end of the exchange. ok says that its answer is whole; otherwise
+// end is the end of the exchange. Where its answer could not be written whole,
 // the connection is cut, so that the client can tell.
-func (x *Exchange) end(ok bool) {
+func (x *Exchange) end(err error) {
 	c := x.conn
-	if !ok {
+	if err != nil {
 		cut(c)
 	}
 	s := c.srv
+	keep := err == nil && x.keep
 	s.mu.Lock()
-	keep := ok && x.keep
-	c.x, c.busy, c.shut, c.since = nil, !keep, !keep, time.Now()
+	if c.x == x {
+		s.ids.close(x.id)
+		c.x = nil
+	}
+	if keep {
+		c.enter(idle)
+		c.nc.SetReadDeadline(time.Now().Add(keepMost))
+	} else {
+		c.enter(shut)
+	}
 	s.mu.Unlock()
 	if !keep {
 		c.nc.Close()
@@ -199,73 +271,3 @@
 		l.SetLinger(0)
 	}
 }
-
-// Stream is a long answer on its way to the client.
-type Stream struct {
-	x       *Exchange
-	chunked bool
-	head    []byte // not yet written
-	left    int64  // of a stated length
-}
-
-// Stream begins a long answer; ans.Body is its beginning.
-func (x *Exchange) Stream(ans *upstream.Answer) *Stream {
-	w := &Stream{x: x, left: ans.Length}
-	x.keep = x.keep && !x.conn.srv.closing()
-	if ans.Length < 0 {
-		w.chunked = !x.http10
-		x.keep = x.keep && w.chunked
-	}
-	w.head = x.head(nil, http.StatusOK, "", ans.Header)
-	if ans.Length >= 0 {
-		w.head = appendLength(w.head, ans.Length)
-	} else if w.chunked {
-		w.head = append(w.head, "Transfer-Encoding: chunked\r\n"...)
-	}
-	w.head = append(w.head, "\r\n"...)
-	return w
-}
-
-var errTooMuch = errors.New("front: more than the stated length")
-
-// Write passes a part on at once.
-func (w *Stream) Write(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	b := w.head
-	w.head = nil
-	if w.chunked {
-		b = strconv.AppendInt(b, int64(len(p)), 16)
-		b = append(b, "\r\n"...)
-		b = append(b, p...)
-		b = append(b, "\r\n"...)
-	} else {
-		if w.left >= 0 {
-			if w.left -= int64(len(p)); w.left < 0 {
-				return 0, errTooMuch
-			}
-		}
-		b = append(b, p...)
-	}
-	w.x.conn.nc.SetWriteDeadline(time.Now().Add(writeMost))
-	if _, err := w.x.conn.nc.Write(b); err != nil {
-		return 0, err
-	}
-	return len(p), nil
-}
-
-var _ io.Writer = (*Stream)(nil)
-
-// End ends the answer; ok says that all of it came.
-func (w *Stream) End(ok bool) {
-	if ok && w.chunked {
-		_, err := w.x.conn.nc.Write(append(w.head, "0\r\n\r\n"...))
-		ok = err == nil
-	}
-	if w.left > 0 {
-		ok = false
-	}
-	w.x.conn.nc.SetWriteDeadline(time.Time{})
-	w.x.end(ok)
-}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,26 +7,50 @@
 	"errors"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
+
+	"chalkrack"
+	"chalkrack/internal/framing"
 )
 
 const (
-	headMost = 64 << 10
-	bodyMost = 32 << 20
-	// A client that sends nothing for so long in the midst of a request has hung.
-	stallMost = 10 * time.Second
+	// bodyMost is the longest body that the protocol allows.
+	bodyMost = 64 << 10
+	// A connection's first request must be whole within firstMost of its
+	// acceptance, a later one within requestMost of its first byte. Guards
+	// against clients that connect and say nothing, or never finish: a total, not
+	// a limit for each read, so that a slow trickle ends too. It may do harm to a
+	// client that takes seconds to send 64 KiB.
+	firstMost   = 2200 * time.Millisecond
+	requestMost = 2200 * time.Millisecond
+	// keepMost is how long a connection is kept that has no request open. Guards
+	// against clients that ask once and keep theirs for good. A client whose next
+	// request crosses the closing sends it again.
+	keepMost = 5 * time.Second
 	// A client that takes nothing of its answer for so long has hung.
-	writeMost = 10 * time.Second
-	// How long a refused connection is read off, so that its client sees why.
-	lingerMost = 2 * time.Second
-	// freshMost is how long a new connection without a byte counts as busy.
+	writeMost = 2 * time.Second
+	// What a rejected connection is read off at most, so that its client sees why.
+	lingerMost  = 300 * time.Millisecond
+	lingerBytes = 256 << 10
+	// freshMost is how long a new connection without a byte counts as busy when
+	// the sidecar stops.
 	freshMost = 500 * time.Millisecond
+	// A crowded server gives up a connection that has been silent for silentMost
+	// since it was accepted, or in the midst of a request for stuckMost, before one
+	// that has been useful.
+	silentMost = 150 * time.Millisecond
+	stuckMost  = 600 * time.Millisecond
+	// limitRetry is when a client refused at a limit may come back.
+	limitRetry = 200 * time.Millisecond
+	// recentIDs is how many ids of answered requests are still known.
+	recentIDs = 2048
+	idMost    = 128 // of a request's id
 )
 
 // Handler takes requests. Each Exchange that arrives is ended once, by one of
@@ -37,8 +61,9 @@
 	Gone(x *Exchange) bool
 	// Ready says whether clients may come.
 	Ready() bool
-	// Known says whether there is a class of that name.
-	Known(class string) bool
+	// Effect is what repeating a request of the class does; false if there is no
+	// class of that name.
+	Effect(class string) (chalkrack.Effect, bool)
 }
 
 // Config is what a Server is told.
@@ -55,47 +80,53 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	ids      ids
 	draining bool
 }
 
+// state is what a connection is about.
+type state int
+
+const (
+	fresh   state = iota // not a byte has come yet
+	reading              // a request is coming in
+	waiting              // a request waits for its answer
+	idle                 // between requests
+	shut                 // closed by the sidecar
+)
+
 // conn is one client connection. Its goroutine reads; answers are written by
 // whoever has them.
 type conn struct {
-	srv *Server
-	nc  net.Conn
-	in  capped
-	br  *bufio.Reader
+	srv      *Server
+	nc       net.Conn
+	br       *bufio.Reader
+	accepted time.Time
+	served   sync.Cond // x became nil
 
 	// Guarded by the server's lock.
-	busy   bool // a request is being read or answered
-	shut   bool // closed by the sidecar
-	fresh  bool // not a byte has come yet
-	since  time.Time
-	served sync.Cond // x became nil
-	x      *Exchange // the request that waits for its answer
-}
-
-// capped is a connection's input, which ends after left bytes. Guards against a
-// head without end, which the parser would keep whole.
-type capped struct {
-	net.Conn
-	left int64
+	state state
+	since time.Time // of state
+	x     *Exchange // the request that waits for its answer
 }
 
-var errLongHead = errors.New("front: head too long")
-
-func (r *capped) Read(p []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errLongHead
+// New returns a Server that hands requests to h.
+func New(cfg Config, h Handler) *Server {
+	return &Server{
+		cfg:     cfg,
+		handler: h,
+		budget:  budget{left: cfg.MostBody},
+		conns:   make(map[*conn]struct{}),
+		ids:     ids{known: make(map[string]bool)},
 	}
-	n, err := r.Conn.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
 }
 
-// New returns a Server that hands requests to h.
-func New(cfg Config, h Handler) *Server {
-	return &Server{cfg: cfg, handler: h, budget: budget{left: cfg.MostBody}, conns: make(map[*conn]struct{})}
+// Limit replaces the limits, for connections and bodies still to come.
+func (s *Server) Limit(cfg Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.give(cfg.MostBody - s.cfg.MostBody)
+	s.cfg = cfg
 }
 
 // Serve accepts connections until the listener is closed.
@@ -116,54 +147,89 @@
 	}
 }
 
+// crowdRoom is how many connections beyond the limit are still told why they
+// can't be served. Past it new ones are closed: descriptors are finite.
+func crowdRoom(most int) int { return most / 8 }
+
 func (s *Server) add(nc net.Conn) {
-	c := &conn{srv: s, nc: nc, in: capped{Conn: nc}, fresh: true, since: time.Now()}
-	c.br = bufio.NewReaderSize(&c.in, 4<<10)
+	now := time.Now()
+	c := &conn{srv: s, nc: nc, accepted: now, since: now}
 	c.served.L = &s.mu
 	s.mu.Lock()
-	full := len(s.conns) >= s.cfg.MostConns
+	n, most := len(s.conns), s.cfg.MostConns-crowdRoom(s.cfg.MostConns)
 	s.mu.Unlock()
-	crowded := full && !s.evict()
+	crowded := n >= most && !s.evict()
+	if crowded && n >= s.cfg.MostConns {
+		slog.Warn("connection closed: no descriptor left for it", "conns", n)
+		nc.Close()
+		return
+	}
+	nc.SetReadDeadline(now.Add(firstMost))
+	c.br = bufio.NewReaderSize(nc, framing.HeadMost)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	go c.serve(crowded)
 }
 
-// evict closes the connection that has been idle for the longest; false if none is.
+// worthless ranks a connection for eviction: the higher, the sooner; 0 for one
+// that has a request. Those that hold a descriptor and never used it go first.
+// Guards the clients' connections against hundreds that connect and say nothing.
+// It may do harm when the sidecar itself was stopped for longer than silentMost
+// with the first bytes of a connection unread; those come second by age.
+func (c *conn) worthless(now time.Time) int {
+	age := now.Sub(c.since)
+	switch {
+	case c.state == fresh && age > silentMost, c.state == reading && age > stuckMost:
+		return 3
+	case c.state == idle:
+		return 2
+	case c.state == fresh:
+		return 1
+	}
+	return 0
+}
+
+// evict closes the connection that is worth least, the oldest among equals;
+// false if all are in use.
 func (s *Server) evict() bool {
+	now := time.Now()
 	s.mu.Lock()
-	var oldest *conn
+	var least *conn
+	most := 0
 	for c := range s.conns {
-		if !c.busy && !c.shut && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if w := c.worthless(now); w > most || w == most && w > 0 && c.since.Before(least.since) {
+			least, most = c, w
 		}
 	}
-	if oldest != nil {
-		oldest.shut = true
-		delete(s.conns, oldest)
+	if least != nil {
+		least.enter(shut)
+		delete(s.conns, least)
 	}
 	s.mu.Unlock()
-	if oldest != nil {
-		oldest.nc.Close()
+	if least != nil {
+		least.nc.Close()
 	}
-	return oldest != nil
+	return least != nil
 }
 
+// enter changes c's state. The server's lock is held.
+func (c *conn) enter(to state) { c.state, c.since = to, time.Now() }
+
 // Drain readies for the end: idle connections are closed, the others after
 // their next answer. New ones are still served.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	s.draining = true
-	var idle []*conn
+	var old []*conn
 	for c := range s.conns {
-		if !c.busy && !c.shut && !c.fresh {
-			c.shut = true
-			idle = append(idle, c)
+		if c.state == idle {
+			c.enter(shut)
+			old = append(old, c)
 		}
 	}
 	s.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range old {
 		c.nc.Close()
 	}
 }
@@ -173,7 +239,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.busy || c.fresh && time.Since(c.since) < freshMost {
+		if c.state == reading || c.state == waiting || c.state == fresh && time.Since(c.since) < freshMost {
 			n++
 		}
 	}
@@ -211,26 +277,51 @@
 			c.reject(status)
 			return
 		case x == nil: // answered already
-		default:
-			c.srv.mu.Lock()
-			c.x = x
-			c.srv.mu.Unlock()
-			c.srv.handler.Arrive(x)
+			continue
+		}
+		if !c.begin(x) {
+			x.Release()
+			c.reject(http.StatusConflict)
+			return
 		}
+		c.srv.handler.Arrive(x)
+	}
+}
+
+// begin enters x as its connection's open request; false if its id is another's
+// or the connection was given up meanwhile.
+// Guards against an answer that goes to the wrong client, and a second send under
+// the same id. It also catches a client that repeats an id of late. It may do harm
+// to a client that reuses ids, which the protocol forbids.
+func (c *conn) begin(x *Exchange) bool {
+	s := c.srv
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.state == shut || !s.ids.open(x.id) {
+		return false
 	}
+	c.x = x
+	c.enter(waiting)
+	c.nc.SetReadDeadline(time.Time{}) // the reader watches for the client's leaving
+	return true
 }
 
 // next waits for the next request's first byte, and meanwhile for the answer to
-// the last one; false if the connection is over.
+// the last one; false if the connection is over. A client that sends on before
+// it has its answer is one that the protocol does not know: which of its
+// requests it would take an answer for is anyone's guess, so it gets an error.
 func (c *conn) next() bool {
-	c.in.left = headMost
 	_, err := c.br.Peek(1)
 	s := c.srv
 	s.mu.Lock()
-	if err != nil && c.x != nil {
+	early := c.x != nil && !c.x.answering
+	if early {
 		x := c.x
 		s.mu.Unlock()
 		if s.handler.Gone(x) {
+			if err == nil {
+				c.reject(http.StatusBadRequest)
+			}
 			return false
 		}
 		s.mu.Lock()
@@ -239,19 +330,27 @@
 		c.served.Wait()
 	}
 	defer s.mu.Unlock()
-	if err != nil || c.shut {
+	if err != nil || early || c.state == shut {
 		return false
 	}
-	c.busy, c.fresh = true, false
+	if c.state != fresh {
+		c.nc.SetReadDeadline(time.Now().Add(requestMost))
+	}
+	c.enter(reading)
 	return true
 }
 
 // close ends the connection for good.
 func (c *conn) close() {
-	c.srv.mu.Lock()
-	c.shut = true
-	delete(c.srv.conns, c)
-	c.srv.mu.Unlock()
+	s := c.srv
+	s.mu.Lock()
+	if c.x != nil {
+		s.ids.close(c.x.id)
+		c.x = nil
+	}
+	c.enter(shut)
+	delete(s.conns, c)
+	s.mu.Unlock()
 	c.nc.Close()
 }
 
@@ -259,139 +358,111 @@
 // to close the connection with, or -1 to close it without; or none of these, if
 // the request is answered.
 func (c *conn) read(crowded bool) (*Exchange, int) {
-	c.nc.SetReadDeadline(time.Now().Add(stallMost))
+	head, err := framing.Await(c.br)
+	if err == nil {
+		err = framing.Check(head)
+	}
+	if err != nil {
+		return nil, statusOf(err)
+	}
 	r, err := http.ReadRequest(c.br)
 	if err != nil {
-		var ne net.Error
-		switch {
-		case errors.Is(err, errLongHead):
-			return nil, http.StatusRequestHeaderFieldsTooLarge
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne):
-			return nil, -1
-		}
-		return nil, http.StatusBadRequest
+		return nil, statusOf(err)
 	}
-	c.in.left = math.MaxInt64
 	if r.ContentLength > bodyMost {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	x := &Exchange{conn: c, keep: !r.Close && !crowded, http10: !r.ProtoAtLeast(1, 1)}
+	if r.URL.Path == "/_health" && r.Method == http.MethodGet && r.Body == http.NoBody {
+		status := http.StatusOK
+		if !c.srv.handler.Ready() {
+			status = http.StatusServiceUnavailable
+		}
+		x.answer(status, "", nil, nil)
+		return nil, 0
 	}
-	body, kept, status := c.readBody(r)
-	if status != 0 {
+	if status := x.parse(r, c.srv.handler); status != 0 {
 		return nil, status
 	}
-	c.nc.SetReadDeadline(time.Time{})
-	x := &Exchange{conn: c, Received: time.Now(), body: body, reserved: kept, keep: !r.Close}
-	status = x.parse(r, c.srv.handler)
+	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.nc.SetWriteDeadline(time.Now().Add(writeMost))
+		c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	fits, status := x.readBody(r)
 	switch {
-	case r.URL.Path == "/_health":
-		status = http.StatusOK
-		if !c.srv.handler.Ready() {
-			status = http.StatusServiceUnavailable
-		}
-	case status == 0 && (crowded || kept < 0):
+	case status != 0:
+	case c.br.Buffered() > 0: // more than one request, or a length that is wrong
+		status = http.StatusBadRequest
+	case crowded || !fits:
 		slog.Warn("request refused at a limit", "crowded", crowded, "conns", c.srv.Conns())
-		x.keep = x.keep && !crowded
 		x.Refuse(limitRetry)
 		x.Release()
 		return nil, 0
 	}
 	if status != 0 {
-		x.answer(status, "", nil, nil)
 		x.Release()
-		return nil, 0
+		return nil, status
 	}
+	x.Received = time.Now()
 	return x, 0
 }
 
-// limitRetry is when a client refused at a limit may come back.
-const limitRetry = 200 * time.Millisecond
-
-// readBody reads a request's body under the byte budget. Past it the rest is
-// read off and thrown away, and kept is -1.
-func (c *conn) readBody(r *http.Request) (body [][]byte, kept int64, status int) {
-	if r.Body == http.NoBody {
-		return nil, 0, 0
-	}
-	b := &c.srv.budget
-	over := false
-	drop := func() {
-		b.give(kept)
-		body, kept = nil, 0
-	}
-	var waste []byte
-	size := int64(firstPiece)
-	for total := int64(0); ; size = pieceSize {
-		if r.ContentLength > 0 {
-			size = min(pieceSize, r.ContentLength-total)
-		}
-		if !over && !b.take(size) {
-			over = true
-			drop()
-			waste = make([]byte, pieceSize)
-		}
-		piece := waste
-		if !over {
-			kept += size
-			piece = make([]byte, size)
-		}
-		n, err := c.fill(r.Body, piece)
-		total += int64(n)
-		if !over && n > 0 {
-			body = append(body, piece[:n])
-		}
-		var ne net.Error
-		switch {
-		case total > bodyMost:
-			status = http.StatusRequestEntityTooLarge
-		case err == io.EOF, err == nil && total == r.ContentLength:
-			if over {
-				kept = -1
-			}
-			return body, kept, 0
-		case err == nil:
-			continue
-		case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
-			status = -1
-		default:
-			status = http.StatusBadRequest
-		}
-		drop()
-		return nil, 0, status
+// statusOf is what to tell a client whose request can't be read, -1 for nothing.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, framing.ErrLong):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return -1
 	}
-}
-
-// fill fills p; io.EOF says that the body ended before. Each read may take
-// stallMost: slow clients are served as long as they go on.
-func (c *conn) fill(body io.Reader, p []byte) (n int, err error) {
-	for n < len(p) && err == nil {
-		var k int
-		c.nc.SetReadDeadline(time.Now().Add(stallMost))
-		k, err = body.Read(p[n:])
-		n += k
+	if _, ok := errors.AsType[net.Error](err); ok {
+		return -1
 	}
-	return n, err
+	return http.StatusBadRequest
 }
 
 // reject answers what is no request and closes the connection, after reading off
-// what the client still sends: closing at once would take the answer back.
+// some of what the client still sends: closing at once would take the answer back.
 func (c *conn) reject(status int) {
 	x := &Exchange{conn: c}
-	x.answer(status, "", nil, nil)
+	x.write(status, "", nil, nil)
 	if tc, ok := c.nc.(*net.TCPConn); ok {
 		tc.CloseWrite()
 	}
 	c.nc.SetReadDeadline(time.Now().Add(lingerMost))
-	io.CopyN(io.Discard, c.nc, bodyMost)
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for left := lingerBytes; left > 0; {
+		n, err := c.nc.Read((*buf)[:cap(*buf)])
+		if left -= n; err != nil {
+			return
+		}
+	}
 }
 
-// Bodies are kept in pieces: the first of one whose length is not told is small.
-const (
-	firstPiece = 4 << 10
-	pieceSize  = 64 << 10
-)
+// ids knows the ids of open requests and of those answered last.
+type ids struct {
+	known  map[string]bool
+	recent [recentIDs]string // a ring
+	next   int
+}
+
+func (i *ids) open(id string) bool {
+	if i.known[id] {
+		return false
+	}
+	i.known[id] = true
+	return true
+}
+
+// close makes an open id a recent one; the oldest of these is forgotten.
+func (i *ids) close(id string) {
+	delete(i.known, i.recent[i.next])
+	i.recent[i.next] = id
+	i.next = (i.next + 1) % recentIDs
+}
 
 // budget is a number of bytes to share.
 type budget struct {
@@ -410,9 +481,7 @@
 }
 
 func (b *budget) give(n int64) {
-	if n > 0 {
-		b.mu.Lock()
-		b.left += n
-		b.mu.Unlock()
-	}
+	b.mu.Lock()
+	b.left += n
+	b.mu.Unlock()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,7 +5,6 @@
 
 import (
 	"container/heap"
-	"io"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -24,8 +23,6 @@
 	// A deadline is met this much before the client's own clock says so: the
 	// answer has still to reach it.
 	deadlineMargin = 5 * time.Millisecond
-	// longestWait bounds what a client may ask to wait.
-	longestWait = 10 * time.Minute
 )
 
 // Host is the chalkrack.Host of a real sidecar. One lock guards the Balancer and
@@ -58,9 +55,8 @@
 	deadline time.Duration
 	attempts []*attempt
 	out      int
-	over     bool // has its final answer, or needs none any more
-	stream   *front.Stream
-	streamer *attempt // whose answer streams
+	alarm    *alarm // at its deadline
+	over     bool   // has its final answer, or needs none any more
 }
 
 // attempt is a request's attempt and its place.
@@ -121,11 +117,11 @@
 			return
 		}
 		class := h.set.Class([]byte(x.Class))
-		wait := x.Wait
-		if wait == 0 {
-			wait = h.longest(class)
+		wait := h.set.Deadlines[class] // no client waits longer, whatever it says
+		if x.Wait > 0 {
+			wait = min(wait, x.Wait)
 		}
-		deadline := now - time.Since(x.Received) + min(wait, longestWait) - min(deadlineMargin, wait/10)
+		deadline := now - time.Since(x.Received) + wait - min(deadlineMargin, wait/10)
 		if h.quitAt > 0 {
 			deadline = min(deadline, h.quitAt)
 		}
@@ -133,7 +129,7 @@
 		q := &request{id: h.last, x: x, deadline: deadline}
 		x.State = q
 		h.held[q.id] = q
-		h.after(alarm{at: deadline, q: q})
+		q.alarm = h.after(&alarm{at: deadline, q: q})
 		h.b.Arrive(now, chalkrack.Request{
 			ID:       q.id,
 			Class:    class,
@@ -144,23 +140,12 @@
 	})
 }
 
-// longest is a class's own deadline, that of the longest for one unknown.
-func (h *Host) longest(class int) (d time.Duration) {
-	for n, own := range h.set.Deadlines {
-		if n == class {
-			return own
-		}
-		d = max(d, own)
-	}
-	return max(d, time.Second)
-}
-
 // Gone implements front.Handler.
 func (h *Host) Gone(x *front.Exchange) (taken bool) {
 	h.locked(func(now time.Duration) {
 		q, _ := x.State.(*request)
-		if q == nil || q.over || q.stream != nil {
-			return // the stream's own writes will notice
+		if q == nil || q.over {
+			return
 		}
 		q.over, taken = true, true
 		h.b.ClientGone(now, q.id)
@@ -183,8 +168,14 @@
 	h.ready = ready
 }
 
-// Known implements front.Handler.
-func (h *Host) Known(class string) bool { return h.set.Class([]byte(class)) >= 0 }
+// Effect implements front.Handler.
+func (h *Host) Effect(class string) (chalkrack.Effect, bool) {
+	n := h.set.Class([]byte(class))
+	if n < 0 {
+		return 0, false
+	}
+	return h.set.Config.Classes[n].Effect, true
+}
 
 // QuitAt sees to it that all is answered by then, and clients are told to wait no longer.
 func (h *Host) QuitAt(in time.Duration) {
@@ -192,7 +183,8 @@
 		h.quitAt = now + in
 		for _, q := range h.held {
 			if q.deadline > h.quitAt {
-				h.after(alarm{at: h.quitAt, q: q})
+				q.deadline, q.alarm.at = h.quitAt, h.quitAt
+				heap.Fix(&h.alarms, q.alarm.place)
 			}
 		}
 	})
@@ -282,7 +274,7 @@
 
 // SetTimer implements chalkrack.Host.
 func (h *Host) SetTimer(cookie uint64, after time.Duration) {
-	h.after(alarm{at: h.now() + max(after, 0), cookie: cookie})
+	h.after(&alarm{at: h.now() + max(after, 0), cookie: cookie})
 }
 
 // CloseIdle implements chalkrack.Host.
@@ -314,9 +306,6 @@
 	})
 }
 
-// Stream implements upstream.Sink: no report is that long.
-func (p *probe) Stream(*upstream.Answer) io.Writer { return nil }
-
 // Done implements upstream.Sink.
 func (p *probe) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
 	if o != chalkrack.OK || ans == nil {
@@ -335,31 +324,18 @@
 	})
 }
 
-// forget drops a request that needs nothing more. Its deadline still points to
-// it, but not to its body.
+// forget drops a request that needs nothing more, its deadline too.
 func (h *Host) forget(q *request) {
 	if q.over && q.out == 0 && q.x != nil {
 		delete(h.held, q.id)
+		if q.alarm.place >= 0 {
+			heap.Remove(&h.alarms, q.alarm.place)
+		}
 		h.actions = append(h.actions, q.x.Release)
-		q.x, q.attempts, q.stream, q.streamer = nil, nil, nil, nil
+		q.x, q.attempts = nil, nil
 	}
 }
 
-// Stream implements upstream.Sink.
-func (a *attempt) Stream(ans *upstream.Answer) (w io.Writer) {
-	h := a.host
-	h.locked(func(now time.Duration) {
-		q := a.q
-		if q.over || q.stream != nil || a.done {
-			return
-		}
-		q.stream, q.streamer = q.x.Stream(ans), a
-		w = q.stream
-		h.b.Started(now, q.id, a.n)
-	})
-	return w
-}
-
 // Done implements upstream.Sink.
 func (a *attempt) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
 	a.host.locked(func(now time.Duration) { a.host.done(now, a, o, ans, rep) })
@@ -375,11 +351,6 @@
 	q.out--
 	switch {
 	case q.over:
-	case q.streamer == a:
-		q.over = true
-		w, whole := q.stream, o == chalkrack.OK
-		h.actions = append(h.actions, func() { w.End(whole) })
-	case q.stream != nil: // another attempt has the client
 	case o == chalkrack.OK && ans != nil:
 		q.over = true
 		x := q.x
@@ -398,7 +369,7 @@
 		return
 	}
 	for _, a := range q.attempts {
-		if a.done || a == q.streamer {
+		if a.done {
 			continue
 		}
 		o := chalkrack.TimedOut
@@ -408,7 +379,7 @@
 		h.actions = append(h.actions, a.Close)
 		h.done(now, a, o, nil, chalkrack.Report{})
 	}
-	if !q.over && q.stream == nil {
+	if !q.over {
 		// Guards the rule of one final answer, whatever the Balancer makes of it.
 		slog.Error("request unanswered at its deadline", "class", q.x.Class)
 		h.b.ClientGone(now, q.id)
@@ -421,24 +392,35 @@
 	at     time.Duration
 	cookie uint64
 	q      *request
+	place  int // in the heap, -1: it has been taken out
 }
 
 // alarms is a heap of alarms: one runtime timer serves them all.
-type alarms []alarm
+type alarms []*alarm
 
 func (a alarms) Len() int           { return len(a) }
 func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a alarms) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].place, a[j].place = i, j
+}
+func (a *alarms) Push(x any) {
+	x.(*alarm).place = len(*a)
+	*a = append(*a, x.(*alarm))
+}
 func (a *alarms) Pop() any {
 	old := *a
 	x := old[len(old)-1]
-	old[len(old)-1] = alarm{}
+	old[len(old)-1] = nil
 	*a = old[:len(old)-1]
+	x.place = -1
 	return x
 }
 
-func (h *Host) after(a alarm) { heap.Push(&h.alarms, a) }
+func (h *Host) after(a *alarm) *alarm {
+	heap.Push(&h.alarms, a)
+	return a
+}
 
 // wind sets the runtime timer for the next alarm.
 func (h *Host) wind() {
@@ -462,7 +444,7 @@
 		h.alarmAt = 0
 		defer h.wind() // also if the Balancer panics: the next ones must ring
 		for len(h.alarms) > 0 && h.alarms[0].at <= now {
-			a := heap.Pop(&h.alarms).(alarm)
+			a := heap.Pop(&h.alarms).(*alarm)
 			if a.q != nil {
 				h.expire(now, a.q)
 			} else {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -15,13 +15,14 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/framing"
 )
 
 const (
-	// WholeMost is the longest answer that is read whole before it is passed on:
-	// if its server breaks first, another attempt can still be made.
-	WholeMost = 64 << 10
-	headMost  = 64 << 10 // of a server's answer
+	// bodyMost is the longest body that the protocol allows, of an answer too.
+	bodyMost = 64 << 10
+	// interimMost is how many 1xx answers may come ahead of an answer.
+	interimMost = 16
 	// smallSend is what a connection's empty buffer surely takes at once. More
 	// is written by a goroutine of its own.
 	smallSend = 8 << 10
@@ -30,23 +31,19 @@
 // Request is a client's request as each of its attempts sends it.
 type Request struct {
 	Method string
-	Head   []byte   // request line and header fields, but for the deadline and the empty line
-	Body   [][]byte // in pieces
+	Head   []byte // request line and header fields, but for the deadline and the empty line
+	Body   []byte
 }
 
-// Answer is a server's answer of 200.
+// Answer is a server's whole answer of 200.
 type Answer struct {
 	Header http.Header
-	Body   []byte // whole, or of a long one what has come so far
-	Length int64  // of a long one, -1 if it is not told
+	Body   []byte
 }
 
 // Sink is told how an attempt goes.
 type Sink interface {
-	// Stream says that a long answer has begun, and asks where the rest goes; nil
-	// if nobody wants it.
-	Stream(ans *Answer) io.Writer
-	// Done tells the outcome; ans is set for a whole answer. Only the first call counts.
+	// Done tells the outcome; ans is set for OK. Only the first call counts.
 	Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report)
 }
 
@@ -144,9 +141,10 @@
 		a.pool.unbook()
 		return nil
 	}
-	c := &conn{Conn: nc, raw: raw, to: a.to, addr: addr, owner: a, in: capped{Conn: nc}}
-	c.br = bufio.NewReaderSize(&c.in, 4<<10)
-	return c
+	return &conn{
+		Conn: nc, raw: raw, to: a.to, addr: addr, owner: a,
+		br: bufio.NewReaderSize(nc, framing.HeadMost),
+	}
 }
 
 func (a *Attempt) sendGuarded(c *conn) {
@@ -175,14 +173,9 @@
 	head = append(head, "Req-Deadline-Ms: "...)
 	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
 	head = append(head, "\r\n\r\n"...)
-	size := len(head)
-	for _, piece := range a.Request.Body {
-		size += len(piece)
-	}
+	size := len(head) + len(a.Request.Body)
 	if size <= smallSend {
-		for _, piece := range a.Request.Body {
-			head = append(head, piece...)
-		}
+		head = append(head, a.Request.Body...)
 		n, err := c.Write(head)
 		*buf = head
 		buffers.Put(buf)
@@ -191,8 +184,10 @@
 	}
 	go func() {
 		defer a.guard()
-		pieces := append(net.Buffers{head}, a.Request.Body...)
+		pieces := net.Buffers{head, a.Request.Body}
+		c.SetWriteDeadline(a.Deadline)
 		n, err := pieces.WriteTo(c.Conn)
+		c.SetWriteDeadline(time.Time{})
 		a.sent(c, n == int64(size), err)
 	}()
 }
@@ -220,7 +215,6 @@
 func (c *conn) read(p *Pool) {
 	defer p.discard(c)
 	for {
-		c.in.left = headMost
 		_, err := c.br.Peek(1)
 		p.mu.Lock()
 		a := c.owner
@@ -252,25 +246,12 @@
 	}
 }
 
-var errLongHead = errors.New("upstream: head of the answer too long")
-
-// capped is a connection's input, which ends after left bytes. Guards against a
-// head without end, which the parser would keep whole.
-type capped struct {
-	net.Conn
-	left int64
-}
-
-func (r *capped) Read(p []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errLongHead
-	}
-	n, err := r.Conn.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
-}
-
 // receive reads one answer and reports it; true if the connection can go on.
+// What is not an answer of the protocol's form, whole and of a length told
+// beyond doubt, is a failed attempt that may have run, and its connection is of
+// no more use. Guards against spoilt answers of any kind: noise, heads without
+// end, two lengths, more than the protocol allows, an end that might be a break.
+// It may do harm to a server that ends its answers by closing.
 func (a *Attempt) receive(c *conn) (goesOn bool) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -279,31 +260,17 @@
 			goesOn = false
 		}
 	}()
-	resp, err := c.readHead(a.Request.Method)
+	resp, body, err := c.readAnswer(a.Request.Method)
 	if err != nil {
 		slog.Warn("bad answer", "server", a.Server, "err", err)
 		a.done(chalkrack.Reset)
 		return false
 	}
 	rep := ParseLoad(resp.Header.Get("Srv-Load"))
-	ans := &Answer{Header: resp.Header, Length: resp.ContentLength}
-	long := resp.StatusCode == http.StatusOK && ans.Length > WholeMost
-	if !long {
-		ans.Body, err = readMost(resp.Body, ans.Length)
-		if len(ans.Body) > WholeMost {
-			long = true
-		} else if err != nil {
-			a.done(chalkrack.Reset)
-			return false
-		}
-	}
-	if long && resp.StatusCode == http.StatusOK {
-		return a.stream(c, resp, ans, rep)
-	}
 	// The next request must find nothing of this answer on the connection.
-	goesOn = !long && !resp.Close && c.br.Buffered() == 0 && a.isWritten()
+	goesOn = !resp.Close && c.br.Buffered() == 0 && a.isWritten()
 	if resp.StatusCode == http.StatusOK {
-		a.Sink.Done(chalkrack.OK, ans, rep)
+		a.Sink.Done(chalkrack.OK, &Answer{Header: resp.Header, Body: body}, rep)
 		return goesOn
 	}
 	o := chalkrack.ServerError
@@ -320,76 +287,62 @@
 	return a.wrote && !a.ended
 }
 
-// readHead reads an answer up to its body, passing over interim ones.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	for {
+// readAnswer reads an answer whole, passing over interim ones.
+func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
+	for range interimMost {
+		head, err := framing.Await(c.br)
+		if err == nil {
+			err = framing.Check(head)
+		}
+		if err != nil {
+			return nil, nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		switch {
 		case err != nil:
-			return nil, err
+			return nil, nil, err
+		case resp.ProtoMajor != 1:
+			return nil, nil, fmt.Errorf("upstream: an answer of %s", resp.Proto)
 		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("upstream: protocol switched")
+			return nil, nil, errors.New("upstream: protocol switched")
 		case resp.StatusCode >= 200:
-			c.in.left = math.MaxInt64
-			return resp, nil
+			body, err := readBody(resp)
+			return resp, body, err
 		}
 	}
+	return nil, nil, errors.New("upstream: too many interim answers")
 }
 
-// readMost reads a body of up to WholeMost; of a longer one it reads one byte more.
-func readMost(body io.Reader, length int64) ([]byte, error) {
-	if length >= 0 && length <= WholeMost {
-		b := make([]byte, length)
-		_, err := io.ReadFull(body, b)
+func readBody(resp *http.Response) ([]byte, error) {
+	switch {
+	case resp.ContentLength > bodyMost:
+		return nil, fmt.Errorf("upstream: an answer of %d bytes", resp.ContentLength)
+	case resp.ContentLength >= 0:
+		b := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, b)
 		return b, err
+	case len(resp.TransferEncoding) == 0:
+		return nil, errors.New("upstream: an answer of no stated length")
 	}
-	return io.ReadAll(io.LimitReader(body, WholeMost+1))
-}
-
-// stream passes a long answer on as it comes.
-func (a *Attempt) stream(c *conn, resp *http.Response, ans *Answer, rep chalkrack.Report) bool {
-	w := a.Sink.Stream(ans)
-	if w == nil { // the request is over: reading the rest on would only cost
-		a.Sink.Done(chalkrack.OK, nil, rep)
-		return false
-	}
-	if _, err := w.Write(ans.Body); err != nil {
-		a.done(chalkrack.Cancelled) // the client has left
-		return false
-	}
-	buf := streamBuffers.Get().(*[]byte)
-	defer streamBuffers.Put(buf)
-	for {
-		n, err := resp.Body.Read(*buf)
-		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				a.done(chalkrack.Cancelled)
-				return false
-			}
-		}
-		switch err {
-		case nil:
-		case io.EOF:
-			goesOn := !resp.Close && c.br.Buffered() == 0 && a.isWritten()
-			a.Sink.Done(chalkrack.OK, nil, rep)
-			return goesOn
-		default:
-			a.done(chalkrack.Reset)
-			return false
-		}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
+	if err == nil && len(b) > bodyMost {
+		err = errors.New("upstream: an answer of too many bytes")
 	}
+	return b, err
 }
 
-var streamBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
+// loadMost is more than any server holds.
+const loadMost = 1e6
 
-// ParseLoad reads a load report: name=value, with commas between.
+// ParseLoad reads a load report: name=value, with commas between. A value that
+// is no load is left out: one that is not a number would spoil every comparison.
 func ParseLoad(text string) (rep chalkrack.Report) {
 	for text != "" {
 		var field string
 		field, text, _ = strings.Cut(text, ",")
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
+		if err != nil || !(v >= 0 && v <= loadMost) {
 			continue
 		}
 		switch name {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	conns   int // open or being dialled
+	rest    time.Duration
 }
 
 // server is where a server is, and the idle connections to it, oldest first.
@@ -42,7 +43,6 @@
 type conn struct {
 	net.Conn
 	raw   syscall.RawConn
-	in    capped
 	br    *bufio.Reader
 	to    *server
 	addr  string
@@ -53,13 +53,27 @@
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, servers: make(map[string]*server)}
+	return &Pool{cfg: cfg, servers: make(map[string]*server), rest: restLeast}
+}
+
+// Limit replaces the limits, for attempts still to come.
+func (p *Pool) Limit(cfg Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg = cfg
 }
 
 // idleMost is how long a connection is kept idle. Guards against a request that
 // crosses its closing by the server.
 func (p *Pool) idleMost() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
 
+// restLeast is how long a connection rests before its next request. Guards
+// against bytes that follow an answer in a segment of their own: they would pass
+// for the next request's answer. It also catches a server that closes right after
+// its answer. It may do harm to a server with few connections to give, for some
+// more are open.
+const restLeast = 3 * time.Millisecond
+
 // Serve says where a server is and when it last started. Idle connections to
 // another address or an earlier process are closed: they would end as resets.
 func (p *Pool) Serve(name, addr string, started time.Duration) {
@@ -190,12 +204,20 @@
 	}
 	a.to = s
 	for len(s.idle) > 0 {
-		c := s.idle[len(s.idle)-1]
-		if now.Sub(c.used) <= p.idleMost() && c.quiet() {
-			s.idle = s.idle[:len(s.idle)-1]
+		n := len(s.idle) - 1
+		for n > 0 && now.Sub(s.idle[n].used) < p.rest {
+			n--
+		}
+		c := s.idle[n]
+		rested := now.Sub(c.used) >= p.rest
+		if rested && now.Sub(c.used) <= p.idleMost() && c.quiet() {
+			s.idle = append(s.idle[:n], s.idle[n+1:]...)
 			c.owner = a
 			return c, "", true
 		}
+		if !rested {
+			break
+		}
 		old = append(old, c)
 		p.drop(c)
 	}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,207 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+type ending struct {
+	o   chalkrack.Outcome
+	ans *Answer
+	rep chalkrack.Report
+}
+
+type sink chan ending
+
+func (s sink) Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report) {
+	select {
+	case s <- ending{o, ans, rep}:
+	default: // only the first counts
+	}
+}
+
+// serve answers the n-th request on any of its connections with what answer says.
+func serve(t *testing.T, answer func(conn, n int, c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for conn := 0; ; conn++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					answer(conn, n, c)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func newPool(addr string) *Pool {
+	p := New(Config{ConnIdle: time.Minute, DialTimeout: patience, DrainGrace: patience, MostConns: 20})
+	p.Serve("s", addr, 0)
+	return p
+}
+
+func ask(t *testing.T, p *Pool) ending {
+	t.Helper()
+	s := make(sink, 1)
+	a := &Attempt{
+		Request:  &Request{Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n")},
+		Server:   "s",
+		Deadline: time.Now().Add(patience),
+		Sink:     s,
+	}
+	p.Start(a)
+	defer func() {
+		a.Abandon()
+		a.Close()
+	}()
+	select {
+	case e := <-s:
+		return e
+	case <-time.After(patience):
+		t.Fatal("no outcome")
+	}
+	return ending{}
+}
+
+const good = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
+
+// A spoilt answer is a failed attempt that may have run, and nothing of it is shown.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"noise":             "\x00\x01\x02\xff\xfe\r\n\r\n",
+		"no version":        "ICY 200 OK\r\nContent-Length: 3\r\n\r\nyes",
+		"version 2":         "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nyes",
+		"status no number":  "HTTP/1.1 2x0 OK\r\nContent-Length: 3\r\n\r\nyes",
+		"no colon":          "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 3\r\n\r\nyes",
+		"head without end":  "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppp\r\n", 1<<14),
+		"two lengths":       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nyes",
+		"both lengths":      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
+		"negative length":   "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nyes",
+		"3 GB":              "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nyes",
+		"chunks of no size": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+		"chunks without end": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 20),
+		"no length":        "HTTP/1.1 200 OK\r\n\r\nyes",
+		"protocol switch":  "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"interim for ever": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 40) + good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := serve(t, func(_, _ int, c net.Conn) { io.WriteString(c, text) })
+			p := newPool(addr)
+			if e := ask(t, p); e.o != chalkrack.Reset || e.ans != nil {
+				t.Errorf("outcome %v with %v, want a reset with nothing", e.o, e.ans)
+			}
+			for n := 0; p.Conns() > 0; n++ {
+				if n > 2000 {
+					t.Fatal("the connection was kept")
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+// A good answer counts whatever else comes with it, and what follows it is never
+// taken for the answer to the next request.
+func TestMoreThanBelongs(t *testing.T) {
+	for name, c := range map[string]struct{ ahead, behind string }{
+		"second copy": {"", good},
+		"noise":       {"", "\xff\xfe\x00noise"},
+		"interim":     {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := serve(t, func(conn, n int, nc net.Conn) {
+				body := fmt.Sprintf("%d.%d", conn, n)
+				text := fmt.Sprintf("%sHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", c.ahead, len(body), body)
+				io.WriteString(nc, text+c.behind)
+			})
+			p := newPool(addr)
+			seen := make(map[string]bool)
+			for n := range 20 {
+				e := ask(t, p)
+				if e.o != chalkrack.OK || seen[string(e.ans.Body)] {
+					t.Fatalf("answer %d: %v %q, want one of its own", n, e.o, e.ans)
+				}
+				seen[string(e.ans.Body)] = true
+			}
+		})
+	}
+}
+
+// A connection rests after an answer: what still follows it must not pass for the
+// next one. Once rested it is used again.
+func TestRest(t *testing.T) {
+	conns := make(chan int, 10)
+	addr := serve(t, func(conn, _ int, c net.Conn) {
+		conns <- conn
+		io.WriteString(c, good)
+	})
+	p := newPool(addr)
+	for n, c := range []struct {
+		rest time.Duration
+		want int
+	}{{time.Hour, 0}, {time.Hour, 1}, {time.Hour, 2}, {0, 2}} {
+		p.rest = c.rest
+		if e := ask(t, p); e.o != chalkrack.OK {
+			t.Fatalf("request %d: %v", n, e.o)
+		}
+		if got := <-conns; got != c.want {
+			t.Errorf("request %d went on connection %d, want %d", n, got, c.want)
+		}
+		for p.idles("s") != c.want+1 { // its connection goes idle after the outcome
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (p *Pool) idles(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.servers[name].idle)
+}
+
+// Load reports that are no numbers change nothing.
+func TestParseLoad(t *testing.T) {
+	for text, want := range map[string]chalkrack.Report{
+		"inflight=7,queue=2,util=0.61":    {HasInFlight: true, InFlight: 7, HasUtil: true, Util: 0.61},
+		"inflight=NaN,util=Inf":           {},
+		"inflight=-3,util=-0.1":           {},
+		"inflight=1e300":                  {},
+		"inflight=,=,,,util":              {},
+		"\x00\xff,inflight=4, util =0.5,": {HasInFlight: true, InFlight: 4},
+	} {
+		if got := ParseLoad(text); got != want {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+	}
+}
