Notice silence and stale connections early, and copy what gets lost

Now an answer must be whole 300 ms after its first byte; where kept connections break at once, unrepeatable requests go on new ones; a dial takes a quarter of the shortest aim at most; a server silent to all over an aim counts as failed; B grows with the share of first sends that are never answered; k is 0.98.

--- a/balancer.go
+++ b/balancer.go
@@ -79,7 +79,6 @@
 	SecondCopies   bool // two attempts of a request may be out together
 	MaxRetryAfter  time.Duration
 	CrossZoneCost  float64
-	WarmKeys       bool    // a server serves a key that it has met lately with less work
 	ConnectionCost float64 // points lost for 100 open connections a server
 	WasteCost      float64 // points lost if as much work is wasted as is asked for
 	Probes         bool    // servers report their load when probed, and only then
@@ -143,9 +142,8 @@
 // Request is a client's request.
 type Request struct {
 	ID       RequestID
-	Class    int    // index into Config.Classes
-	Tenant   int    // index into Config.Tenants, -1: none
-	Key      string // what it is about; may be empty
+	Class    int // index into Config.Classes
+	Tenant   int // index into Config.Tenants, -1: none
 	Deadline time.Duration
 }
 
@@ -200,8 +198,7 @@
 type request struct {
 	Request
 	class            *Class
-	rank             int    // for shedding
-	key              uint64 // hash of Key where servers keep keys warm, else 0
+	rank             int // for shedding
 	arrived          time.Duration
 	attempts         []attempt
 	out              int  // attempts without an outcome
@@ -293,9 +290,6 @@
 		return
 	}
 	q := &request{Request: r, class: &b.cfg.Classes[r.Class], arrived: now}
-	if b.cfg.WarmKeys {
-		q.key = hashName(r.Key)
-	}
 	b.requests[r.ID] = q
 	q.rank = b.admit.arrived(r.Class, r.Tenant, now)
 	if b.rng.Float64() < b.admit.odds(q.rank, now) {
@@ -361,9 +355,18 @@
 			q.copyDue = false
 			b.hedge(q, now)
 			b.timerFor(q, q.arrived+q.class.Aim-now)
-		default: // guards against hearing of a jam only by time-outs
+		default:
+			// Guards against hearing of a jam only by time-outs, and against a server
+			// that says nothing to anyone: it ought to catch a machine that hung or was
+			// cut off. It may do harm to one that is asked once in an aim and slow.
 			q.overdue = true
+			calm := b.admit.faded(now) < shedSlack
 			b.admit.outcome(false, true, b.fleet.rate(now), now)
+			for i := range q.attempts {
+				if a := &q.attempts[i]; !a.done && calm && a.to.heardAt < a.sent {
+					b.fleet.failed(a.to, now)
+				}
+			}
 		}
 	}
 }
@@ -406,7 +409,7 @@
 	if !b.mayTry(q, anchor, now) {
 		return false
 	}
-	s := b.fleet.pick(now, q.key, func(s *server) bool {
+	s := b.fleet.pick(now, func(s *server) bool {
 		for i := range q.attempts {
 			if q.attempts[i].to == s {
 				return false
@@ -500,6 +503,9 @@
 	if b.fleet.taken *= 1 - meanStep; o != Full {
 		b.fleet.taken += meanStep
 	}
+	if o == OK || o == ServerError || o == Full {
+		s.heardAt = now
+	}
 	switch o {
 	case OK:
 		s.failures, s.ejections = 0, 0
@@ -512,6 +518,16 @@
 	if b.cfg.ConnectionCost > 0 && !s.inSet && s.inFlight == 0 {
 		b.host.CloseIdle(s.name) // a guest's connection would stand open unused
 	}
+	if !a.isCopy && o != NotSent {
+		switch {
+		case o == TimedOut:
+			b.reissue.lose(1)
+		case o == Cancelled && len(q.attempts) > 1:
+			b.reissue.lose(lostHalf)
+		default:
+			b.reissue.lose(0)
+		}
+	}
 	if q.class.Effect == Unsafe || (o != OK && o != Cancelled && o != TimedOut) {
 		return
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -20,7 +20,6 @@
 	Request  upstream.Request
 	Class    string
 	Tenant   string
-	Key      string
 	Wait     time.Duration // how long the client waits from Received on; 0: not told
 	Received time.Time
 	State    any // the handler's
@@ -85,11 +84,6 @@
 		x.Wait = max(time.Duration(ms)*time.Millisecond, 1)
 	}
 	x.Tenant = r.Header.Get("Req-Owner")
-	if r.Header.Get("Cookie") != "" {
-		if c, err := r.Cookie("user"); err == nil {
-			x.Key = c.Value
-		}
-	}
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,11 @@
 	"chalkrack"
 )
 
+// dialLeast is what a dial is given at least. It may take the settings' time, but a
+// quarter of the shortest aim at most: one that fails proves that nothing ran, and
+// the request should still be in time elsewhere.
+const dialLeast = 30 * time.Millisecond
+
 // Settings is what a deployment's settings say.
 type Settings struct {
 	Config    chalkrack.Config
@@ -48,7 +53,6 @@
 		Worth          float64
 	}
 	Costs      struct{ Connection, CrossZone, Probe, Waste float64 }
-	FamilyInfo struct{ WarmKeys bool }
 	Feedback   struct{ How string }
 	Guarantees struct {
 		AskWithinUs    int64
@@ -87,6 +91,9 @@
 		s.classes[c.Name] = n
 		s.Deadlines = append(s.Deadlines, micros(c.HardLimitUs))
 	}
+	for _, c := range s.Config.Classes {
+		s.DialTimeout = min(s.DialTimeout, max(c.Aim/4, dialLeast))
+	}
 	for n, t := range e.Tenants {
 		s.tenants[t.Name] = n
 	}
@@ -117,7 +124,6 @@
 		WasteCost:      e.Costs.Waste,
 		Probes:         e.Caps.Probes && e.Feedback.How == "probe",
 		ProbeCost:      e.Costs.Probe,
-		WarmKeys:       e.FamilyInfo.WarmKeys,
 		ConnectionCost: e.Costs.Connection,
 		CrossZoneCost:  e.Costs.CrossZone,
 		ColdFrom:       e.Guarantees.ColdFrom,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -134,7 +134,6 @@
 			ID:       q.id,
 			Class:    class,
 			Tenant:   h.set.Tenant([]byte(x.Tenant)),
-			Key:      x.Key,
 			Deadline: deadline,
 		})
 	})
@@ -236,6 +235,8 @@
 	}
 	a := &attempt{host: h, q: q, n: len(q.attempts)}
 	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: time.Now().Add(timeout), Sink: a}
+	effect, _ := h.Effect(q.x.Class)
+	a.Once = effect == chalkrack.Unsafe
 	q.attempts = append(q.attempts, a)
 	q.out++
 	h.actions = append(h.actions, func() { h.pool.Start(&a.Attempt) })
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,6 +21,10 @@
 const (
 	// bodyMost is the longest body that the protocol allows, of an answer too.
 	bodyMost = 64 << 10
+	// stallMost is how long an answer may take from its first byte to its last.
+	// Guards against answers that stop short: the time left can still serve a
+	// repeat. It may do harm to a server that pauses in the midst of an answer.
+	stallMost = 300 * time.Millisecond
 	// interimMost is how many 1xx answers may come ahead of an answer.
 	interimMost = 16
 	// smallSend is what a connection's empty buffer surely takes at once. More
@@ -53,10 +57,16 @@
 	Server   string
 	Deadline time.Time // when the sidecar stops waiting
 	Sink     Sink
+	// Once says that the request can't be repeated: it is not trusted to a kept
+	// connection while those break at their next request.
+	Once bool
 
 	pool *Pool
 	to   *server
 
+	kept bool      // went on a connection that had been used before
+	at   time.Time // when it was started
+
 	mu         sync.Mutex
 	conn       *conn
 	ended      bool // abandoned, or its connection is of no more use
@@ -67,7 +77,7 @@
 
 // Start makes the attempt. It does not wait for the server.
 func (p *Pool) Start(a *Attempt) {
-	a.pool = p
+	a.pool, a.at = p, time.Now()
 	c, addr, ok := p.take(a)
 	switch {
 	case !ok:
@@ -241,6 +251,7 @@
 	wrote := a.wrote
 	a.readFailed = true
 	a.mu.Unlock()
+	a.pool.noteKept(a, true)
 	if wrote { // else the writer knows best how far it came
 		a.done(chalkrack.Reset)
 	}
@@ -266,6 +277,7 @@
 		a.done(chalkrack.Reset)
 		return false
 	}
+	a.pool.noteKept(a, false)
 	rep := ParseLoad(resp.Header.Get("Srv-Load"))
 	// The next request must find nothing of this answer on the connection.
 	goesOn = !resp.Close && c.br.Buffered() == 0 && a.isWritten()
@@ -290,6 +302,10 @@
 // readAnswer reads an answer whole, passing over interim ones.
 func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
 	for range interimMost {
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		c.SetReadDeadline(time.Now().Add(stallMost))
 		head, err := framing.Await(c.br)
 		if err == nil {
 			err = framing.Check(head)
@@ -307,8 +323,10 @@
 			return nil, nil, errors.New("upstream: protocol switched")
 		case resp.StatusCode >= 200:
 			body, err := readBody(resp)
+			c.SetReadDeadline(time.Time{})
 			return resp, body, err
 		}
+		c.SetReadDeadline(time.Time{})
 	}
 	return nil, nil, errors.New("upstream: too many interim answers")
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,6 +27,7 @@
 	servers map[string]*server
 	conns   int // open or being dialled
 	rest    time.Duration
+	broke   float64 // running share of kept connections that broke at their next request
 }
 
 // server is where a server is, and the idle connections to it, oldest first.
@@ -67,6 +68,33 @@
 // crosses its closing by the server.
 func (p *Pool) idleMost() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
 
+const (
+	// brokeMost is the share of kept connections that may break at their next
+	// request before requests that can't be repeated go on new ones; brokeStep is
+	// the step of its running mean. Guards against peers, or boxes between, that
+	// forget connections without a word: such a request fails for good, a new
+	// connection costs a handshake. It may do harm where handshakes are dear and
+	// the breaks have another cause.
+	brokeMost = 0.01
+	brokeStep = 0.03
+	// brokeWithin is how soon such a break shows. Later ones are the request's own.
+	brokeWithin = 20 * time.Millisecond
+)
+
+// noteKept counts how an attempt on a kept connection went: whether it broke at once.
+func (p *Pool) noteKept(a *Attempt, broke bool) {
+	if !a.kept || broke && time.Since(a.at) > brokeWithin {
+		return
+	}
+	share := 0.0
+	if broke {
+		share = 1
+	}
+	p.mu.Lock()
+	p.broke += brokeStep * (share - p.broke)
+	p.mu.Unlock()
+}
+
 // restLeast is how long a connection rests before its next request. Guards
 // against bytes that follow an answer in a segment of their own: they would pass
 // for the next request's answer. It also catches a server that closes right after
@@ -203,7 +231,7 @@
 		return nil, "", false // gone between the decision and now
 	}
 	a.to = s
-	for len(s.idle) > 0 {
+	for len(s.idle) > 0 && !(a.Once && p.broke > brokeMost) {
 		n := len(s.idle) - 1
 		for n > 0 && now.Sub(s.idle[n].used) < p.rest {
 			n--
@@ -212,7 +240,7 @@
 		rested := now.Sub(c.used) >= p.rest
 		if rested && now.Sub(c.used) <= p.idleMost() && c.quiet() {
 			s.idle = append(s.idle[:n], s.idle[n+1:]...)
-			c.owner = a
+			c.owner, a.kept = a, true
 			return c, "", true
 		}
 		if !rested {
--- a/pick.go
+++ b/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -32,7 +31,6 @@
 	latencyPrior  = 1.0
 	latencyMemory = 12 * time.Second
 	inFlightFirst = 1e4 // puts one request in flight above all other signs of cost
-	warmSaving    = 0.5 // this share of its cost draws a request from its key's warm server
 	// ejectAfter consecutive failures make a server suspect. It is ejected for
 	// ejectBase, doubled each time up to ejectMax, with a random part so that
 	// balancers do not return together.
@@ -51,7 +49,6 @@
 // server is one member as this balancer sees it.
 type server struct {
 	name, zone          string
-	hash                uint64
 	group               int
 	hint                float64       // the list's capacity hint, 1 where it gives none
 	learned             float64       // corrects the hint by what was seen
@@ -63,6 +60,7 @@
 	latSum, latN        float64       // fading sum and weight of relative latencies
 	load                float64       // last load report, in requests held
 	latAt, loadAt       time.Duration
+	heardAt             time.Duration // last answer of any kind
 	learnedAt           time.Duration
 	priority            float64 // order among members, lowest first
 	cold                bucket  // sends that it may get while cold
@@ -96,7 +94,7 @@
 	}
 	if s == nil {
 		// The order differs by balancer and stays, so that a working set changes little.
-		s = &server{name: e.Name, hash: hashName(e.Name), cold: bucket{1, now}, learned: 1, priority: -math.Log(1 - f.rand())}
+		s = &server{name: e.Name, cold: bucket{1, now}, learned: 1, priority: -math.Log(1 - f.rand())}
 		if f.cfg.CrossZoneCost > 0 && e.Zone == f.cfg.Zone {
 			s.priority /= localPreference
 		}
@@ -221,13 +219,8 @@
 
 // pick is the two-choice pick: of two random servers the one with the lower
 // cost. ok restricts the choice to servers that the request may go to.
-func (f *fleet) pick(now time.Duration, key uint64, ok func(*server) bool) *server {
+func (f *fleet) pick(now time.Duration, ok func(*server) bool) *server {
 	f.refresh(now)
-	if key != 0 {
-		if s := f.pickWarm(now, key, ok); s != nil {
-			return s
-		}
-	}
 	var best *server
 	bestCost := math.Inf(1)
 	for tries, found := 0, 0; tries < 8 && found < 2; tries++ {
@@ -254,51 +247,6 @@
 	return best
 }
 
-// pickWarm draws the two candidates by the request's key: the highest two of the
-// working set by weighted rendezvous hashing. All balancers rank alike, so a key
-// meets a server that has it warm, unless that one is busier than the saving.
-func (f *fleet) pickWarm(now time.Duration, key uint64, ok func(*server) bool) *server {
-	var first, second *server
-	var high, next float64
-	for i, s := range f.set {
-		weight := f.weights[i]
-		if i > 0 {
-			weight -= f.weights[i-1]
-		}
-		if weight <= 0 || !ok(s) || !f.coldRoom(s, now) {
-			continue
-		}
-		u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
-		switch r := weight / -math.Log(u); {
-		case r > high:
-			first, second, high, next = s, first, r, high
-		case r > next:
-			second, next = s, r
-		}
-	}
-	if second != nil && f.cost(second, now) < warmSaving*f.cost(first, now) {
-		return second
-	}
-	return first
-}
-
-// mix is the finaliser of SplitMix64.
-func mix(h uint64) uint64 {
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
-// hashName hashes a key or server name; 0 stands for the empty one.
-func hashName(name string) uint64 {
-	if name == "" {
-		return 0
-	}
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	return h.Sum64()
-}
-
 // cost compares candidates: own in-flight first; quiet balancers mostly tie
 // there, so that the seen latency and the load report decide between equals.
 func (f *fleet) cost(s *server, now time.Duration) float64 {
--- a/reissue.go
+++ b/reissue.go
@@ -16,7 +16,7 @@
 	// reissuePrice bounds what copies may cost where wasted work has a price:
 	// B is at most reissuePrice over that price.
 	reissuePrice   = 0.002
-	tailPercentile = 0.95 // k, the percentile of response times to minimise
+	tailPercentile = 0.98 // k, the percentile of response times to minimise
 	// learningRate is λ at a full batch of new samples; smaller batches step
 	// in proportion, or the delay of a quiet balancer would swing.
 	learningRate = 0.3
@@ -34,7 +34,11 @@
 	pairShare = 0.1
 	// pairPrior is how many whole pairs the unconditional estimate weighs when
 	// mixed with the conditional one, which has few samples.
-	pairPrior      = 12.0
+	pairPrior = 12.0
+	// lostStep is of the running share of lost sends. One that its copy overtook was
+	// lostHalf lost: less than 1, or the budget would feed itself.
+	lostStep       = 0.01
+	lostHalf       = 0.5
 	hedgeTokensMax = 4.0 // bounds copies saved up in quiet times
 )
 
@@ -68,7 +72,9 @@
 	primary window[sample]
 	copies  window[sample]
 	pairs   window[pair]
+	base    float64 // B where no first send is lost
 	budget  float64 // B
+	lost    float64 // running share of first sends that were lost
 	d, q    float64
 	fresh   int // primary samples since the last recompute
 	due     time.Duration
@@ -80,7 +86,7 @@
 func newReissuer(wasteCost float64) reissuer {
 	budget := min(reissueBudget, reissuePrice/max(wasteCost, 1e-9))
 	// The paper's starting policy: no delay, probability B.
-	return reissuer{budget: budget, q: budget, tokens: 1}
+	return reissuer{base: budget, budget: budget, q: budget, tokens: 1}
 }
 
 func (r *reissuer) addPrimary(s sample) {
@@ -88,6 +94,15 @@
 	r.fresh++
 }
 
+// lose counts a first send as lost by so much, and sets B. Guards against peers that
+// fall silent, stop short or break off: a copy of a lost send wastes nothing that
+// was not lost already. It may do harm where sends are late for want of capacity;
+// the shed level then holds copies back.
+func (r *reissuer) lose(share float64) {
+	r.lost += lostStep * (share - r.lost)
+	r.budget = min(r.base+r.lost, reissueBudget)
+}
+
 // recompute takes one step towards the delay that the present logs make best.
 // jitter is in [0, 1).
 func (r *reissuer) recompute(now time.Duration, jitter float64) {
--- a/reissue_test.go
+++ b/reissue_test.go
@@ -127,3 +127,32 @@
 		t.Errorf("%d copies for 30 first sends at B = %v", copies, reissueBudget)
 	}
 }
+
+// Lost first sends raise the copies' budget, and it falls again after them.
+func TestBudgetFollowsLosses(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(4)...)
+	r := &b.reissue
+	calm := r.budget
+	r.base, r.budget = 0.01, 0.01
+	run := func(o Outcome) {
+		for id := RequestID(1); id <= 400; id++ {
+			b.Arrive(0, Request{ID: id, Class: 2, Deadline: 300 * ms})
+			if q := b.requests[id]; q != nil && q.out > 0 {
+				b.Done(ms, id, 0, o, true, Report{})
+			}
+			b.admit.level = 0
+		}
+	}
+	run(OK)
+	if r.budget > 0.011 {
+		t.Errorf("budget %v without a loss", r.budget)
+	}
+	run(TimedOut)
+	if r.budget != reissueBudget {
+		t.Errorf("budget %v where all is lost, want its limit", r.budget)
+	}
+	run(OK)
+	if r.budget > 0.03 || calm != reissueBudget {
+		t.Errorf("budget %v after the losses", r.budget)
+	}
+}
