--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -45,7 +45,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	c, err := load(os.Getenv)
 	if err == nil {
-		err = run(c, term, hup)
+		err = listen(c, term, hup)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fawnrock:", err)
@@ -69,8 +69,17 @@
 		}
 }
 
+func listen(c *config, term, hup <-chan os.Signal) error {
+	ln, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer ln.Close()
+	return run(c, ln, term, hup)
+}
+
 // run serves until term, and then until all that was taken is answered.
-func run(c *config, term, hup <-chan os.Signal) error {
+func run(c *config, ln net.Listener, term, hup <-chan os.Signal) error {
 	// Requests are short-lived garbage over a small live heap: collecting less
 	// often saves CPU, as far as the memory goes.
 	debug.SetGCPercent(400)
@@ -91,10 +100,6 @@
 	if c.known != nil {
 		host.Listed(c.known)
 	}
-	ln, err := net.Listen("tcp", c.listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	srv := front.New(in, host)
 	go srv.Serve(ln)
 
@@ -104,7 +109,7 @@
 	ready := func() {
 		wait.Stop()
 		host.SetReady(true)
-		slog.Info("ready", "listen", c.listen)
+		slog.Info("ready", "listen", ln.Addr())
 	}
 	if c.asks {
 		ready()
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,161 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/front"
+	"chalkrack/internal/settings"
+	"chalkrack/internal/upstream"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+// start returns a sidecar before servers at the addresses, and where it listens.
+func start(t *testing.T, addrs ...string) (*Host, *front.Server, string) {
+	t.Helper()
+	set, err := settings.Parse([]byte(`{"replicasOfMe":1,"registryMode":"automatic",
+		"caps":{"attemptsCap":3,"mayCancel":true,"secondCopies":true,"connIdleUs":30000000,"dialTimeoutUs":5000000,
+			"mostHeld":100,"retryAfter":true,"maxRetryAfterUs":2000000},
+		"guarantees":{"drainGraceUs":2000000,"coldFrom":1},
+		"classes":[{"name":"look","promiseUs":20000000,"hardLimitUs":20000000,"effect":"repeatable"},
+		{"name":"pay","promiseUs":20000000,"hardLimitUs":20000000,"effect":"once"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := upstream.New(upstream.Config{ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MostConns: 50})
+	h, err := New(set, 1, pool, new(discovery.Watcher))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &discovery.List{Index: 1, Whole: true}
+	for n, addr := range addrs {
+		l.Entries = append(l.Entries, discovery.Entry{Endpoint: chalkrack.Endpoint{Name: fmt.Sprint(n), Hint: 1}, Address: addr})
+	}
+	h.Listed(l)
+	srv := front.New(front.Config{MostConns: 100, MostBody: 1 << 20}, h)
+	ln := listen(t)
+	go srv.Serve(ln)
+	return h, srv, ln.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// mute is a server that takes requests and never answers.
+func mute(t *testing.T) string {
+	ln := listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(io.Discard, c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func ask(t *testing.T, c net.Conn, br *bufio.Reader, head string) *http.Response {
+	t.Helper()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, head+"\r\n\r\n")
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// Requests that nobody answers get their one answer by their deadlines, an unsafe
+// one never a refusal, and leave nothing behind. A deadline that the client sets
+// far off does not hold anything for long.
+func TestNothingStaysBehind(t *testing.T) {
+	h, _, addr := start(t, mute(t), mute(t), mute(t))
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for n := range 30 {
+		head := fmt.Sprintf("GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: g%d\r\nReq-Deadline-Ms: 30", n)
+		if n%2 == 1 {
+			head = fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: p%d\r\nReq-Deadline-Ms: 30\r\nContent-Length: 0", n)
+		}
+		resp := ask(t, c, br, head)
+		if n%2 == 1 && resp.StatusCode != http.StatusBadGateway || resp.StatusCode < 500 {
+			t.Errorf("request %d was answered %s", n, resp.Status)
+		}
+	}
+	far, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(far, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: far\r\nReq-Deadline-Ms: 2000000000\r\n\r\n")
+	wait(t, "the request to be taken", func() bool { return h.Held() == 1 })
+	h.mu.Lock()
+	for _, q := range h.held {
+		if left := q.deadline - h.now(); left > 20*time.Second {
+			t.Errorf("held for %v", left)
+		}
+	}
+	h.mu.Unlock()
+	far.Close()
+	wait(t, "nothing held", func() bool { return h.Held() == 0 })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range h.alarms {
+		if a.q != nil {
+			t.Error("a deadline outlived its request")
+		}
+	}
+}
+
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+// Where no server can be reached, the refusal comes at once and says when to come
+// back: it is not held back until the deadline.
+func TestRefusalIsPrompt(t *testing.T) {
+	ln := listen(t)
+	addr := ln.Addr().String()
+	ln.Close() // connections there are refused
+	_, _, at := start(t, addr)
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	began := time.Now()
+	resp := ask(t, c, bufio.NewReader(c), "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline-Ms: 19000\r\nContent-Length: 0")
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("held back for %v", took)
+	}
+}
