Keep a class away from a server that fails it; breaks by chance leave none out

Resets by chance, 11 per cent of sends, made failed() leave out up to two of six servers after two in a row, so that the rest turned away 300 sends in 5 s; these resets also used up the retry budget.

--- a/balancer.go
+++ b/balancer.go
@@ -1,7 +1,6 @@
-// Package chalkrack makes the decisions of a client-side load balancer: where
-// to send each request, when to send a copy of a slow one, when to try again
-// and when to refuse. It hedges by SingleR and first-sends by two random
-// choices over this balancer's own in-flight requests.
+// Package chalkrack makes the decisions of a client-side load balancer: where to
+// send each request, when to copy, try again or refuse. It hedges by SingleR and
+// first-sends by two random choices over this balancer's own in-flight requests.
 //
 // A Balancer has no goroutines, clock or I/O. The host calls one method per
 // event, from one goroutine at a time, with a time that never goes back, and
@@ -181,8 +180,7 @@
 }
 
 const (
-	// A first send earns retryBudget further attempts, up to retriesMax in all.
-	// Requests of dearFactor times the mean worth retry without.
+	// A first send earns retryBudget retries, to retriesMax; dearFactor times the mean worth needs none.
 	retryBudget = 0.3
 	retriesMax  = 10.0
 	dearFactor  = 2.0
@@ -356,9 +354,8 @@
 			b.hedge(q, now)
 			b.timerFor(q, q.arrived+q.class.Aim-now)
 		default:
-			// Guards against hearing of a jam only by time-outs, and against a server
-			// that says nothing to anyone: it ought to catch a machine that hung or was
-			// cut off. It may do harm to one that is asked once in an aim and slow.
+			// Guards against hearing only by time-outs of a jam, or of a machine that hung
+			// or was cut off. It may do harm to a slow one asked once in an aim.
 			q.overdue = true
 			calm := b.admit.faded(now) < shedSlack
 			b.admit.outcome(false, true, b.fleet.rate(now), now)
@@ -409,14 +406,22 @@
 	if !b.mayTry(q, anchor, now) {
 		return false
 	}
-	s := b.fleet.pick(now, func(s *server) bool {
+	sound := true // asks for a server that does not fail the class
+	may := func(s *server) bool {
+		if sound && s.ails(q.Class, now) > sickMost {
+			return false
+		}
 		for i := range q.attempts {
 			if q.attempts[i].to == s {
 				return false
 			}
 		}
 		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
-	})
+	}
+	s := b.fleet.pick(now, may)
+	if sound = s != nil; !sound {
+		s = b.fleet.pick(now, may)
+	}
 	if s == nil {
 		return false
 	}
@@ -479,15 +484,17 @@
 	case q.out > 0: // another attempt may still answer
 	case q.class.LateWorth == 0 && now >= q.arrived+q.class.Aim: // nothing to win any more
 		b.end(q)
-	case !b.mayRetry(q) || !b.try(q, now, false): // a planned copy keeps its time
+	case !b.mayRetry(q, o) || !b.try(q, now, false): // a planned copy keeps its time
 		b.end(q)
 	}
 }
 
-// mayRetry spends the retry budget, which binds all but the dearest work.
-// Guards against retries that only push others out where all queues are full.
-func (b *Balancer) mayRetry(q *request) bool {
-	if b.retries < 1 {
+// mayRetry spends the retry budget, which binds all but the dearest work. Guards
+// against retries that only push others out where all queues are full.
+func (b *Balancer) mayRetry(q *request, o Outcome) bool {
+	if o != Full { // what broke on the way says nothing of queues
+		return true
+	} else if b.retries < 1 {
 		return b.admit.worth(q.rank) >= dearFactor*b.admit.meanWorth()
 	}
 	b.retries--
@@ -503,30 +510,26 @@
 	if b.fleet.taken *= 1 - meanStep; o != Full {
 		b.fleet.taken += meanStep
 	}
-	if o == OK || o == ServerError || o == Full {
+	if o == OK || o == Full {
 		s.heardAt = now
 	}
 	switch o {
 	case OK:
 		s.failures, s.ejections = 0, 0
-	case ServerError, ConnectFailed, Reset, TimedOut:
+	case ServerError, Reset, TimedOut, ConnectFailed:
 		b.fleet.failed(s, now)
 	}
-	if o == OK || o == ServerError || o == TimedOut {
+	if o == ServerError {
+		s.sick[q.Class] = bucket{s.ails(q.Class, now)*(1-sickStep) + sickStep, now}
+	}
+	if o == OK || o == TimedOut { // not after an error: failing fast is not being fast
 		b.fleet.report(s, o, rep, took, a.held, now)
 	}
 	if b.cfg.ConnectionCost > 0 && !s.inSet && s.inFlight == 0 {
 		b.host.CloseIdle(s.name) // a guest's connection would stand open unused
 	}
 	if !a.isCopy && o != NotSent {
-		switch {
-		case o == TimedOut:
-			b.reissue.lose(1)
-		case o == Cancelled && len(q.attempts) > 1:
-			b.reissue.lose(lostHalf)
-		default:
-			b.reissue.lose(0)
-		}
+		b.reissue.lose(o == TimedOut, o == Cancelled && len(q.attempts) > 1)
 	}
 	if q.class.Effect == Unsafe || (o != OK && o != Cancelled && o != TimedOut) {
 		return
--- a/pick.go
+++ b/pick.go
@@ -24,6 +24,9 @@
 	learnLatency = 0.2
 	learnMax     = 4.0
 	learnEvery   = 2 * time.Second
+	sickStep     = 0.3
+	sickMost     = 0.15 // more keeps the class away
+	sickMemory   = time.Second
 	meanStep     = 0.04            // of running means over all servers
 	rateMemory   = 4 * time.Second // what the count of recent sends looks back on
 	// latencyPrior is the weight, in samples, of "as fast as the fleet" in a
@@ -33,10 +36,13 @@
 	inFlightFirst = 1e4 // puts one request in flight above all other signs of cost
 	// ejectAfter consecutive failures make a server suspect. It is ejected for
 	// ejectBase, doubled each time up to ejectMax, with a random part so that
-	// balancers do not return together.
-	ejectAfter = 2
-	ejectBase  = time.Second
-	ejectMax   = 16 * time.Second
+	// balancers do not return together. One that answered well within ejectSilence is
+	// not: where connections break by chance, the rest would overflow. It may do harm
+	// for that time where a process has died.
+	ejectAfter   = 2
+	ejectSilence = 100 * time.Millisecond
+	ejectBase    = time.Second
+	ejectMax     = 16 * time.Second
 	// ejectShare of the fleet at most: past it, failures are everyone's or our own.
 	ejectShare   = 0.4
 	coldPart     = 0.5             // of what fells a cold server is sent at most; the rest is for chance
@@ -60,7 +66,8 @@
 	latSum, latN        float64       // fading sum and weight of relative latencies
 	load                float64       // last load report, in requests held
 	latAt, loadAt       time.Duration
-	heardAt             time.Duration // last answer of any kind
+	heardAt             time.Duration // last answer but errors
+	sick                []bucket      // by class: share of errors
 	learnedAt           time.Duration
 	priority            float64 // order among members, lowest first
 	cold                bucket  // sends that it may get while cold
@@ -94,7 +101,7 @@
 	}
 	if s == nil {
 		// The order differs by balancer and stays, so that a working set changes little.
-		s = &server{name: e.Name, cold: bucket{1, now}, learned: 1, priority: -math.Log(1 - f.rand())}
+		s = &server{name: e.Name, cold: bucket{1, now}, sick: make([]bucket, len(f.cfg.Classes)), learned: 1, priority: -math.Log(1 - f.rand())}
 		if f.cfg.CrossZoneCost > 0 && e.Zone == f.cfg.Zone {
 			s.priority /= localPreference
 		}
@@ -299,10 +306,16 @@
 	}
 }
 
+// ails is a server's fading share of errors in a class. Guards against one that
+// fails a class only: it serves the others well and would never be left out.
+func (s *server) ails(class int, now time.Duration) float64 {
+	return s.sick[class].tokens * fade(now-s.sick[class].at, sickMemory)
+}
+
 // failed counts a failure against a server and ejects it when they add up.
 func (f *fleet) failed(s *server, now time.Duration) {
 	s.failures++
-	if s.failures < ejectAfter || now < s.ejectedUntil || float64(len(f.ejected)+1) > ejectShare*float64(len(f.members)) {
+	if s.failures < ejectAfter || s.heardAt > 0 && now-s.heardAt < ejectSilence || now < s.ejectedUntil || float64(len(f.ejected)+1) > ejectShare*float64(len(f.members)) {
 		return
 	}
 	span := min(ejectBase<<min(s.ejections, 10), ejectMax)
--- a/pick_test.go
+++ b/pick_test.go
@@ -225,6 +225,73 @@
 	}
 }
 
+// Connections that break by chance, with answers between, leave no server out and
+// are tried again past the retry budget; a server that only breaks is left out.
+func TestBreaksByChance(t *testing.T) {
+	for _, dead := range []bool{false, true} {
+		b, r := newTest(t, testConfig(), fleetOf(5)...)
+		b.noCopies()
+		b.retries = 0
+		now, step := time.Second, ms/4 // all is over before any server can seem silent
+		if dead {
+			step = ms
+		}
+		for _, s := range b.fleet.members {
+			s.heardAt = now
+		}
+		for id := RequestID(1); id <= 300; id++ {
+			now += step
+			sends := len(r.servers)
+			b.Arrive(now, Request{ID: id, Deadline: now + 300*ms})
+			for n, s := range r.servers[sends:] {
+				if o := Reset; id%9 < 3 && !dead || dead && s == "s001" {
+					b.Done(now, id, n, o, false, Report{})
+					if got := len(r.servers) - sends; got != 2 {
+						t.Fatalf("%d sends of a request that broke, want 2", got)
+					}
+					b.Done(now, id, n+1, OK, true, Report{})
+				} else {
+					b.Done(now, id, n, OK, true, Report{})
+				}
+			}
+			b.retries = 0
+		}
+		if out := len(b.fleet.ejected); (out > 0) != dead {
+			t.Errorf("dead %v: %d servers left out", dead, out)
+		}
+	}
+}
+
+// A server that fails one class, and fast, gains no weight by its speed, is no
+// place for that class and serves the others on. Where all fail, it still is sent.
+func TestServerThatFailsOneClass(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(5)...)
+	b.noCopies()
+	bad, asked := b.fleet.byName["s001"], [2]int{}
+	for id := RequestID(1); id <= 1000; id++ {
+		now, class := time.Second+time.Duration(id)*ms, int(id%2)*2
+		b.Arrive(now, Request{ID: id, Class: class, Deadline: now + 300*ms})
+		o := OK
+		if r.servers[len(r.servers)-1] == bad.name {
+			if asked[class/2]++; class == 2 {
+				o = ServerError
+			}
+		}
+		b.Done(now, id, 0, o, true, Report{})
+	}
+	if asked[1] > 5 || asked[0] < 20 || bad.learned > 1.5 || bad.ejectedUntil > 0 {
+		t.Errorf("asked %v, weight %v, left out until %v", asked, bad.learned, bad.ejectedUntil)
+	}
+	for _, s := range b.fleet.members {
+		s.sick = []bucket{{1, 3 * time.Second}, {1, 3 * time.Second}, {1, 3 * time.Second}}
+	}
+	sends := len(r.servers)
+	b.Arrive(3*time.Second, Request{ID: 2000, Class: 2, Deadline: 4 * time.Second})
+	if len(r.servers) != sends+1 {
+		t.Error("a request was not sent where all servers fail its class")
+	}
+}
+
 // A quiet balancer whose sends mostly come late must shed nearly all: a level that
 // fades between any two outcomes rests far lower.
 func TestShedLevelHoldsBetweenOutcomes(t *testing.T) {
--- a/reissue.go
+++ b/reissue.go
@@ -16,7 +16,7 @@
 	// reissuePrice bounds what copies may cost where wasted work has a price:
 	// B is at most reissuePrice over that price.
 	reissuePrice   = 0.002
-	tailPercentile = 0.98 // k, the percentile of response times to minimise
+	tailPercentile = 0.95 // k, the percentile of response times to minimise
 	// learningRate is λ at a full batch of new samples; smaller batches step
 	// in proportion, or the delay of a quiet balancer would swing.
 	learningRate = 0.3
@@ -94,12 +94,15 @@
 	r.fresh++
 }
 
-// lose counts a first send as lost by so much, and sets B. Guards against peers that
-// fall silent, stop short or break off: a copy of a lost send wastes nothing that
-// was not lost already. It may do harm where sends are late for want of capacity;
-// the shed level then holds copies back.
-func (r *reissuer) lose(share float64) {
-	r.lost += lostStep * (share - r.lost)
+// lose counts a first send, lost or overtaken by its copy or neither, and sets B. Guards against peers that
+// fall silent: a copy of a lost send wastes nothing more. It may do harm where sends
+// are late for want of capacity; the shed level then holds copies back.
+func (r *reissuer) lose(lost, overtaken bool) {
+	if r.lost *= 1 - lostStep; lost {
+		r.lost += lostStep
+	} else if overtaken {
+		r.lost += lostStep * lostHalf
+	}
 	r.budget = min(r.base+r.lost, reissueBudget)
 }
 
