--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -122,6 +122,7 @@
 			}
 		}
 		go watcher.Follow()
+		defer watcher.Close()
 	}
 	sweep := time.NewTicker(sweepEach)
 	defer sweep.Stop()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -156,10 +156,10 @@
 	c := &conn{srv: s, nc: nc, accepted: now, since: now}
 	c.served.L = &s.mu
 	s.mu.Lock()
-	n, most := len(s.conns), s.cfg.MostConns-crowdRoom(s.cfg.MostConns)
+	n, most := len(s.conns), s.cfg.MostConns
 	s.mu.Unlock()
-	crowded := n >= most && !s.evict()
-	if crowded && n >= s.cfg.MostConns {
+	crowded := n >= most-crowdRoom(most) && !s.evict()
+	if crowded && n >= most {
 		slog.Warn("connection closed: no descriptor left for it", "conns", n)
 		nc.Close()
 		return
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -64,8 +64,9 @@
 	pool *Pool
 	to   *server
 
-	kept bool      // went on a connection that had been used before
-	at   time.Time // when it was started
+	kept bool          // went on a connection that had been used before
+	at   time.Time     // when it was started
+	wait time.Duration // for a connection to come up
 
 	mu         sync.Mutex
 	conn       *conn
@@ -139,7 +140,7 @@
 }
 
 func (a *Attempt) connect(addr string) *conn {
-	d := net.Dialer{Timeout: a.pool.cfg.DialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: a.wait, KeepAlive: -1}
 	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		a.pool.unbook()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -230,7 +230,7 @@
 	if s == nil {
 		return nil, "", false // gone between the decision and now
 	}
-	a.to = s
+	a.to, a.wait = s, p.cfg.DialTimeout
 	for len(s.idle) > 0 && !(a.Once && p.broke > brokeMost) {
 		n := len(s.idle) - 1
 		for n > 0 && now.Sub(s.idle[n].used) < p.rest {
