--- /dev/null
+++ b/internal/msgpackrpc/writer.go
@@ -0,0 +1,168 @@
+package msgpackrpc
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Sent tells how much of a message went out before its connection ended.
+type Sent int
+
+const (
+	SentNone  Sent = iota // not a byte: the peer can't have taken it
+	SentPart              // some bytes, not the last: a peer that keeps to the specification has not taken it
+	SentWhole             // all: it may have been carried out
+)
+
+func (s Sent) String() string {
+	return [...]string{"never sent", "sent in part", "sent whole"}[s]
+}
+
+// item is a message on its way out. Its field sent is guarded by the writer's lock.
+type item struct {
+	data []byte
+	sent Sent
+	gone bool // taken back before a byte of it went out
+}
+
+// batchMost is how many bytes are handed to the socket in one write.
+const batchMost = 64 << 10
+
+// writer writes queued messages in order, from one goroutine that ends with the
+// connection. Its queue is bounded in bytes: who adds to a full one waits.
+type writer struct {
+	nc  net.Conn
+	lim Limits
+
+	mu     sync.Mutex
+	cond   sync.Cond // the queue, stop or err changed
+	queue  []*item
+	queued int // bytes, with those being written
+	stop   bool
+	err    error // why nothing more goes out
+}
+
+func newWriter(nc net.Conn, lim Limits) *writer {
+	w := &writer{nc: nc, lim: lim}
+	w.cond.L = &w.mu
+	return w
+}
+
+// add queues a message. It waits while the queue is full, which ends when the
+// peer takes what it is sent or, after Limits.Send, with the connection.
+func (w *writer) add(it *item) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for w.err == nil && !w.stop && w.queued > 0 && w.queued+len(it.data) > w.lim.Queued {
+		w.cond.Wait()
+	}
+	if w.err != nil {
+		return w.err
+	}
+	if w.stop {
+		return net.ErrClosed
+	}
+	w.queue = append(w.queue, it)
+	w.queued += len(it.data)
+	w.cond.Broadcast()
+	return nil
+}
+
+// take takes a message back if not a byte of it has gone out.
+func (w *writer) take(it *item) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if it.sent == SentNone {
+		it.gone = true
+	}
+	return it.gone
+}
+
+func (w *writer) state(it *item) Sent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return it.sent
+}
+
+// fail ends the writer at once.
+func (w *writer) fail(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = err
+	}
+	w.cond.Broadcast()
+}
+
+// finish ends the writer when all that is queued has gone out.
+func (w *writer) finish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop = true
+	w.cond.Broadcast()
+}
+
+// run writes until fail, finish or an error of the connection.
+func (w *writer) run() error {
+	var batch []*item
+	var buf []byte
+	for {
+		w.mu.Lock()
+		for len(w.queue) == 0 && w.err == nil && !w.stop {
+			w.cond.Wait()
+		}
+		if w.err != nil || len(w.queue) == 0 {
+			err := w.err
+			w.mu.Unlock()
+			return err
+		}
+		batch, buf = batch[:0], buf[:0]
+		taken := 0
+		for _, it := range w.queue {
+			if len(batch) > 0 && len(buf)+len(it.data) > batchMost {
+				break
+			}
+			taken++
+			if it.gone {
+				w.queued -= len(it.data)
+				continue
+			}
+			// From here on all of it may be out; the write's end tells.
+			it.sent = SentWhole
+			batch, buf = append(batch, it), append(buf, it.data...)
+		}
+		clear(w.queue[:taken])
+		w.queue = w.queue[taken:]
+		if len(w.queue) == 0 {
+			w.queue = nil
+		}
+		w.mu.Unlock()
+
+		n, err := 0, w.nc.SetWriteDeadline(time.Now().Add(w.lim.Send))
+		if err == nil && len(buf) > 0 {
+			n, err = w.nc.Write(buf)
+		}
+		w.mu.Lock()
+		at := 0
+		for _, it := range batch {
+			switch at += len(it.data); {
+			case at <= n:
+			case at-len(it.data) >= n:
+				it.sent = SentNone
+			default:
+				it.sent = SentPart
+			}
+			w.queued -= len(it.data)
+			it.data = nil
+		}
+		if err != nil && w.err == nil {
+			w.err = err
+		}
+		w.cond.Broadcast()
+		w.mu.Unlock()
+		if cap(buf) > 2*batchMost {
+			buf = nil
+		}
+	}
+}
