Add the fleet's pure decisions (rollout, lease, life) and its SQLite record

Need: managing 200 sidecars at once needs decisions that can be tested without processes, and a record that outlives its agent.

Change: rollout decides which instances go next and when to stop or go back; lease gives fencing tokens; life decides launches, drains, kills and crash loops; store is the record's contract and store/sqlite keeps it with schema versions and a bound.

--- /dev/null
+++ b/internal/fleet/rollout/rollout.go
@@ -0,0 +1,387 @@
+// Package rollout decides how a change goes through a set of instances: which are
+// next, when to wait, to stop or to take back, and what is known of each. It is
+// pure: it does no I/O and reads no clock. Its driver tells it what happened and
+// carries out what Next returns, in order.
+//
+// It promises, for every sequence of events: no step is asked for twice; no step
+// that takes an available instance down is asked for while that would make more
+// than MaxUnavailable of the targets unavailable; and once the driver says that
+// it waits no longer (GiveUp, Stuck), it comes to an end.
+package rollout
+
+import (
+	"fmt"
+
+	"chalkrack/internal/fleet/api"
+)
+
+// What is done after too many failures.
+const (
+	Stop  = "stop"     // nothing new is changed
+	Back  = "rollback" // and what was changed goes back to what it was
+	Pause = "pause"    // nothing new, and the operation stays open to be resumed
+)
+
+// Check says what is wrong with a policy for n targets.
+func Check(p api.Policy, n int) error {
+	switch {
+	case n == 0:
+		return fmt.Errorf("no instance is selected")
+	case p.Batch < 1:
+		return fmt.Errorf("batch is %d; it must be 1 at least", p.Batch)
+	case p.MaxUnavailable < 1:
+		return fmt.Errorf("max-unavailable is %d; with less than 1 nothing can be changed", p.MaxUnavailable)
+	case p.MaxFailures < 0:
+		return fmt.Errorf("max-failures is %d; it must be 0 or more", p.MaxFailures)
+	case p.Canaries < 0:
+		return fmt.Errorf("canaries is %d; it must be 0 or more", p.Canaries)
+	case p.OnFailure != Stop && p.OnFailure != Back && p.OnFailure != Pause:
+		return fmt.Errorf("on-failure is %q; it must be %s, %s or %s", p.OnFailure, Stop, Back, Pause)
+	}
+	return nil
+}
+
+// Batches are the targets' numbers by batch: canaries first.
+func Batches(p api.Policy, n int) [][]int {
+	var out [][]int
+	size := p.Batch
+	if p.Canaries > 0 {
+		size = p.Canaries
+	}
+	for at := 0; at < n; size = p.Batch {
+		var b []int
+		for ; at < n && len(b) < size; at++ {
+			b = append(b, at)
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// State is what is known of a target.
+type State string
+
+const (
+	Pending        State = "pending"         // not touched
+	Changing       State = "changing"        // its step is under way
+	Changed        State = "changed"         // and has succeeded
+	Failed         State = "failed"          // or failed
+	Unknown        State = "unknown"         // or its agent went silent meanwhile
+	RollingBack    State = "rolling back"    // a step back is under way
+	RolledBack     State = "rolled back"     // and has succeeded
+	RollbackFailed State = "rollback failed" // or failed
+)
+
+// Results of an operation.
+const (
+	Succeeded  = "succeeded"
+	Stopped    = "stopped"     // too many failures, or no way on
+	WentBack   = "rolled back" // too many failures; all that was changed is as before
+	BackFailed = "rollback incomplete"
+	Paused     = "paused"
+	Aborted    = "aborted"
+	Incomplete = "incomplete" // of some targets the outcome is not known, or they were not reached
+	SomeFailed = "finished with failures"
+)
+
+// Target is a target and what is known of it.
+type Target struct {
+	api.Target
+	State  State
+	Reason string
+	Batch  int
+	down   bool // observed to be unavailable while no step runs
+	back   bool // a rollback was asked for
+}
+
+// Action is a step to begin, Kind api.Change or api.Rollback, or the end: Kind "".
+type Action struct {
+	Target int
+	Kind   string
+}
+
+// Machine is a rolling change.
+type Machine struct {
+	policy  api.Policy
+	targets []Target
+	silent  map[string]bool
+	gaveUp  map[string]bool
+	tripped string // why nothing new is changed
+	aborted bool
+	stuck   bool
+	result  string
+}
+
+// New returns a machine with all targets pending.
+func New(p api.Policy, targets []api.Target) (*Machine, error) {
+	if err := Check(p, len(targets)); err != nil {
+		return nil, fmt.Errorf("rollout: %w", err)
+	}
+	m := &Machine{policy: p, silent: make(map[string]bool), gaveUp: make(map[string]bool)}
+	seen := make(map[api.Target]bool)
+	for _, t := range targets {
+		if seen[t] {
+			return nil, fmt.Errorf("rollout: %s on %s is there twice", t.Instance, t.Host)
+		}
+		seen[t] = true
+		m.targets = append(m.targets, Target{Target: t, State: Pending})
+	}
+	for n, b := range Batches(p, len(targets)) {
+		for _, i := range b {
+			m.targets[i].Batch = n
+		}
+	}
+	return m, nil
+}
+
+// Targets is what is known of each, in order. The caller must not change it.
+func (m *Machine) Targets() []Target { return m.targets }
+
+// Result is the end's, "" before it; Why tells what stopped it.
+func (m *Machine) Result() string { return m.result }
+func (m *Machine) Why() string    { return m.tripped }
+
+// Recall takes over what an agent's record says of a target's steps, before the
+// first Next or at any time later: status is that of api.Step.
+func (m *Machine) Recall(i int, kind, status, reason string) {
+	t := &m.targets[i]
+	if kind == api.Rollback {
+		t.back = true
+		if m.tripped == "" {
+			m.tripped = "the rollback had begun"
+		}
+	} else if t.back {
+		return // what came before the step back
+	}
+	if m.result != "" {
+		m.note(t, kind, status, reason)
+		return
+	}
+	m.note(t, kind, status, reason)
+	m.judge(t)
+}
+
+func (m *Machine) note(t *Target, kind, status, reason string) {
+	t.Reason, t.down = reason, false
+	states := map[string]State{api.StepRunning: Changing, api.StepOK: Changed, api.StepFailed: Failed}
+	if kind == api.Rollback {
+		states = map[string]State{api.StepRunning: RollingBack, api.StepOK: RolledBack, api.StepFailed: RollbackFailed}
+	}
+	t.State = states[status]
+	if status == api.StepFailed {
+		t.down = true // until seen otherwise
+	}
+	if status == api.StepRunning && m.silent[t.Host] {
+		t.State = Unknown
+	}
+}
+
+// judge counts failures; a failed canary is one too many.
+func (m *Machine) judge(t *Target) {
+	if m.tripped != "" {
+		return
+	}
+	if t.Batch == 0 && m.policy.Canaries > 0 && (t.State == Failed || t.State == Unknown && m.gaveUp[t.Host]) {
+		m.tripped = fmt.Sprintf("canary %s %s: %s", t.Instance, t.State, t.Reason)
+		return
+	}
+	failed, last := 0, ""
+	for i := range m.targets {
+		x := &m.targets[i]
+		if x.State == Failed || x.State == Unknown && m.gaveUp[x.Host] {
+			failed++
+			last = fmt.Sprintf("%s %s: %s", x.Instance, x.State, x.Reason)
+		}
+	}
+	if failed > m.policy.MaxFailures {
+		m.tripped = fmt.Sprintf("%d failed and %d may (%s)", failed, m.policy.MaxFailures, last)
+	}
+}
+
+// Done tells how a step that Next asked for has ended.
+func (m *Machine) Done(i int, kind string, ok bool, reason string) {
+	status := api.StepFailed
+	if ok {
+		status = api.StepOK
+	}
+	m.Recall(i, kind, status, reason)
+}
+
+// Down tells whether a target was seen to be unavailable, steps aside.
+func (m *Machine) Down(i int, down bool) { m.targets[i].down = down }
+
+// Silent tells that a host's agent does not answer: of its running steps nothing is
+// known, and its other instances can't be seen.
+func (m *Machine) Silent(host, reason string) {
+	m.silent[host] = true
+	for i := range m.targets {
+		if t := &m.targets[i]; t.Host == host && (t.State == Changing || t.State == RollingBack) {
+			t.State, t.Reason = Unknown, reason
+		}
+	}
+}
+
+// Answers tells that a host's agent is back. Steps that were under way are so
+// again, until Recall or Done says otherwise.
+func (m *Machine) Answers(host string) {
+	delete(m.silent, host)
+	delete(m.gaveUp, host)
+	for i := range m.targets {
+		if t := &m.targets[i]; t.Host == host && t.State == Unknown {
+			t.State, t.Reason = Changing, ""
+			if t.back {
+				t.State = RollingBack
+			}
+		}
+	}
+}
+
+// GiveUp tells that a silent host is waited for no longer: its unknown steps count
+// as failures, and nothing waits for its pending targets.
+func (m *Machine) GiveUp(host string) {
+	if !m.silent[host] {
+		return
+	}
+	m.gaveUp[host] = true
+	for i := range m.targets {
+		if t := &m.targets[i]; t.Host == host && t.State == Unknown {
+			m.judge(t)
+		}
+	}
+}
+
+// Stuck tells that nothing has changed for as long as the driver waits, while Next
+// could begin nothing and nothing ran.
+func (m *Machine) Stuck() {
+	if m.running() == 0 {
+		m.stuck = true
+		if m.tripped == "" {
+			m.tripped = "max-unavailable is used up by instances that are down"
+		}
+	}
+}
+
+// Abort begins nothing new; what is under way is waited for.
+func (m *Machine) Abort(reason string) {
+	m.aborted = true
+	if m.tripped == "" {
+		m.tripped = reason
+	}
+}
+
+// running counts steps under way, those of silent hosts that are still waited for
+// among them.
+func (m *Machine) running() (n int) {
+	for i := range m.targets {
+		t := &m.targets[i]
+		if t.State == Changing || t.State == RollingBack || t.State == Unknown && !m.gaveUp[t.Host] {
+			n++
+		}
+	}
+	return n
+}
+
+// unavailable says whether a target counts as such.
+func (m *Machine) unavailable(t *Target) bool {
+	return t.down || m.silent[t.Host] || t.State == Changing || t.State == RollingBack || t.State == Unknown
+}
+
+// Next returns the steps to begin now, or the end. It returns nothing while there
+// is something to wait for.
+func (m *Machine) Next() (out []Action) {
+	if m.result != "" {
+		return nil
+	}
+	used := 0
+	for i := range m.targets {
+		if m.unavailable(&m.targets[i]) {
+			used++
+		}
+	}
+	begin := func(i int, kind string) {
+		t := &m.targets[i]
+		if !m.unavailable(t) {
+			if used >= m.policy.MaxUnavailable {
+				return
+			}
+			used++
+		}
+		t.State, t.Reason = Changing, ""
+		if kind == api.Rollback {
+			t.State, t.back = RollingBack, true
+		}
+		out = append(out, Action{Target: i, Kind: kind})
+	}
+	wait := m.running() > 0
+	switch {
+	case m.aborted || m.stuck:
+	case m.tripped == "":
+		// The first batch with a target that has not come to its end.
+		batch := -1
+		for i := range m.targets {
+			t := &m.targets[i]
+			open := t.State == Pending && !m.gaveUp[t.Host] || t.State == Changing || t.State == Unknown && !m.gaveUp[t.Host]
+			if open && batch < 0 {
+				batch = t.Batch
+			}
+			if open && t.Batch == batch && t.State == Pending {
+				wait = true
+				if !m.silent[t.Host] {
+					begin(i, api.Change)
+				}
+			}
+		}
+	case m.policy.OnFailure == Back && m.changing() == 0:
+		// Those that are down first: putting them right takes nothing away.
+		for _, down := range []bool{true, false} {
+			for i := range m.targets {
+				t := &m.targets[i]
+				if (t.State == Failed || t.State == Changed) && !t.back && !m.gaveUp[t.Host] {
+					wait = true
+					if t.down == down && !m.silent[t.Host] {
+						begin(i, api.Rollback)
+					}
+				}
+			}
+		}
+	}
+	if len(out) == 0 && !wait {
+		m.result = m.end()
+		return []Action{{}}
+	}
+	return out
+}
+
+// changing counts changes under way: they end before anything is taken back.
+func (m *Machine) changing() (n int) {
+	for i := range m.targets {
+		if t := &m.targets[i]; t.State == Changing || t.State == Unknown && !t.back && !m.gaveUp[t.Host] {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) end() string {
+	n := make(map[State]int)
+	for i := range m.targets {
+		n[m.targets[i].State]++
+	}
+	switch {
+	case m.aborted:
+		return Aborted
+	case n[Changed] == len(m.targets):
+		return Succeeded
+	case n[RollbackFailed] > 0, m.tripped != "" && m.policy.OnFailure == Back && n[Changed]+n[Failed]+n[Unknown] > 0:
+		return BackFailed
+	case m.tripped != "" && m.policy.OnFailure == Back:
+		return WentBack
+	case m.tripped != "" && m.policy.OnFailure == Pause:
+		return Paused
+	case m.tripped != "":
+		return Stopped
+	case n[Pending]+n[Unknown] > 0:
+		return Incomplete
+	}
+	return SomeFailed
+}
--- /dev/null
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -0,0 +1,271 @@
+// Package sqlite keeps an agent's record in a SQLite file: write-ahead log, full
+// synchronous, a bounded size. The schema has a version, and each older one is
+// brought up to date in one transaction when the file is opened.
+package sqlite
+
+import (
+	"context"
+	"database/sql"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	_ "modernc.org/sqlite" // the driver
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/lease"
+	"chalkrack/internal/fleet/store"
+)
+
+// migrations bring a file from version n to n+1. They are never changed once
+// released: a file may be at any of them.
+var migrations = []string{
+	// 1: desired and actual state, operations, steps, leases.
+	`CREATE TABLE instances (
+		name TEXT PRIMARY KEY, desired TEXT NOT NULL, generation INTEGER NOT NULL, release TEXT NOT NULL,
+		launch TEXT NOT NULL, process INTEGER NOT NULL, running TEXT NOT NULL, pid INTEGER NOT NULL,
+		ticks INTEGER NOT NULL, boot TEXT NOT NULL, launched INTEGER NOT NULL);
+	CREATE TABLE operations (id TEXT PRIMARY KEY, body TEXT NOT NULL, state TEXT NOT NULL, result TEXT NOT NULL, closed INTEGER NOT NULL);
+	CREATE TABLE steps (op TEXT NOT NULL, instance TEXT NOT NULL, kind TEXT NOT NULL, status TEXT NOT NULL, body TEXT NOT NULL,
+		PRIMARY KEY (op, instance, kind));
+	CREATE TABLE leases (instance TEXT PRIMARY KEY, op TEXT NOT NULL, holder TEXT NOT NULL, token INTEGER NOT NULL,
+		granted INTEGER NOT NULL, expires INTEGER NOT NULL);`,
+	// 2: the audit log.
+	`CREATE TABLE audit (n INTEGER PRIMARY KEY AUTOINCREMENT, at INTEGER NOT NULL, who TEXT NOT NULL, what TEXT NOT NULL,
+		target TEXT NOT NULL, result TEXT NOT NULL);`,
+	// 3: what a rollback goes back to, and what became of processes.
+	`ALTER TABLE instances ADD COLUMN previous TEXT NOT NULL DEFAULT '';
+	ALTER TABLE instances ADD COLUMN restarts INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE instances ADD COLUMN last_exit TEXT NOT NULL DEFAULT '';`,
+}
+
+// Version is the schema's that this build reads and writes.
+var Version = len(migrations)
+
+// pageSize is the file's, in bytes.
+const pageSize = 4096
+
+// Store is a record in a file.
+type Store struct {
+	db   *sql.DB
+	path string
+}
+
+// Open opens the file, makes it if there is none, and brings its schema up to
+// date. most bounds it, in bytes. Errors name the file and say what to do.
+func Open(path string, most int64) (*Store, error) {
+	return open(path, most, Version)
+}
+
+func open(path string, most int64, version int) (*Store, error) {
+	q := url.Values{"_pragma": {
+		"busy_timeout(2000)", "journal_mode(WAL)", "synchronous(FULL)", "foreign_keys(ON)", "cache_size(-256)",
+		"wal_autocheckpoint(256)", "journal_size_limit(1048576)", fmt.Sprintf("max_page_count(%d)", max(most/pageSize, 64)),
+	}, "_txlock": {"immediate"}}
+	db, err := sql.Open("sqlite", "file:"+(&url.URL{Path: path}).EscapedPath()+"?"+q.Encode())
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", path, err)
+	}
+	db.SetMaxOpenConns(1)
+	s := &Store{db: db, path: path}
+	if err := s.migrate(version); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("record %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *Store) migrate(to int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var ok string
+	if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
+		if err == nil {
+			err = fmt.Errorf("%s", ok)
+		}
+		return fmt.Errorf("it can't be read (%w): if it is damaged, move it and its -wal and -shm files aside; the agent then finds its sidecars by their environment and begins a new record", err)
+	}
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return fmt.Errorf("it can't be written: %w", err)
+	}
+	defer tx.Rollback()
+	var have int
+	if err := tx.QueryRowContext(ctx, "PRAGMA user_version").Scan(&have); err != nil {
+		return err
+	}
+	if have > Version {
+		return fmt.Errorf("its schema is version %d and this build knows up to %d: run the newer build that wrote it", have, Version)
+	}
+	if have >= to {
+		return nil
+	}
+	for n := have; n < to; n++ {
+		if _, err := tx.ExecContext(ctx, migrations[n]); err != nil {
+			return fmt.Errorf("to schema version %d: %w", n+1, err)
+		}
+	}
+	if _, err := tx.ExecContext(ctx, fmt.Sprintf("PRAGMA user_version = %d", to)); err != nil {
+		return err
+	}
+	return tx.Commit()
+}
+
+// Close closes the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+func unix(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromUnix(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// Commit implements store.Store.
+func (s *Store) Commit(ctx context.Context, c *store.Change) error {
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return fmt.Errorf("record %s: %w", s.path, err)
+	}
+	defer tx.Rollback()
+	put := func(q string, args ...any) {
+		if err == nil {
+			_, err = tx.ExecContext(ctx, q, args...)
+		}
+	}
+	body := func(v any) string {
+		b, e := json.Marshal(v)
+		if err == nil {
+			err = e
+		}
+		return string(b)
+	}
+	for _, i := range c.Instances {
+		put(`INSERT OR REPLACE INTO instances (name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit)
+			VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)`, i.Name, i.Desired, i.Generation, i.Release, i.Previous, i.Launch, i.Process, i.Running,
+			i.PID, int64(i.Ticks), i.Boot, unix(i.Launched), i.Restarts, i.LastExit)
+	}
+	for _, o := range c.Operations {
+		put(`INSERT OR REPLACE INTO operations (id, body, state, result, closed) VALUES (?,?,?,?,?)`, o.ID, body(o.Operation), o.State, o.Result, unix(o.Closed))
+	}
+	for _, x := range c.Steps {
+		put(`INSERT OR REPLACE INTO steps (op, instance, kind, status, body) VALUES (?,?,?,?,?)`, x.Op, x.Instance, x.Kind, x.Status, body(x))
+	}
+	for _, l := range c.Leases {
+		put(`INSERT OR REPLACE INTO leases (instance, op, holder, token, granted, expires) VALUES (?,?,?,?,?,?)`, l.Instance, l.Op, l.Holder, l.Token, unix(l.Granted), unix(l.Expires))
+	}
+	for _, a := range c.Audit {
+		put(`INSERT INTO audit (at, who, what, target, result) VALUES (?,?,?,?,?)`, unix(a.At), a.Who, a.What, a.Target, a.Result)
+	}
+	for _, id := range c.DropOperations {
+		put(`DELETE FROM steps WHERE op = ?`, id)
+		put(`DELETE FROM operations WHERE id = ?`, id)
+	}
+	for _, name := range c.DropInstances {
+		put(`DELETE FROM instances WHERE name = ?`, name)
+		put(`DELETE FROM leases WHERE instance = ?`, name)
+	}
+	if c.AuditKeep > 0 {
+		put(`DELETE FROM audit WHERE n <= (SELECT max(n) FROM audit) - ?`, c.AuditKeep)
+	}
+	if err == nil {
+		err = tx.Commit()
+	}
+	if err != nil {
+		return fmt.Errorf("record %s: %w", s.path, err)
+	}
+	return nil
+}
+
+// query reads rows, of which scan takes each.
+func (s *Store) query(ctx context.Context, q string, scan func(*sql.Rows) error, args ...any) error {
+	rows, err := s.db.QueryContext(ctx, q, args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		if err := scan(rows); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+// Load implements store.Store.
+func (s *Store) Load(ctx context.Context) (*store.Snapshot, error) {
+	out := &store.Snapshot{}
+	err := s.query(ctx, `SELECT name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit
+		FROM instances ORDER BY name`, func(r *sql.Rows) error {
+		var i store.Instance
+		var launched, ticks int64
+		err := r.Scan(&i.Name, &i.Desired, &i.Generation, &i.Release, &i.Previous, &i.Launch, &i.Process, &i.Running, &i.PID, &ticks,
+			&i.Boot, &launched, &i.Restarts, &i.LastExit)
+		i.Launched, i.Ticks = fromUnix(launched), uint64(ticks)
+		out.Instances = append(out.Instances, i)
+		return err
+	})
+	if err == nil {
+		err = s.query(ctx, `SELECT body, state, result, closed FROM operations ORDER BY closed, id`, func(r *sql.Rows) error {
+			var o store.Operation
+			var body string
+			var closed int64
+			if err := r.Scan(&body, &o.State, &o.Result, &closed); err != nil {
+				return err
+			}
+			o.Closed = fromUnix(closed)
+			out.Operations = append(out.Operations, o)
+			return json.Unmarshal([]byte(body), &out.Operations[len(out.Operations)-1].Operation)
+		})
+	}
+	if err == nil {
+		err = s.query(ctx, `SELECT body FROM steps ORDER BY op, instance, kind`, func(r *sql.Rows) error {
+			var body string
+			var x api.Step
+			if err := r.Scan(&body); err != nil {
+				return err
+			}
+			err := json.Unmarshal([]byte(body), &x)
+			out.Steps = append(out.Steps, x)
+			return err
+		})
+	}
+	if err == nil {
+		err = s.query(ctx, `SELECT instance, op, holder, token, granted, expires FROM leases ORDER BY instance`, func(r *sql.Rows) error {
+			var l lease.Lease
+			var granted, expires int64
+			err := r.Scan(&l.Instance, &l.Op, &l.Holder, &l.Token, &granted, &expires)
+			l.Granted, l.Expires = fromUnix(granted), fromUnix(expires)
+			out.Leases = append(out.Leases, l)
+			return err
+		})
+	}
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", s.path, err)
+	}
+	return out, nil
+}
+
+// Audit implements store.Store.
+func (s *Store) Audit(ctx context.Context, most int) (out []api.AuditEntry, err error) {
+	err = s.query(ctx, `SELECT at, who, what, target, result FROM audit ORDER BY n DESC LIMIT ?`, func(r *sql.Rows) error {
+		var a api.AuditEntry
+		var at int64
+		err := r.Scan(&at, &a.Who, &a.What, &a.Target, &a.Result)
+		a.At = fromUnix(at)
+		out = append(out, a)
+		return err
+	}, most)
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", s.path, err)
+	}
+	return out, nil
+}
