--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,7 +21,8 @@
 	memoryMB, sockets int
 	known             *discovery.List // nil: none
 	settings          *settings.Settings
-	asks              bool // discovery must be asked
+	asks              bool   // discovery must be asked
+	sum               string // of the file
 }
 
 // reload reads the file again. The environment is as it was at the start, so that
@@ -71,6 +73,7 @@
 		cores:     raw.Limits.Cores,
 		memoryMB:  int(raw.Limits.MemoryMB),
 		sockets:   int(raw.Limits.Sockets),
+		sum:       fmt.Sprintf("%x", sha256.Sum256(data)),
 	}
 	if v := getenv("BALANCER_LISTEN"); v != "" {
 		c.listen = v
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -36,6 +36,9 @@
 	// comes 0.7 s after that.
 	quitAfter = 300 * time.Millisecond
 	sweepEach = 2 * time.Second
+	// healthSum tells in answers to the health call which file is in force: its
+	// SHA-256. An agent sees by it whether a reload was taken over.
+	healthSum = "Config-Sum"
 )
 
 func main() {
@@ -101,6 +104,7 @@
 		host.Listed(c.known)
 	}
 	srv := front.New(in, host)
+	srv.SetHealth(healthSum, c.sum)
 	go srv.Serve(ln)
 
 	wait := time.NewTimer(listMost)
@@ -158,6 +162,7 @@
 	pool.Limit(up)
 	srv.Limit(in)
 	watcher.Move(c.discovery)
+	srv.SetHealth(healthSum, c.sum)
 	slog.Info("configuration taken over", "discovery", c.discovery)
 }
 
--- /dev/null
+++ b/cmd/martendrum/main.go
@@ -0,0 +1,133 @@
+// Command martendrum is the operators' one program: the agent that runs on each
+// host, and the commands that manage many sidecars through the agents.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"chalkrack/internal/fleet/client"
+	"chalkrack/internal/fleet/inventory"
+)
+
+// Exit codes.
+const (
+	exitSome    = 1 // some of the work failed; what was printed says which
+	exitUse     = 2 // bad use
+	exitReached = 3 // what is needed could not be reached
+)
+
+// exitError ends the program with a code.
+type exitError struct {
+	code int
+	err  error // nil: all has been said
+}
+
+func (e *exitError) Error() string { return fmt.Sprint(e.err) }
+func (e *exitError) Unwrap() error { return e.err }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+func run(ctx context.Context, args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	code := exitUse
+	if e, ok := errors.AsType[*exitError](err); ok {
+		code = e.code
+		if e.err == nil {
+			return code
+		}
+	} else if errors.As(err, new(*client.UnreachableError)) {
+		code = exitReached
+	}
+	fmt.Fprintln(os.Stderr, "martendrum:", err)
+	return code
+}
+
+// global is what all commands that talk to agents share.
+type global struct {
+	fleet string
+	json  bool
+}
+
+func newRoot() *cobra.Command {
+	g := &global{}
+	root := &cobra.Command{
+		Use:   "martendrum",
+		Short: "Manage many sidecars at once",
+		Long: `martendrum manages the sidecars of a fleet through the agents on its hosts.
+
+The hosts are listed in an inventory (--fleet, or MARTENDRUM_FLEET). A change goes
+through the selected instances in batches, under a lease that keeps others off, and
+can be resumed by anyone if the command that began it dies.
+
+Exit codes: 0 all well; 1 some of the work failed, the report says which; 2 bad use;
+3 what is needed could not be reached.`,
+		Example: `  martendrum dev                                  # a small fleet on this machine, to try things on
+  martendrum list --label zone=jakarta
+  martendrum upgrade --binary ./fawnrock --canaries 1 --batch 10% --dry-run
+  martendrum resume 20260318-201500-5f2c          # go on with a change whose command died`,
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	def := os.Getenv("MARTENDRUM_FLEET")
+	if def == "" {
+		def = "deploy/fleet.toml"
+	}
+	root.PersistentFlags().StringVar(&g.fleet, "fleet", def, "inventory of hosts")
+	root.PersistentFlags().BoolVar(&g.json, "json", false, "print JSON for programs")
+	root.AddGroup(&cobra.Group{ID: "view", Title: "Look:"}, &cobra.Group{ID: "change", Title: "Change:"}, &cobra.Group{ID: "op", Title: "Operations:"}, &cobra.Group{ID: "run", Title: "Run and set up:"})
+	root.AddCommand(viewCommands(g)...)
+	root.AddCommand(changeCommands(g)...)
+	root.AddCommand(opCommands(g)...)
+	root.AddCommand(agentCommand(), caCommand(), devCommand())
+	return root
+}
+
+// who names the operator.
+func who() string {
+	name := "unknown"
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	host, _ := os.Hostname()
+	return name + "@" + host
+}
+
+// open reads the inventory.
+func (g *global) open() (*client.Fleet, error) {
+	inv, err := inventory.Load(g.fleet)
+	if err != nil {
+		if errors.Is(err, os.ErrNotExist) {
+			err = fmt.Errorf("%w: name your inventory with --fleet or MARTENDRUM_FLEET", err)
+		}
+		return nil, err
+	}
+	return client.New(inv, who())
+}
+
+// selectFlags adds the flags that select instances.
+func selectFlags(c *cobra.Command) *inventory.Select {
+	s := &inventory.Select{}
+	f := c.Flags()
+	f.StringSliceVar(&s.Hosts, "host", nil, "only on these hosts (* and ? fit any)")
+	f.StringSliceVar(&s.Labels, "label", nil, "only with one of these labels, KEY=VALUE")
+	f.StringSliceVar(&s.Instances, "instance", nil, "only these instances (* and ? fit any)")
+	f.StringSliceVar(&s.Releases, "release", nil, "only those that run or should run a release whose hash begins so")
+	f.StringSliceVar(&s.States, "state", nil, "only those in one of these states, desired or actual")
+	return s
+}
--- /dev/null
+++ b/internal/fleet/agent/config.go
@@ -0,0 +1,204 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"time"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/life"
+	"chalkrack/internal/fleet/units"
+)
+
+// Config is an agent's file; see deploy/agent.toml. Relative paths in it are
+// relative to its folder.
+type Config struct {
+	Name     string `toml:"name"`
+	StateDir string `toml:"state_dir"`
+	Listen   struct {
+		Unix      string `toml:"unix"`
+		TLS       string `toml:"tls"`
+		Plain     string `toml:"plain"`
+		PlainRole string `toml:"plain_role"`
+	} `toml:"listen"`
+	TLS struct {
+		CA   string `toml:"ca"`
+		Cert string `toml:"cert"`
+		Key  string `toml:"key"`
+	} `toml:"tls"`
+	Sidecar struct {
+		Binary  string `toml:"binary"`
+		Overlay string `toml:"overlay"`
+	} `toml:"sidecar"`
+	Limits struct {
+		KillAfter   units.Duration `toml:"kill_after"`
+		HealthEach  units.Duration `toml:"health_each"`
+		BackoffMin  units.Duration `toml:"backoff_min"`
+		BackoffMax  units.Duration `toml:"backoff_max"`
+		CrashMost   int            `toml:"crash_most"`
+		CrashWithin units.Duration `toml:"crash_within"`
+		Log         units.Bytes    `toml:"log"`
+		Record      units.Bytes    `toml:"record"`
+		Operations  int            `toml:"operations"`
+		Audit       int            `toml:"audit"`
+		Releases    int            `toml:"releases"`
+	} `toml:"limits"`
+	Instances []InstanceConfig `toml:"instance"`
+}
+
+// InstanceConfig is one sidecar of the host.
+type InstanceConfig struct {
+	Name   string            `toml:"name"`
+	Config string            `toml:"config"` // the sidecar's configuration, JSON, as BALANCER_CONFIG names it
+	Labels map[string]string `toml:"labels"`
+	Stop   bool              `toml:"stopped"` // at first; later the record tells
+
+	listen string
+}
+
+// MostInstances is how many sidecars one agent looks after.
+const MostInstances = 256
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// LoadConfig reads and checks a whole file. Errors name the file and the place.
+func LoadConfig(path string) (*Config, error) {
+	c := &Config{}
+	l := &c.Limits
+	l.KillAfter, l.HealthEach = units.Duration(5*time.Second), units.Duration(time.Second)
+	l.BackoffMin, l.BackoffMax = units.Duration(500*time.Millisecond), units.Duration(30*time.Second)
+	l.CrashMost, l.CrashWithin = 5, units.Duration(time.Minute)
+	l.Log, l.Record = 8<<20, 64<<20
+	l.Operations, l.Audit, l.Releases = 100, 10000, 3
+	c.Listen.PlainRole = api.View
+	if err := units.Load(path, c); err != nil {
+		return nil, err
+	}
+	dir, err := filepath.Abs(filepath.Dir(path))
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range []*string{&c.StateDir, &c.Listen.Unix, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.Sidecar.Binary, &c.Sidecar.Overlay} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	for n := range c.Instances {
+		if p := &c.Instances[n].Config; *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	l := &c.Limits
+	switch {
+	case !nameForm.MatchString(c.Name):
+		return fmt.Errorf("name: %q; want letters, digits, '.', '_' or '-', 63 at most", c.Name)
+	case c.StateDir == "":
+		return fmt.Errorf("state_dir is missing: a folder that outlives restarts")
+	case c.Sidecar.Binary == "":
+		return fmt.Errorf("sidecar.binary is missing: the program that instances begin with")
+	case c.Listen.Unix == "" && c.Listen.TLS == "" && c.Listen.Plain == "":
+		return fmt.Errorf("listen: none of unix, tls and plain is set, so nobody could ask")
+	case c.Listen.TLS != "" && (c.TLS.CA == "" || c.TLS.Cert == "" || c.TLS.Key == ""):
+		return fmt.Errorf("tls: ca, cert and key are needed for listen.tls; `martendrum ca` makes them")
+	case c.Listen.PlainRole != api.View && c.Listen.PlainRole != api.Operate:
+		return fmt.Errorf("listen.plain_role: %q; want %q or %q", c.Listen.PlainRole, api.View, api.Operate)
+	case time.Duration(l.KillAfter) < life.KillLeast:
+		return fmt.Errorf("limits.kill_after: %v; a sidecar may need %v from SIGTERM to its last answer", time.Duration(l.KillAfter), life.KillLeast)
+	case l.HealthEach < units.Duration(50*time.Millisecond):
+		return fmt.Errorf("limits.health_each: %v; 50ms at least", time.Duration(l.HealthEach))
+	case l.BackoffMin <= 0 || l.BackoffMax < l.BackoffMin:
+		return fmt.Errorf("limits.backoff_min and backoff_max: %v and %v; want 0 < min <= max", time.Duration(l.BackoffMin), time.Duration(l.BackoffMax))
+	case l.CrashMost < 1 || l.CrashWithin <= 0:
+		return fmt.Errorf("limits.crash_most and crash_within must be above 0")
+	case l.Log < 64<<10:
+		return fmt.Errorf("limits.log: 64KiB at least")
+	case l.Operations < 1 || l.Audit < 1 || l.Releases < 0:
+		return fmt.Errorf("limits.operations and audit must be 1 at least, releases 0")
+	case len(c.Instances) > MostInstances:
+		return fmt.Errorf("instance: %d of them; an agent looks after %d at most", len(c.Instances), MostInstances)
+	}
+	if c.Listen.Plain != "" {
+		host, _, err := net.SplitHostPort(c.Listen.Plain)
+		if err != nil {
+			return fmt.Errorf("listen.plain: %w", err)
+		}
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			return fmt.Errorf("listen.plain: %s is not a loopback address; use listen.tls beyond this machine", host)
+		}
+	}
+	seen, addrs := make(map[string]bool), make(map[string]string)
+	for n := range c.Instances {
+		i := &c.Instances[n]
+		switch {
+		case !nameForm.MatchString(i.Name):
+			return fmt.Errorf("instance %d: name %q; want letters, digits, '.', '_' or '-', 63 at most", n+1, i.Name)
+		case seen[i.Name]:
+			return fmt.Errorf("instance %s is there twice", i.Name)
+		}
+		seen[i.Name] = true
+		data, err := os.ReadFile(i.Config)
+		if err != nil {
+			return fmt.Errorf("instance %s: config: %w", i.Name, err)
+		}
+		var base struct{ Listen string }
+		if err := json.Unmarshal(data, &base); err != nil {
+			return fmt.Errorf("instance %s: config %s: %w", i.Name, i.Config, err)
+		}
+		if _, _, err := net.SplitHostPort(base.Listen); err != nil {
+			return fmt.Errorf("instance %s: config %s: listen: %w", i.Name, i.Config, err)
+		}
+		if other := addrs[base.Listen]; other != "" {
+			return fmt.Errorf("instances %s and %s both listen on %s", other, i.Name, base.Listen)
+		}
+		i.listen, addrs[base.Listen] = base.Listen, i.Name
+	}
+	return nil
+}
+
+// render makes an instance's configuration: its own file, the release's overlay
+// merged over it (RFC 7396), and the seed.
+func render(base, overlay []byte, seed string) ([]byte, error) {
+	var b, o map[string]any
+	if err := json.Unmarshal(base, &b); err != nil {
+		return nil, fmt.Errorf("the instance's configuration: %w", err)
+	}
+	if len(overlay) > 0 {
+		if err := json.Unmarshal(overlay, &o); err != nil {
+			return nil, fmt.Errorf("the release's overlay: %w", err)
+		}
+	}
+	merge(b, o)
+	b["seed"] = seed
+	return json.MarshalIndent(b, "", " ")
+}
+
+func merge(into, from map[string]any) {
+	for k, v := range from {
+		if v == nil {
+			delete(into, k)
+			continue
+		}
+		sub, ok := v.(map[string]any)
+		if !ok {
+			into[k] = v
+			continue
+		}
+		have, ok := into[k].(map[string]any)
+		if !ok {
+			have = make(map[string]any)
+			into[k] = have
+		}
+		merge(have, sub)
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/instance.go
@@ -0,0 +1,451 @@
+package agent
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/life"
+	"chalkrack/internal/fleet/proc"
+	"chalkrack/internal/fleet/release"
+	"chalkrack/internal/fleet/store"
+)
+
+const (
+	// healthMost is how long a health call may take.
+	healthMost = 800 * time.Millisecond
+	// closeEach is how often an instance is looked at while it starts or changes.
+	closeEach = 50 * time.Millisecond
+	// retryEach is how soon what the record kept from being done is tried again.
+	retryEach = time.Second
+	// hupAfter is the least age of a process that gets SIGHUP: a sidecar that has
+	// just begun may not listen for it yet, and would end.
+	hupAfter = 1200 * time.Millisecond
+	// hupWithin is how soon a sidecar must tell that it runs a new configuration.
+	hupWithin = 5 * time.Second
+)
+
+// instance is one sidecar. Its goroutine, run, alone moves life and proc; the
+// agent's lock guards them all the same, for those who look.
+type instance struct {
+	cfg  InstanceConfig
+	wake chan struct{}
+
+	row   store.Instance
+	life  *life.Life
+	proc  *Process
+	step  *api.Step // under way, nil for none
+	dirty bool      // the record may lack its row or steps
+	gone  int64     // generation of a process that ended on its own, the latest
+	sum   string    // of the configuration that the process says it runs
+
+	wantSum string    // of the configuration last written for it
+	hupAt   time.Time // of the step's SIGHUP
+	retryAt time.Time
+}
+
+func (i *instance) poke() {
+	select {
+	case i.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run looks after one instance until the agent ends.
+func (a *Agent) run(i *instance) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var healthAt time.Time
+	for first := true; ; first = false {
+		a.mu.Lock()
+		now := time.Now()
+		if first && i.gone != 0 && i.row.Desired == api.Running && i.gone == i.row.Generation {
+			// It ended while nobody looked: a crash like another.
+			i.life.Want(now, true, i.row.Generation)
+			i.life.Adopt(now, i.gone)
+			i.life.Exited(now, i.row.LastExit)
+		}
+		kinds := i.life.Want(now, i.row.Desired == api.Running, i.row.Generation)
+		if now.Before(i.retryAt) {
+			kinds = slices.DeleteFunc(kinds, func(k life.Kind) bool { return k == life.Launch }) // asked for again then
+		}
+		a.mu.Unlock()
+		a.act(i, kinds)
+		a.observe(i)
+
+		a.mu.Lock()
+		p, next := i.proc, i.life.Next()
+		near := i.step != nil || i.life.Phase() == life.Starting
+		a.mu.Unlock()
+		if p != nil && !time.Now().Before(healthAt) {
+			a.health(i, p)
+			each := time.Duration(a.cfg.Limits.HealthEach)
+			each = each*9/10 + rand.N(each/5) // so that many agents' instances don't fall into step
+			if near {
+				each = min(each, closeEach)
+			}
+			healthAt = time.Now().Add(each)
+			a.observe(i)
+		}
+		wait := time.Hour
+		until := func(t time.Time) {
+			if !t.IsZero() {
+				wait = min(wait, max(time.Until(t), time.Millisecond))
+			}
+		}
+		until(next)
+		if p != nil {
+			until(healthAt)
+		}
+		if near {
+			wait = min(wait, closeEach)
+		}
+		if time.Now().Before(i.retryAt) {
+			until(i.retryAt)
+		}
+		timer.Reset(wait)
+		var done <-chan struct{}
+		if p != nil {
+			done = p.Done
+		}
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-i.wake:
+			healthAt = time.Time{}
+		case <-timer.C:
+		case <-done:
+			a.exited(i, p)
+			healthAt = time.Time{}
+		}
+	}
+}
+
+// act carries out what life asks for.
+func (a *Agent) act(i *instance, kinds []life.Kind) {
+	for len(kinds) > 0 {
+		k := kinds[0]
+		kinds = kinds[1:]
+		switch k {
+		case life.Launch:
+			kinds = append(kinds, a.launch(i)...)
+		case life.Term, life.Kill:
+			sig := syscall.SIGTERM
+			if k == life.Kill {
+				sig = syscall.SIGKILL
+			}
+			if err := i.proc.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+				slog.Error("signal failed", "instance", i.cfg.Name, "signal", sig, "err", err)
+			}
+			a.mu.Lock()
+			a.bump()
+			a.mu.Unlock()
+		}
+	}
+}
+
+// launch starts a process of the wanted generation: it is written down first, and
+// carries a name by which it is found if what follows can't be.
+func (a *Agent) launch(i *instance) []life.Kind {
+	a.mu.Lock()
+	row := i.row
+	if row.Generation != i.life.Generation() || row.Desired != api.Running {
+		a.mu.Unlock() // it has changed since: the next round sees
+		i.poke()
+		return nil
+	}
+	row.Launch = fmt.Sprintf("%s/%s/%d/%s", a.cfg.Name, row.Name, row.Generation, random())
+	if i.gone == row.Generation {
+		row.Restarts++
+	}
+	row.Process, row.Running, row.PID, row.Ticks, row.Boot = row.Generation, row.Release, 0, 0, ""
+	row.Launched = time.Now()
+	if err := a.commit(&store.Change{Instances: []store.Instance{row}}); err != nil {
+		i.retryAt = time.Now().Add(retryEach)
+		a.mu.Unlock()
+		return nil
+	}
+	i.row = row
+	a.mu.Unlock()
+
+	p, err := a.start(i, row)
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		i.row.Launch, i.row.Process, i.row.Running = "", 0, ""
+		i.row.LastExit, i.gone = err.Error(), row.Generation
+		kinds := i.life.LaunchFailed(now, err.Error())
+		a.told(i, nil)
+		return kinds
+	}
+	i.proc, i.sum = p, ""
+	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
+	kinds := i.life.Launched(now)
+	a.told(i, nil)
+	return kinds
+}
+
+// start checks the release, writes the configuration and starts the process.
+func (a *Agent) start(i *instance, row store.Instance) (*Process, error) {
+	if err := a.releases.Verify(row.Release); err != nil {
+		return nil, err
+	}
+	if err := a.configure(i, row.Release, random()); err != nil {
+		return nil, err
+	}
+	env := append(os.Environ(), "BALANCER_NAME="+row.Name, "BALANCER_LISTEN="+i.cfg.listen, "BALANCER_CONFIG="+a.configPath(row.Name))
+	return a.machine.Start(proc.Spec{
+		Launch: row.Launch, Path: a.releases.Path(row.Release, release.Sidecar), Dir: a.cfg.StateDir, Env: env, Log: a.logPath(row.Name),
+	})
+}
+
+// configure writes an instance's configuration.
+func (a *Agent) configure(i *instance, hash, seed string) error {
+	base, err := os.ReadFile(i.cfg.Config)
+	if err != nil {
+		return err
+	}
+	overlay, err := os.ReadFile(a.releases.Path(hash, release.Overlay))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	data, err := render(base, overlay, seed)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(a.configPath(i.cfg.Name), data); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	i.wantSum = fmt.Sprintf("%x", sha256.Sum256(data))
+	return nil
+}
+
+// health makes a health call and takes what it tells.
+func (a *Agent) health(i *instance, p *Process) {
+	sum, err := a.machine.Health(a.ctx, i.cfg.listen, healthMost)
+	why := ""
+	if err != nil {
+		why = err.Error()
+	}
+	select {
+	case <-p.Done:
+		return // of whoever listens there now
+	default:
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i.proc != p || a.ctx.Err() != nil {
+		return
+	}
+	before := i.life.Phase()
+	i.life.Health(time.Now(), err == nil, why)
+	if err == nil {
+		i.sum = sum
+	}
+	if i.life.Phase() != before {
+		a.bump()
+	}
+}
+
+// exited takes a process's end.
+func (a *Agent) exited(i *instance, p *Process) {
+	a.mu.Lock()
+	if i.proc != p {
+		a.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	how := p.Exit()
+	if i.life.Phase() != life.Draining {
+		i.gone = i.row.Process
+		slog.Warn("sidecar ended on its own", "instance", i.cfg.Name, "pid", p.PID, "how", how)
+	}
+	i.proc, i.sum = nil, ""
+	i.row.Launch, i.row.PID, i.row.Process, i.row.Running, i.row.LastExit = "", 0, 0, "", how
+	kinds := i.life.Exited(now, how)
+	a.told(i, nil)
+	a.mu.Unlock()
+	if len(kinds) > 0 {
+		i.poke() // the next round asks again, with what is wanted by then
+	}
+}
+
+// observe sees whether the step under way has come to its end.
+func (a *Agent) observe(i *instance) {
+	a.mu.Lock()
+	s := i.step
+	if s == nil || i.life.Generation() != i.row.Generation || i.life.Wanted() != (i.row.Desired == api.Running) {
+		a.mu.Unlock()
+		return
+	}
+	if s.Action == api.ActReload && s.Kind == api.Change {
+		a.mu.Unlock()
+		a.reload(i, s)
+		return
+	}
+	defer a.mu.Unlock()
+	a.judge(i, s, time.Now())
+}
+
+func (a *Agent) judge(i *instance, s *api.Step, now time.Time) {
+	l := i.life
+	if i.row.Desired != api.Running {
+		if l.Process() == 0 {
+			a.end(i, s, true, i.row.LastExit)
+		}
+		return
+	}
+	begun := s.Started
+	if a.started.After(begun) {
+		begun = a.started // time that the agent was away is not the instance's
+	}
+	switch {
+	case l.Process() == s.Generation && l.Phase() == life.Ready:
+		if now.Sub(l.Since()) >= s.Soak {
+			a.end(i, s, true, "")
+		}
+	case i.gone >= s.Generation && l.Process() == 0:
+		a.end(i, s, false, "it ended by itself: "+i.row.LastExit)
+	case l.Process() == s.Generation && l.Phase() == life.Unready:
+		a.end(i, s, false, "it became unready while it was soaked: "+l.Reason())
+	case l.Process() == s.Generation && now.Sub(later(i.row.Launched, a.started)) > s.Ready:
+		a.end(i, s, false, fmt.Sprintf("not ready within %v: %s", s.Ready, l.Reason()))
+	case now.Sub(begun) > time.Duration(a.cfg.Limits.KillAfter)+s.Ready+s.Soak+10*time.Second:
+		a.end(i, s, false, "it could not be started in time: "+l.Reason()+a.unwritable)
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// end ends a step.
+func (a *Agent) end(i *instance, s *api.Step, ok bool, reason string) {
+	next := *s
+	next.Status, next.Reason, next.Ended = api.StepFailed, reason, time.Now()
+	if ok {
+		next.Status = api.StepOK
+	}
+	a.steps[stepKey{s.Op, s.Instance, s.Kind}] = &next
+	i.step, i.hupAt = nil, time.Time{}
+	a.told(i, &next)
+}
+
+// reload brings a reload on its way: configuration, SIGHUP, and the sidecar's own
+// word that it runs it. To do all that again after a restart of the agent does no harm.
+func (a *Agent) reload(i *instance, s *api.Step) {
+	a.mu.Lock()
+	now := time.Now()
+	p, hup := i.proc, i.hupAt
+	waits := i.life.Phase() == life.Starting && now.Sub(later(i.row.Launched, a.started)) < s.Ready ||
+		p != nil && now.Sub(i.row.Launched) < hupAfter
+	switch {
+	case waits && hup.IsZero():
+		a.mu.Unlock()
+		return
+	case p == nil || i.life.Phase() != life.Ready:
+		a.end(i, s, false, fmt.Sprintf("it is %s: %s", i.life.Phase(), i.life.Reason()))
+		a.mu.Unlock()
+		return
+	case !hup.IsZero() && i.sum == "" && now.Sub(hup) > time.Second:
+		a.end(i, s, true, "not confirmed: this release does not tell which configuration it runs")
+		a.mu.Unlock()
+		return
+	case !hup.IsZero() && i.sum == i.wantSum:
+		a.end(i, s, true, "")
+		a.mu.Unlock()
+		return
+	case !hup.IsZero():
+		if now.Sub(hup) > hupWithin {
+			a.end(i, s, false, "it kept its earlier configuration; its log tells why")
+		}
+		a.mu.Unlock()
+		return
+	}
+	hash := i.row.Running
+	a.mu.Unlock()
+	err := a.configure(i, hash, random())
+	if err == nil {
+		err = p.Signal(syscall.SIGHUP)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.end(i, s, false, err.Error())
+		return
+	}
+	i.hupAt = now
+}
+
+// status is the instance as the API tells it.
+func (a *Agent) status(i *instance) api.Instance {
+	out := api.Instance{
+		Name: i.cfg.Name, Host: a.cfg.Name, Labels: maps.Clone(i.cfg.Labels), Listen: i.cfg.listen,
+		Desired: i.row.Desired, State: string(i.life.Phase()), Reason: i.life.Reason(),
+		Release: i.row.Release, Running: i.row.Running, Previous: i.row.Previous,
+		Generation: i.row.Generation, Process: i.row.Process, PID: i.row.PID,
+		Launched: i.row.Launched, Since: i.life.Since(), Restarts: i.row.Restarts, LastExit: i.row.LastExit,
+	}
+	if l := a.leases.ByInstance[i.cfg.Name]; l.Live(time.Now()) {
+		out.Holder = l.Holder
+	}
+	for _, o := range a.ops {
+		if o.State != api.OpClosed && a.targets(&o.Operation, i.cfg.Name) {
+			out.Operation = o.ID
+		}
+	}
+	return out
+}
+
+func (a *Agent) targets(o *api.Operation, instance string) bool {
+	for _, t := range o.Targets {
+		if t.Host == a.cfg.Name && t.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// readTail reads the end of a file, or from an offset on.
+func readTail(path string, offset int64, most int) ([]byte, int64, error) {
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	defer f.Close()
+	st, err := f.Stat()
+	if err != nil {
+		return nil, 0, err
+	}
+	if offset < 0 {
+		offset = max(0, st.Size()+offset)
+	}
+	if offset > st.Size() {
+		offset = 0 // it was rotated
+	}
+	buf := make([]byte, min(int64(most), st.Size()-offset))
+	n, err := f.ReadAt(buf, offset)
+	if n < len(buf) && err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", filepath.Base(path), err)
+	}
+	return buf[:n], offset + int64(n), nil
+}
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -272,8 +272,9 @@
 	Status     string        `msgpack:"status" json:"status"`
 	Reason     string        `msgpack:"reason" json:"reason,omitempty"`
 	Generation int64         `msgpack:"generation" json:"generation"`
-	From       string        `msgpack:"from" json:"from,omitempty"` // release before
-	To         string        `msgpack:"to" json:"to,omitempty"`     // and after
+	From       string        `msgpack:"from" json:"from,omitempty"`     // release before
+	To         string        `msgpack:"to" json:"to,omitempty"`         // and after
+	Before     string        `msgpack:"before" json:"before,omitempty"` // what a rollback led to before
 	Ready      time.Duration `msgpack:"ready" json:"ready"`
 	Soak       time.Duration `msgpack:"soak" json:"soak"`
 	Started    time.Time     `msgpack:"started" json:"started"`
--- /dev/null
+++ b/internal/fleet/client/client.go
@@ -0,0 +1,272 @@
+// Package client is the operators' side of the fleet: connections to agents, calls
+// to many at once, and the run of an operation over them. What an operation does
+// next is decided in package rollout.
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/inventory"
+	"chalkrack/internal/msgpackrpc"
+)
+
+// UnreachableError is an agent without an answer. What was asked of it may have
+// been done; every method may be asked again.
+type UnreachableError struct {
+	Host string
+	Err  error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("host %s: no answer: %v", e.Host, e.Err)
+}
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Agent is a host's agent as seen from here. It connects when it is asked
+// something, and anew when a connection has ended.
+type Agent struct {
+	Host    inventory.Host
+	fleet   *Fleet
+	mu      sync.Mutex
+	conn    *msgpackrpc.Client
+	dialing chan struct{} // held while connecting
+
+	seenMu sync.Mutex
+	seen   time.Time
+}
+
+// Fleet is all hosts of an inventory.
+type Fleet struct {
+	Agents  []*Agent
+	Timeout time.Duration // of one call
+	Who     string        // for the audit logs
+
+	tls *tls.Config
+}
+
+// New returns a fleet; it opens no connection yet. Close ends those it opens.
+func New(v *inventory.Inventory, who string) (*Fleet, error) {
+	f := &Fleet{Timeout: time.Duration(v.Timeout), Who: who}
+	if v.TLS.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(v.TLS.Cert, v.TLS.Key)
+		if err != nil {
+			return nil, fmt.Errorf("tls: %w", err)
+		}
+		pem, err := os.ReadFile(v.TLS.CA)
+		if err != nil {
+			return nil, fmt.Errorf("tls: ca: %w", err)
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("tls: ca: %s holds no certificate", v.TLS.CA)
+		}
+		f.tls = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}, RootCAs: pool}
+	}
+	for _, h := range v.Hosts {
+		f.Agents = append(f.Agents, &Agent{Host: h, fleet: f, dialing: make(chan struct{}, 1)})
+	}
+	return f, nil
+}
+
+// Close closes all connections.
+func (f *Fleet) Close() {
+	for _, a := range f.Agents {
+		a.mu.Lock()
+		if a.conn != nil {
+			a.conn.Close()
+			a.conn = nil
+		}
+		a.mu.Unlock()
+	}
+}
+
+// Agent returns the agent of a host, nil if the inventory has none.
+func (f *Fleet) Agent(host string) *Agent {
+	for _, a := range f.Agents {
+		if a.Host.Name == host {
+			return a
+		}
+	}
+	return nil
+}
+
+// Seen is when the agent last answered this command; zero for never.
+func (a *Agent) Seen() time.Time {
+	a.seenMu.Lock()
+	defer a.seenMu.Unlock()
+	return a.seen
+}
+
+// Call asks the agent. Errors are *api.Error where it said no, and
+// *UnreachableError. A connection that turns out to be dead is replaced once.
+func (a *Agent) Call(ctx context.Context, method string, in, out any) error {
+	return a.CallFor(ctx, a.fleet.Timeout, method, in, out)
+}
+
+// CallFor is Call with a time of its own.
+func (a *Agent) CallFor(ctx context.Context, most time.Duration, method string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for again := true; ; again = false {
+		conn, fresh, err := a.connect(ctx)
+		if err != nil {
+			return a.failed(err)
+		}
+		err = conn.Call(ctx, method, []any{in}, out)
+		if err == nil {
+			a.heard()
+			return nil
+		}
+		if said, ok := errors.AsType[*msgpackrpc.RemoteError](err); ok {
+			a.heard()
+			e := &api.Error{}
+			if msgpack.Unmarshal(said.Value, e) != nil || e.Code == "" {
+				e = api.Errorf(api.Internal, "host %s: %v", a.Host.Name, said)
+			}
+			return e
+		}
+		a.drop(conn)
+		if fresh || !again || ctx.Err() != nil {
+			return a.failed(err)
+		}
+	}
+}
+
+func (a *Agent) failed(err error) error {
+	if e, ok := errors.AsType[*api.Error](err); ok {
+		return e
+	}
+	return &UnreachableError{Host: a.Host.Name, Err: err}
+}
+
+func (a *Agent) heard() {
+	a.seenMu.Lock()
+	defer a.seenMu.Unlock()
+	a.seen = time.Now()
+}
+
+func (a *Agent) drop(conn *msgpackrpc.Client) {
+	a.mu.Lock()
+	if a.conn == conn {
+		a.conn = nil
+	}
+	a.mu.Unlock()
+	conn.Close()
+}
+
+// connect returns the open connection or makes one; fresh if it was made now.
+func (a *Agent) connect(ctx context.Context) (conn *msgpackrpc.Client, fresh bool, err error) {
+	select {
+	case a.dialing <- struct{}{}:
+		defer func() { <-a.dialing }()
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+	a.mu.Lock()
+	conn = a.conn
+	a.mu.Unlock()
+	if conn != nil && conn.Err() == nil {
+		return conn, false, nil
+	}
+	kind, rest, _ := strings.Cut(a.Host.Address, ":")
+	network := "tcp"
+	if kind == "unix" {
+		network = "unix"
+	}
+	var nc net.Conn
+	if kind == "tls" {
+		nc, err = (&tls.Dialer{Config: a.fleet.tls}).DialContext(ctx, network, rest)
+	} else {
+		nc, err = (&net.Dialer{}).DialContext(ctx, network, rest)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	conn = msgpackrpc.NewClient(nc, msgpackrpc.Limits{Message: 4 << 20, Send: a.fleet.Timeout}, nil)
+	var hello api.HelloOut
+	err = conn.Call(ctx, api.Hello, []any{&api.HelloIn{Oldest: api.Oldest, Version: api.Version, Client: a.fleet.Who}}, &hello)
+	if err == nil && hello.Agent != a.Host.Name {
+		err = fmt.Errorf("the agent at %s is %q: the inventory is wrong, or the address is another's", a.Host.Address, hello.Agent)
+	}
+	if err != nil {
+		conn.Close()
+		if said, ok := errors.AsType[*msgpackrpc.RemoteError](err); ok {
+			e := &api.Error{}
+			if msgpack.Unmarshal(said.Value, e) == nil && e.Code != "" {
+				return nil, false, e
+			}
+		}
+		return nil, false, err
+	}
+	a.mu.Lock()
+	a.conn = conn
+	a.mu.Unlock()
+	return conn, true, nil
+}
+
+// parallel is how many agents are asked at once.
+const parallel = 64
+
+// Each calls do for each agent, many at once, and returns the errors in order.
+func Each(agents []*Agent, do func(n int, a *Agent) error) []error {
+	errs := make([]error, len(agents))
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for n, a := range agents {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			errs[n] = do(n, a)
+		})
+	}
+	wg.Wait()
+	return errs
+}
+
+// HostState is a host as a list shows it.
+type HostState struct {
+	Host       inventory.Host `json:"host"`
+	Error      string         `json:"error,omitempty"` // it gave no answer
+	Unwritable string         `json:"unwritable,omitempty"`
+	Instances  []api.Instance `json:"instances"`
+}
+
+// List asks all hosts that may have selected instances. Those that don't answer
+// are in the list, with an error.
+func (f *Fleet) List(ctx context.Context, sel *inventory.Select) []HostState {
+	var agents []*Agent
+	for _, a := range f.Agents {
+		if sel.Host(a.Host.Name) {
+			agents = append(agents, a)
+		}
+	}
+	out := make([]HostState, len(agents))
+	Each(agents, func(n int, a *Agent) error {
+		out[n].Host = a.Host
+		var l api.ListOut
+		if err := a.Call(ctx, api.List, api.Empty{}, &l); err != nil {
+			out[n].Error = err.Error()
+			return err
+		}
+		out[n].Unwritable = l.Unwritable
+		for _, i := range l.Instances {
+			if sel.Fits(a.Host, &i) {
+				out[n].Instances = append(out[n].Instances, i)
+			}
+		}
+		return nil
+	})
+	return out
+}
--- /dev/null
+++ b/internal/fleet/client/upload.go
@@ -0,0 +1,75 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/release"
+)
+
+// chunk is how many bytes of a release go in one call.
+const chunk = 512 << 10
+
+// Upload brings a release to agents, many at once, and goes on where an earlier
+// try left off. sent, if not nil, is told of each agent that has it whole.
+func (f *Fleet) Upload(ctx context.Context, agents []*Agent, hash, sidecar, overlay string, sent func(host string)) error {
+	return errors.Join(Each(agents, func(_ int, a *Agent) error {
+		if err := a.upload(ctx, hash, sidecar, overlay); err != nil {
+			return fmt.Errorf("release %.12s: %w", hash, err)
+		}
+		if sent != nil {
+			sent(a.Host.Name)
+		}
+		return nil
+	})...)
+}
+
+func (a *Agent) upload(ctx context.Context, hash, sidecar, overlay string) error {
+	var have api.ReleaseOut
+	if err := a.Call(ctx, api.ReleaseStat, &api.ReleaseIn{Release: hash}, &have); err != nil {
+		return err
+	}
+	if have.Have {
+		return a.Call(ctx, api.ReleaseDone, &api.ReleaseIn{Release: hash}, &have) // checks it
+	}
+	for _, file := range []struct {
+		name, path string
+		at         int64
+	}{{release.Sidecar, sidecar, have.Sidecar}, {release.Overlay, overlay, have.Overlay}} {
+		if file.path == "" {
+			continue
+		}
+		if err := a.send(ctx, hash, file.name, file.path, file.at); err != nil {
+			return err
+		}
+	}
+	return a.Call(ctx, api.ReleaseDone, &api.ReleaseIn{Release: hash}, &have)
+}
+
+func (a *Agent) send(ctx context.Context, hash, name, path string, at int64) error {
+	in, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	buf := make([]byte, chunk)
+	for {
+		n, err := in.ReadAt(buf, at)
+		if n > 0 {
+			if err := a.Call(ctx, api.ReleaseWrite, &api.ChunkIn{Release: hash, File: name, Offset: at, Data: buf[:n]}, nil); err != nil {
+				return err
+			}
+			at += int64(n)
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/e2e/fleet_test.go
@@ -0,0 +1,668 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/client"
+	"chalkrack/internal/fleet/inventory"
+	"chalkrack/internal/fleet/proc"
+	"chalkrack/internal/fleet/release"
+	"chalkrack/internal/fleet/rollout"
+	"chalkrack/internal/fleet/store"
+)
+
+// release makes a release of the sidecar with an overlay and sends it to all agents.
+func (w *world) release(binary, overlay string) string {
+	w.t.Helper()
+	path := ""
+	if overlay != "" {
+		path = filepath.Join(w.dir, fmt.Sprintf("overlay-%08x.json", rand.Uint32()))
+		if err := os.WriteFile(path, []byte(overlay), 0o600); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	hash, err := release.Hash(binary, path)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := w.fleet.Upload(context.Background(), w.fleet.Agents, hash, binary, path, nil); err != nil {
+		w.t.Fatal(err)
+	}
+	return hash
+}
+
+// Fifty sidecars under ten agents are upgraded while sidecars and agents are
+// killed by a seeded schedule and requests run. Every one is in the report once,
+// what is reported is what is, and no request that a living sidecar took is lost.
+func TestFiftyInstancesUpgrade(t *testing.T) {
+	w := newWorld(t, 10, 5)
+	w.startAll()
+	hash := w.release(filepath.Join(w.bin, "fawnrock"), `{"limits":{"memory_mb":96}}`)
+	requests := w.traffic(300 * time.Millisecond)
+
+	rng := rand.New(rand.NewPCG(5, 1))
+	stop := make(chan struct{})
+	var chaos sync.WaitGroup
+	sidecars, agents := 0, 0
+	chaos.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(300+rng.IntN(500)) * time.Millisecond):
+			}
+			h := w.hosts[rng.IntN(len(w.hosts))]
+			if rng.IntN(3) == 0 {
+				h.kill()
+				agents++
+				time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+				h.start()
+				continue
+			}
+			name := h.insts[rng.IntN(len(h.insts))]
+			for _, f := range proc.Find(h.name + "/" + name + "/") {
+				requests.killed(name)
+				syscall.Kill(f.PID, syscall.SIGKILL)
+				sidecars++
+			}
+		}
+	})
+	op := w.op(api.ActUpgrade, func(o *api.Operation) {
+		o.Release, o.Soak = hash, 500*time.Millisecond
+		o.Policy = api.Policy{Batch: 8, Canaries: 2, MaxUnavailable: 16, MaxFailures: 50, OnFailure: rollout.Stop}
+	})
+	began := time.Now()
+	var events []string
+	opt := options()
+	opt.Progress = func(e client.Event) {
+		if e.Kind != "begin" {
+			events = append(events, fmt.Sprint(e.Kind, " ", e.Host, " ", e.Instance, " ", e.Text))
+		}
+	}
+	rep, err := w.fleet.Start(context.Background(), op, opt)
+	took := time.Since(began)
+	close(stop)
+	chaos.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.ready()
+	time.Sleep(300 * time.Millisecond) // requests to what has just come back
+	requests.stop()
+	t.Logf("%s in %v: %d sidecars and %d agents were killed; %d requests, %d served, %d lost", rep.Result, took.Round(time.Millisecond), sidecars, agents, requests.sent, requests.served, len(requests.lost))
+	if t.Failed() || testing.Verbose() {
+		t.Log(strings.Join(events, "\n"))
+	}
+	if sidecars == 0 || agents == 0 {
+		t.Error("nothing was killed: the test shows nothing")
+	}
+	for _, l := range requests.lost {
+		t.Error("lost:", l)
+	}
+	if requests.served < requests.sent/2 || requests.served == 0 {
+		t.Errorf("%d of %d requests were served", requests.served, requests.sent)
+	}
+	// The report at the end, and the one from the records afterwards.
+	w.once(rep, op)
+	if rep, err = w.fleet.Report(context.Background(), op.ID); err != nil {
+		t.Fatal(err)
+	}
+	rows := w.once(rep, op)
+	states := w.ready()
+	w.observed(states)
+	for _, hs := range states {
+		for _, i := range hs.Instances {
+			r := rows[i.Name]
+			if r.State == nil || r.Unknown != "" || r.State.PID != i.PID || r.State.Running != i.Running || r.State.State != i.State {
+				t.Errorf("%s: the report says %+v %s, the agent %+v", i.Name, r.State, r.Unknown, i)
+			}
+			switch {
+			case r.Outcome == rollout.Changed && i.Running != hash:
+				t.Errorf("%s is reported changed and runs %.12s", i.Name, i.Running)
+			case r.Outcome == rollout.Failed && r.Reason == "":
+				t.Errorf("%s is reported failed without a reason", i.Name)
+			case r.Outcome != rollout.Changed && r.Outcome != rollout.Failed:
+				t.Errorf("%s is reported %s at the end", i.Name, r.Outcome)
+			}
+			if i.Generation != 2 {
+				t.Errorf("%s is at generation %d: it was changed %d times", i.Name, i.Generation, i.Generation-1)
+			}
+		}
+	}
+}
+
+// An agent is killed at each write of its record in turn, before and after it.
+// Once it is back and the operation has gone on, desired, actual and reported
+// state agree, and each instance was changed once.
+func TestAgentKilledAtEveryWrite(t *testing.T) {
+	for _, after := range []string{"", "1"} {
+		t.Run("after="+after, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 1, 2)
+			h := w.hosts[0]
+			died := true
+			for at := 1; died; at++ {
+				if at > 60 {
+					t.Fatal("the agent dies at write 60 and later: the operation needs no more than 20")
+				}
+				before := make(map[string]int64)
+				for _, hs := range w.fleet.List(context.Background(), &inventory.Select{}) {
+					for _, i := range hs.Instances {
+						before[i.Name] = i.Generation
+					}
+				}
+				h.kill()
+				h.start("E2E_AGENT="+h.config, fmt.Sprint("E2E_CRASH_AT=", at), "E2E_CRASH_AFTER="+after)
+				h.mu.Lock()
+				end := h.end
+				h.mu.Unlock()
+				restarted := make(chan bool, 1)
+				stop := make(chan struct{})
+				go func() {
+					select {
+					case <-end:
+						h.start()
+						restarted <- true
+					case <-stop:
+						restarted <- false
+					}
+				}()
+				op := w.op(api.ActRestart, func(o *api.Operation) { o.Soak = 50 * time.Millisecond })
+				var rep *client.Report
+				eventually(t, "an operation that begins", func() bool {
+					var err error
+					if rep, err = w.fleet.Start(context.Background(), op, options()); err != nil {
+						// It may have been opened before the agent died: then it is ended, and
+						// a new one begins.
+						w.fleet.Abort(context.Background(), op.ID)
+						op.ID += "x"
+					}
+					return err == nil
+				})
+				close(stop)
+				died = <-restarted
+				if rep.Result != rollout.Succeeded {
+					// The agent may have died at the operation's very end.
+					eventually(t, "a report", func() bool {
+						r, err := w.fleet.Report(context.Background(), op.ID)
+						if err == nil {
+							rep = r
+						}
+						return err == nil
+					})
+				}
+				states := w.ready()
+				w.observed(states)
+				for name, r := range w.once(rep, op) {
+					if r.Outcome != rollout.Changed {
+						t.Errorf("write %d: %s is reported %s: %s", at, name, r.Outcome, r.Reason)
+					}
+				}
+				for _, i := range states[0].Instances {
+					if g, known := before[i.Name]; known && i.Generation != g+1 {
+						t.Errorf("write %d: %s went from generation %d to %d", at, i.Name, g, i.Generation)
+					}
+				}
+				// What is open is ended, and nothing is in the way of the next.
+				w.fleet.Abort(context.Background(), op.ID)
+				eventually(t, "the end of the operation", func() bool {
+					var out api.OpOut
+					err := w.fleet.Agents[0].Call(context.Background(), api.OpStatus, &api.StatusIn{Op: op.ID}, &out)
+					return err == nil && out.State == api.OpClosed
+				})
+				if t.Failed() {
+					t.Fatalf("at write %d", at)
+				}
+				if !died {
+					t.Logf("the agent was killed at each of %d writes", at-1)
+					if at < 8 {
+						t.Errorf("only %d writes: the test shows little", at-1)
+					}
+				}
+			}
+		})
+	}
+}
+
+// The command is killed as it begins its first, second, ... instance. The operation
+// is seen by others, goes on where it stood, and no instance is changed twice.
+func TestResumeAfterCommandKilled(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.startAll()
+	for kill := 1; kill <= 4; kill++ {
+		cmd := exec.Command(filepath.Join(w.bin, "martendrum"), "--fleet", w.inv, "restart", "--all", "--lease", "1s", "--soak", "100ms")
+		pipe, err := cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		id, begun := "", 0
+		for sc := bufio.NewScanner(pipe); begun < kill && sc.Scan(); {
+			if rest, ok := strings.CutPrefix(sc.Text(), "operation "); ok {
+				id, _, _ = strings.Cut(rest, ":")
+			}
+			if strings.Contains(sc.Text(), " begin ") {
+				begun++
+			}
+		}
+		cmd.Process.Kill()
+		cmd.Wait()
+		if begun < kill {
+			t.Fatalf("only %d were begun", begun)
+		}
+		if out, _, _ := w.command("operations"); !strings.Contains(out, id) {
+			t.Errorf("another operator doesn't see %s:\n%s", id, out)
+		}
+		// Another's change of the same instances is told what is in the way.
+		var errs string
+		eventually(t, "the lease's end", func() bool {
+			_, errs, _ = w.command("restart", "--all", "--soak", "0s")
+			return strings.Contains(errs, "martendrum resume "+id)
+		})
+		out, errs, code := w.command("resume", id, "--json")
+		if code != 0 {
+			t.Fatalf("resume: %d\n%s%s", code, out, errs)
+		}
+		if _, _, code := w.command("resume", id); code != 2 && code != 1 {
+			t.Errorf("resume of what has ended: exit code %d", code)
+		}
+		for _, hs := range w.ready() {
+			for _, i := range hs.Instances {
+				if i.Generation != int64(kill)+1 {
+					t.Errorf("killed at begin %d: %s is at generation %d", kill, i.Name, i.Generation)
+				}
+			}
+		}
+	}
+	// And abort: what was not begun stays as it is.
+	ctx, cancel := context.WithCancel(context.Background())
+	op := w.op(api.ActRestart, nil)
+	opt := options()
+	opt.TTL = time.Second
+	opt.Progress = func(e client.Event) {
+		if e.Kind == "ok" {
+			cancel()
+		}
+	}
+	rep, err := w.fleet.Start(ctx, op, opt)
+	if err != nil || rep.Result != "interrupted" {
+		t.Fatal(rep, err)
+	}
+	if out, errs, code := w.command("abort", op.ID); code != 0 {
+		t.Fatal(out, errs)
+	}
+	eventually(t, "the operation's end", func() bool {
+		rep, err = w.fleet.Report(context.Background(), op.ID)
+		return err == nil && rep.Result == "aborted"
+	})
+	n := make(map[rollout.State]int)
+	for _, r := range rep.Rows {
+		n[r.Outcome]++
+	}
+	if n[rollout.Changed] == 0 || n[rollout.Pending] == 0 || n[rollout.Changed]+n[rollout.Pending] != 4 {
+		t.Errorf("after the abort: %v", n)
+	}
+	if out, errs, code := w.command("restart", "--all", "--soak", "0s", "--batch", "100%"); code != 0 {
+		t.Errorf("the next operation: %d\n%s%s", code, out, errs)
+	}
+}
+
+// An agent stops answering in the midst of a change: it hangs with its connections
+// open, or it dies. The change ends, and does not count what it can't see as done;
+// once the agent is back, its record puts the report right.
+func TestSilentAgent(t *testing.T) {
+	for _, how := range []string{"hangs", "dies"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3, 1)
+			w.startAll()
+			h := w.hosts[1]
+			op := w.op(api.ActRestart, func(o *api.Operation) { o.Policy.MaxFailures = 3; o.Policy.MaxUnavailable = 2 })
+			opt := options()
+			opt.GiveUp = 3 * time.Second
+			opt.Progress = func(e client.Event) {
+				if e.Kind == "begin" && e.Host == h.name {
+					for { // until the step is on record there
+						var out api.OpOut
+						if w.fleet.Agent(h.name).Call(context.Background(), api.OpStatus, &api.StatusIn{Op: op.ID}, &out); len(out.Steps) > 0 {
+							break
+						}
+						time.Sleep(5 * time.Millisecond)
+						if e.At.Before(time.Now().Add(-200 * time.Millisecond)) {
+							break // it is begun from where this is told: it may come later
+						}
+					}
+					if how == "hangs" {
+						h.signal(syscall.SIGSTOP)
+					} else {
+						h.kill()
+					}
+				}
+			}
+			rep, err := w.fleet.Start(context.Background(), op, opt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			rows := w.once(rep, op)
+			if rep.OK() || rep.Result == rollout.Succeeded {
+				t.Errorf("the result is %s", rep.Result)
+			}
+			r := rows["h1-i0"]
+			if r.Outcome == rollout.Changed || !strings.Contains(r.Unknown, "unknown since") || !strings.Contains(r.Unknown, "last seen") {
+				t.Errorf("what can't be seen is reported %s, %q", r.Outcome, r.Unknown)
+			}
+			for _, name := range []string{"h0-i0", "h2-i0"} {
+				if rows[name].Outcome != rollout.Changed {
+					t.Errorf("%s is reported %s: %s", name, rows[name].Outcome, rows[name].Reason)
+				}
+			}
+			out, _, code := w.command("report", op.ID)
+			if code != 1 || !strings.Contains(out, "unknown since") {
+				t.Errorf("report: %d\n%s", code, out)
+			}
+			if how == "hangs" {
+				h.signal(syscall.SIGCONT)
+			} else {
+				h.start()
+			}
+			w.ready()
+			rep, err = w.fleet.Resume(context.Background(), op.ID, options())
+			if err != nil {
+				t.Fatal(err)
+			}
+			rep, err = w.fleet.Report(context.Background(), op.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			states := w.ready()
+			w.observed(states)
+			for _, hs := range states {
+				i := hs.Instances[0]
+				r := w.once(rep, op)[i.Name]
+				if r.Unknown != "" || r.State == nil || r.State.PID != i.PID {
+					t.Errorf("%s: %+v", i.Name, r)
+				}
+				if (r.Outcome == rollout.Changed) != (i.Generation == 2) {
+					t.Errorf("%s is reported %s at generation %d", i.Name, r.Outcome, i.Generation)
+				}
+			}
+			if out, errs, code := w.command("restart", "--all", "--soak", "0s"); code != 0 {
+				t.Errorf("the next operation: %d\n%s%s", code, out, errs)
+			}
+		})
+	}
+}
+
+// An agent that dies in the midst of a change and is back soon: the change waits
+// for it and succeeds.
+func TestAgentComesBack(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.startAll()
+	var back sync.WaitGroup
+	killed := false
+	opt := options()
+	opt.Progress = func(e client.Event) {
+		if e.Kind == "begin" && !killed {
+			killed = true
+			for _, h := range w.hosts {
+				if h.name == e.Host {
+					h.kill()
+					back.Go(func() { time.Sleep(500 * time.Millisecond); h.start() })
+				}
+			}
+		}
+	}
+	op := w.op(api.ActRestart, nil)
+	rep, err := w.fleet.Start(context.Background(), op, opt)
+	back.Wait()
+	if err != nil || !rep.OK() {
+		t.Fatalf("%+v %v", rep, err)
+	}
+	states := w.ready()
+	w.observed(states)
+	for _, hs := range states {
+		for _, i := range hs.Instances {
+			if i.Generation != 2 {
+				t.Errorf("%s is at generation %d", i.Name, i.Generation)
+			}
+		}
+	}
+}
+
+// A release that never becomes ready, and one that becomes ready and dies while it
+// is soaked: the rollout stops at its limit, takes back what it changed, and says so.
+func TestBadReleases(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.startAll()
+	first := w.ready()[0].Instances[0].Release
+	for name, c := range map[string]struct{ script, why string }{
+		"never ready":   {"#!/bin/sh\nexec sleep 1000\n", "not ready within"},
+		"dies soaked":   {"#!/bin/sh\n" + filepath.Join(w.bin, "fawnrock") + " &\nsleep 1\nkill -9 $!\nwait\nexit 3\n", "ended by itself"},
+		"can't start":   {"no program\n", "ended by itself"},
+		"ends at once":  {"#!/bin/sh\nexit 7\n", "exit status 7"},
+		"good and well": {"", ""},
+	} {
+		path := filepath.Join(w.dir, "bad"+strings.ReplaceAll(name, " ", "-"))
+		if err := os.WriteFile(path, []byte(c.script), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		overlay := ""
+		if c.script == "" {
+			path, overlay = filepath.Join(w.bin, "fawnrock"), `{"limits":{"memory_mb":80}}`
+		}
+		hash := w.release(path, overlay)
+		op := w.op(api.ActUpgrade, func(o *api.Operation) {
+			o.Release, o.Ready, o.Soak = hash, 1500*time.Millisecond, 2500*time.Millisecond
+			o.Policy = api.Policy{Batch: 2, Canaries: 1, MaxUnavailable: 2, MaxFailures: 1, OnFailure: rollout.Back}
+		})
+		if c.script == "" {
+			op.Ready = 10 * time.Second
+		}
+		rep, err := w.fleet.Start(context.Background(), op, options())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.script == "" {
+			if !rep.OK() {
+				t.Errorf("%s: %s %s", name, rep.Result, rep.Why)
+			}
+			first = hash
+			continue
+		}
+		rows := w.once(rep, op)
+		if rep.Result != rollout.WentBack || !strings.Contains(rep.Why, c.why) || rows["h0-i0"].Outcome != rollout.RolledBack {
+			t.Errorf("%s: %s because %s, %+v", name, rep.Result, rep.Why, rows["h0-i0"].Outcome)
+		}
+		states := w.ready()
+		w.observed(states)
+		for _, hs := range states {
+			for _, i := range hs.Instances {
+				if i.Running != first {
+					t.Errorf("%s: %s runs %.12s", name, i.Name, i.Running)
+				}
+				if i.Name != "h0-i0" && rows[i.Name].Outcome != rollout.Pending {
+					t.Errorf("%s: %s was touched: %s", name, i.Name, rows[i.Name].Outcome)
+				}
+			}
+		}
+	}
+}
+
+// Two operators want the same instances at once: one gets them, the other is told
+// who has them, and each instance is changed by one of them only.
+func TestTwoOperators(t *testing.T) {
+	s := simulate(t, 3, 2, 5*time.Millisecond, 5*time.Millisecond, nil)
+	ctx := context.Background()
+	for round := range 10 {
+		ops := []api.Operation{s.op(api.ActRestart), s.op(api.ActRestart)}
+		ops[1].Targets = ops[1].Targets[:4]
+		errs := make([]error, 2)
+		reps := make([]*client.Report, 2)
+		var wg sync.WaitGroup
+		for n := range ops {
+			wg.Go(func() {
+				o := options()
+				o.Holder = fmt.Sprintf("operator-%d", n)
+				reps[n], errs[n] = s.fleet.Start(ctx, ops[n], o)
+			})
+		}
+		wg.Wait()
+		won := 0
+		for n := range ops {
+			if errs[n] == nil {
+				won++
+				if !reps[n].OK() {
+					t.Fatalf("round %d: %s %s", round, reps[n].Result, reps[n].Why)
+				}
+				continue
+			}
+			e, ok := errors.AsType[*api.Error](errs[n])
+			if !ok || e.Code != api.Held || !strings.Contains(e.Message, ops[1-n].ID) || !strings.Contains(e.Message, "operator-") && !strings.Contains(e.Message, "tester") {
+				t.Fatalf("round %d: operator %d was told: %v", round, n, errs[n])
+			}
+		}
+		if won == 0 {
+			t.Fatalf("round %d: neither got them: %v", round, errs)
+		}
+	}
+	for _, h := range s.hosts {
+		for launch, n := range launches(h) {
+			if n != 1 {
+				t.Errorf("%s was launched %d times", launch, n)
+			}
+		}
+	}
+}
+
+// A holder stalls past its lease at each step of its way; another takes over. What
+// the first one does when it wakes up changes nothing.
+func TestStalledHolder(t *testing.T) {
+	s := simulate(t, 1, 2, time.Millisecond, time.Millisecond, nil)
+	ctx, a := context.Background(), s.fleet.Agents[0]
+	wait := func(op string, ok func(out *api.OpOut) bool) {
+		eventually(t, "the operation's state", func() bool {
+			var out api.OpOut
+			err := a.Call(ctx, api.OpStatus, &api.StatusIn{Op: op}, &out)
+			return err == nil && ok(&out)
+		})
+	}
+	for stalls := range 4 { // before its first step, after it, after its second, before its end
+		op := s.op(api.ActRestart)
+		open := func(o api.Operation, who string, ttl time.Duration) (out api.OpenOut) {
+			if err := a.Call(ctx, api.OpOpen, &api.OpenIn{Operation: o, Holder: who, TTL: ttl}, &out); err != nil {
+				t.Fatal(err)
+			}
+			return out
+		}
+		old := open(op, "stalled", 300*time.Millisecond)
+		for n := range min(stalls, 2) {
+			if err := a.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: old.Token, Instance: op.Targets[n].Instance, Kind: api.Change}, nil); err != nil {
+				t.Fatal(err)
+			}
+			wait(op.ID, func(out *api.OpOut) bool {
+				return out.Steps[len(out.Steps)-1].Status == api.StepOK && len(out.Steps) == n+1
+			})
+		}
+		wait(op.ID, func(out *api.OpOut) bool { return out.Holder == "" }) // its lease has ended
+		var fresh api.OpenOut
+		if stalls%2 == 0 { // another resumes it, or ends it and begins one of its own
+			fresh = open(op, "other", time.Minute)
+		} else {
+			if err := a.Call(ctx, api.OpAbort, &api.AbortIn{Op: op.ID}, nil); err != nil {
+				t.Fatal(err)
+			}
+			wait(op.ID, func(out *api.OpOut) bool { return out.State == api.OpClosed })
+			other := s.op(api.ActDrain)
+			fresh = open(other, "other", time.Minute)
+			op.ID, other.ID = other.ID, op.ID // below, op is the one that is open
+			for _, id := range []string{other.ID, op.ID} {
+				for _, target := range op.Targets {
+					err := a.Call(ctx, api.StepStart, &api.StepIn{Op: id, Token: old.Token, Instance: target.Instance, Kind: api.Change}, nil)
+					if e, ok := errors.AsType[*api.Error](err); !ok || e.Code != api.Fenced && e.Code != api.Closed {
+						t.Errorf("stalled at %d: a step of %s: %v", stalls, id, err)
+					}
+				}
+			}
+		}
+		before := len(s.hosts[0].Launches())
+		for _, target := range op.Targets {
+			for _, kind := range []string{api.Change, api.Rollback} {
+				err := a.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: old.Token, Instance: target.Instance, Kind: kind}, nil)
+				if e, ok := errors.AsType[*api.Error](err); !ok || e.Code != api.Fenced {
+					t.Errorf("stalled at %d: a %s of %s: %v", stalls, kind, target.Instance, err)
+				}
+			}
+		}
+		for method, in := range map[string]any{
+			api.OpClose:  &api.CloseIn{Op: op.ID, Token: old.Token, Result: "mine"},
+			api.OpStatus: &api.StatusIn{Op: op.ID, Token: old.Token, TTL: time.Minute},
+		} {
+			if e, ok := errors.AsType[*api.Error](a.Call(ctx, method, in, nil)); !ok || e.Code != api.Fenced {
+				t.Errorf("stalled at %d: %s: %v", stalls, method, e)
+			}
+		}
+		if n := len(s.hosts[0].Launches()); n != before {
+			t.Errorf("stalled at %d: %d launches were caused", stalls, n-before)
+		}
+		if err := a.Call(ctx, api.OpClose, &api.CloseIn{Op: op.ID, Token: fresh.Token, Result: "done"}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// The record can't be written: a change is refused before anything is touched, the
+// list says why, and it goes on once there is room.
+func TestRecordFull(t *testing.T) {
+	s := simulate(t, 1, 1, time.Millisecond, time.Millisecond, nil)
+	ctx, a := context.Background(), s.fleet.Agents[0]
+	op := s.op(api.ActRestart)
+	var open api.OpenOut
+	if err := a.Call(ctx, api.OpOpen, &api.OpenIn{Operation: op, Holder: "me", TTL: time.Minute}, &open); err != nil {
+		t.Fatal(err)
+	}
+	fill := strings.Repeat("x", 1<<20)
+	var err error
+	for n := 0; err == nil && n < 200; n++ { // 64 MiB is its bound
+		err = s.stores[0].Commit(ctx, &store.Change{Audit: []api.AuditEntry{{Target: fill}}})
+	}
+	for _, size := range []int{3000, 300, 30, 0} { // and what is left of the last pages
+		err = nil
+		for n := 0; err == nil && n < 2000; n++ {
+			err = s.stores[0].Commit(ctx, &store.Change{Audit: []api.AuditEntry{{Target: fill[:size]}}})
+		}
+	}
+	if err == nil {
+		t.Fatal("the record was never full")
+	}
+	before := len(s.hosts[0].Launches())
+	err = a.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: open.Token, Instance: op.Targets[0].Instance, Kind: api.Change}, nil)
+	if e, ok := errors.AsType[*api.Error](err); !ok || e.Code != api.Unwritable || !strings.Contains(e.Message, "full") {
+		t.Errorf("a step with a full record: %v", err)
+	}
+	list := s.fleet.List(ctx, &inventory.Select{})[0]
+	if !strings.Contains(list.Unwritable, "full") || list.Instances[0].State != "ready" || list.Instances[0].Generation != 1 || len(s.hosts[0].Launches()) != before {
+		t.Errorf("after it: %+v", list)
+	}
+	if err := s.stores[0].Commit(ctx, &store.Change{AuditKeep: 1}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a record that can be written", func() bool { return s.fleet.List(ctx, &inventory.Select{})[0].Unwritable == "" })
+	if err := a.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: open.Token, Instance: op.Targets[0].Instance, Kind: api.Change}, nil); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/pki/pki.go
@@ -0,0 +1,144 @@
+// Package pki makes a fleet's certificates for a start: a CA, agents' certificates
+// by host name, and operators' with a role. Files are never overwritten.
+package pki
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Times that certificates are good for.
+const (
+	CAFor   = 10 * 365 * 24 * time.Hour
+	LeafFor = 397 * 24 * time.Hour
+)
+
+func serial() *big.Int {
+	n, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		panic(err) // the system gives no random numbers
+	}
+	return n
+}
+
+// Init makes a CA in a folder: ca.crt and ca.key.
+func Init(dir string, now time.Time) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	t := &x509.Certificate{
+		SerialNumber: serial(), Subject: pkix.Name{CommonName: "martendrum fleet CA"},
+		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(CAFor),
+		IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	return issue(dir, "ca", t, nil, nil)
+}
+
+// Agent makes the certificate of an agent that is reached under these names or addresses.
+func Agent(dir, name string, hosts []string, now time.Time) error {
+	t := leaf(name, now)
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	for _, h := range hosts {
+		if ip := net.ParseIP(h); ip != nil {
+			t.IPAddresses = append(t.IPAddresses, ip)
+		} else {
+			t.DNSNames = append(t.DNSNames, h)
+		}
+	}
+	return signed(dir, name, t)
+}
+
+// Operator makes the certificate of a caller with a role.
+func Operator(dir, name, role string, now time.Time) error {
+	t := leaf(name, now)
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	t.Subject.OrganizationalUnit = []string{role}
+	return signed(dir, name, t)
+}
+
+func leaf(name string, now time.Time) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: serial(), Subject: pkix.Name{CommonName: name},
+		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(LeafFor), KeyUsage: x509.KeyUsageDigitalSignature,
+	}
+}
+
+func signed(dir, name string, t *x509.Certificate) error {
+	if filepath.Base(name) != name || name == "ca" {
+		return fmt.Errorf("ca: %q can't be a certificate's name", name)
+	}
+	cb, err := readPEM(filepath.Join(dir, "ca.crt"))
+	if err != nil {
+		return err
+	}
+	ca, err := x509.ParseCertificate(cb)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	kb, err := readPEM(filepath.Join(dir, "ca.key"))
+	if err != nil {
+		return err
+	}
+	key, err := x509.ParseECPrivateKey(kb)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	return issue(dir, name, t, ca, key)
+}
+
+func readPEM(path string) ([]byte, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("ca: %s is not there: `martendrum ca init` first", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("ca: %w", err)
+	}
+	block, _ := pem.Decode(b)
+	if block == nil {
+		return nil, fmt.Errorf("ca: %s is no PEM file", path)
+	}
+	return block.Bytes, nil
+}
+
+func issue(dir, name string, t, parent *x509.Certificate, by *ecdsa.PrivateKey) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	if parent == nil {
+		parent, by = t, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, parent, &key.PublicKey, by)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	kd, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	if err := write(filepath.Join(dir, name+".key"), "EC PRIVATE KEY", kd, 0o600); err != nil {
+		return err
+	}
+	return write(filepath.Join(dir, name+".crt"), "CERTIFICATE", der, 0o644)
+}
+
+func write(path, kind string, der []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if err != nil {
+		return fmt.Errorf("ca: %w", err)
+	}
+	err = pem.Encode(f, &pem.Block{Type: kind, Bytes: der})
+	return errors.Join(err, f.Sync(), f.Close())
+}
--- /dev/null
+++ b/internal/fleet/units/units.go
@@ -0,0 +1,65 @@
+// Package units reads operators' TOML files strictly: durations and sizes carry
+// their unit, an unknown key is an error, and errors name file and line.
+package units
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is a time with its unit, as in "1.5s".
+type Duration time.Duration
+
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is no duration; write it with its unit, as in \"800ms\" or \"4s\"", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Bytes is a size with its unit, as in "4MiB".
+type Bytes int64
+
+func (n *Bytes) UnmarshalText(b []byte) error {
+	for unit, shift := range map[string]int{"KiB": 10, "MiB": 20, "GiB": 30} {
+		if s, ok := strings.CutSuffix(string(b), unit); ok {
+			v, err := strconv.ParseInt(strings.TrimSpace(s), 10, 32)
+			if err == nil && v >= 0 {
+				*n = Bytes(v << shift)
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%q is no size; write it with its unit, as in \"64KiB\" or \"4MiB\"", b)
+}
+
+// Load reads a file into v.
+func Load(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	err = toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(v)
+	if miss, ok := errors.AsType[*toml.StrictMissingError](err); ok {
+		e := miss.Errors[0]
+		row, _ := e.Position()
+		return fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(e.Key(), "."))
+	}
+	if e, ok := errors.AsType[*toml.DecodeError](err); ok {
+		row, _ := e.Position()
+		return fmt.Errorf("%s:%d: %s: %w", path, row, strings.Join(e.Key(), "."), e)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -82,6 +82,7 @@
 	conns    map[*conn]struct{}
 	ids      ids
 	draining bool
+	health   string // a header line of the health call's answers
 }
 
 // state is what a connection is about.
@@ -129,6 +130,19 @@
 	s.cfg = cfg
 }
 
+// SetHealth sets a header line that answers to the health call carry.
+func (s *Server) SetHealth(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = name + ": " + value + "\r\n"
+}
+
+func (s *Server) healthField() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
@@ -378,7 +392,7 @@
 		if !c.srv.handler.Ready() {
 			status = http.StatusServiceUnavailable
 		}
-		x.answer(status, "", nil, nil)
+		x.answer(status, c.srv.healthField(), nil, nil)
 		return nil, 0
 	}
 	if status := x.parse(r, c.srv.handler); status != 0 {
--- /dev/null
+++ b/internal/standin/shop/shop.go
@@ -0,0 +1,164 @@
+// Package shop is stand-ins for what surrounds a sidecar, on loopback: activation
+// servers that count what they run, and a discovery that lists them and keeps
+// watches open. For tests and `martendrum dev`. It injects no faults of its own.
+package shop
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Shop is servers and their discovery.
+type Shop struct {
+	Discovery string // its address
+
+	mu   sync.Mutex
+	runs map[string]int // executions by Req-Id
+	srvs []*http.Server
+	end  chan struct{}
+	wg   sync.WaitGroup
+}
+
+// New starts n servers and a discovery. Each request takes the servers work.
+func New(n int, work time.Duration) (*Shop, error) {
+	s := &Shop{runs: make(map[string]int), end: make(chan struct{})}
+	type endpoint struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+	}
+	var list []endpoint
+	for i := range n {
+		name := fmt.Sprintf("activation-%d", i+1)
+		addr, err := s.serve(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("Req-Id")
+			if id == "" {
+				http.NotFound(w, r)
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			s.mu.Lock()
+			s.runs[id]++
+			s.mu.Unlock()
+			time.Sleep(work)
+			fmt.Fprintf(w, "%s by %s", id, name)
+		})
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		list = append(list, endpoint{Name: name, Address: addr, Zone: "jakarta", Status: "up", Weight: 1})
+	}
+	line, err := json.Marshal(map[string]any{"index": 1, "snapshot": true, "endpoints": list})
+	if err != nil {
+		return nil, err
+	}
+	s.Discovery, err = s.serve(func(w http.ResponseWriter, r *http.Request) {
+		w.Write(append(line, '\n'))
+		if r.URL.Query().Get("watch") != "1" {
+			return
+		}
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-t.C:
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			case <-s.end:
+				return
+			}
+		}
+	})
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Shop) serve(h http.HandlerFunc) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("shop: %w", err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	s.srvs = append(s.srvs, srv)
+	s.wg.Go(func() { srv.Serve(ln) })
+	return ln.Addr().String(), nil
+}
+
+// Runs is how often each request was carried out, by its id.
+func (s *Shop) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for id, n := range s.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Close ends all of it.
+func (s *Shop) Close() {
+	close(s.end)
+	for _, srv := range s.srvs {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if errors.Is(srv.Shutdown(ctx), context.DeadlineExceeded) {
+			srv.Close()
+		}
+		cancel()
+	}
+	s.wg.Wait()
+}
+
+// FreeAddr is an address that a sidecar can be told to listen at: a free port of a
+// loopback address that only the caller's n stands for, so that no connection of
+// others takes it meanwhile. n is 0 to 65,000.
+func FreeAddr(n int) (string, error) {
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+n/250%128, 1+pid%250, 1+n%250))
+	if err != nil {
+		return "", fmt.Errorf("shop: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Config writes a sidecar's configuration to a folder and returns its path and
+// where the sidecar will listen.
+func (s *Shop) Config(dir, name string, n int) (path, listen string, err error) {
+	if listen, err = FreeAddr(n); err != nil {
+		return "", "", err
+	}
+	path = filepath.Join(dir, name+".json")
+	return path, listen, os.WriteFile(path, fmt.Appendf(nil, form, name, listen, s.Discovery), 0o600)
+}
+
+const form = `{
+ "name": %q, "listen": %q, "discovery": %q, "seed": "1f",
+ "limits": {"cores": 1, "memory_mb": 64, "sockets": 128},
+ "settings": {
+  "replicasOfMe": 3, "registryMode": "automatic", "zone": "jakarta",
+  "caps": {"attemptsCap": 5, "mayCancel": true, "secondCopies": true, "connIdleUs": 30000000, "dialTimeoutUs": 1000000, "mostHeld": 200,
+   "retryAfter": true, "maxRetryAfterUs": 2000000},
+  "guarantees": {"drainGraceUs": 2000000, "coldFrom": 1},
+  "classes": [
+   {"name": "status-check", "promiseUs": 800000, "hardLimitUs": 3000000, "effect": "repeatable", "worth": 1},
+   {"name": "id-register", "promiseUs": 1000000, "hardLimitUs": 2500000, "effect": "by_key", "repeatWindowUs": 1500000, "worth": 3},
+   {"name": "activate", "promiseUs": 750000, "hardLimitUs": 2500000, "effect": "once", "worth": 10}]}
+}
+`
