--- a/cmd/martendrum/change.go
+++ b/cmd/martendrum/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -56,8 +57,13 @@
 // progress draws a bar of its own on a terminal, one line an event otherwise.
 func progress(g *global) func(client.Event) {
 	st, err := os.Stderr.Stat()
-	terminal := err == nil && st.Mode()&os.ModeCharDevice != 0
+	terminal := err == nil && st.Mode()&os.ModeCharDevice != 0 && !g.json
+	lines := json.NewEncoder(os.Stderr)
 	return func(e client.Event) {
+		if g.json {
+			lines.Encode(e)
+			return
+		}
 		text := strings.TrimSpace(strings.Join([]string{e.Kind, e.Host, e.Instance, e.Step, e.Text}, " "))
 		if terminal {
 			width := 24
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -20,6 +20,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -188,6 +190,7 @@
 			if c.Stop {
 				row.Desired = api.Stopped
 			}
+			a.recover(&row, found, boot)
 			begin.Instances = append(begin.Instances, row)
 		}
 		delete(rows, c.Name)
@@ -222,6 +225,31 @@
 	return a.store.Commit(a.ctx, begin)
 }
 
+// recover takes over an instance that no record names and that runs: the record was
+// lost. What it runs stays, and is what is wanted, if that release is kept here.
+func (a *Agent) recover(row *store.Instance, found map[string]proc.Found, boot string) {
+	for launch, f := range found {
+		rest, ok := strings.CutPrefix(launch, a.cfg.Name+"/"+row.Name+"/")
+		if !ok {
+			continue
+		}
+		text, _, _ := strings.Cut(rest, "/")
+		generation, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || generation < 1 {
+			continue
+		}
+		row.Desired, row.Generation = api.Running, generation
+		row.Launch, row.Process, row.PID, row.Ticks, row.Boot = launch, generation, f.PID, f.Ticks, boot
+		if hash := filepath.Base(filepath.Dir(f.Exe)); release.Valid(hash) {
+			row.Running = hash
+			if a.releases.Verify(hash) == nil {
+				row.Release = hash
+			}
+		}
+		slog.Warn("an instance that no record names was found running", "instance", row.Name, "pid", f.PID, "generation", generation)
+	}
+}
+
 // find looks for the process that the record speaks of, and says whether the row
 // has changed.
 func (a *Agent) find(i *instance, found map[string]proc.Found, boot string, now time.Time) bool {
--- a/internal/fleet/e2e/fleet_test.go
+++ b/internal/fleet/e2e/fleet_test.go
@@ -667,3 +667,138 @@
 		t.Error(err)
 	}
 }
+
+// The record is lost: sidecars go on, and the new record names what runs.
+func TestRecordLost(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.startAll()
+	if rep, err := w.fleet.Start(context.Background(), w.op(api.ActRestart, nil), options()); err != nil || !rep.OK() {
+		t.Fatal(rep, err)
+	}
+	before := w.ready()[0].Instances
+	h := w.hosts[0]
+	h.kill()
+	files, _ := filepath.Glob(filepath.Join(filepath.Dir(h.config), "s", "record.db*"))
+	if len(files) == 0 {
+		t.Fatal("there is no record")
+	}
+	for _, f := range files {
+		if err := os.Remove(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.start()
+	states := w.ready()
+	w.observed(states)
+	for n, i := range states[0].Instances {
+		if b := before[n]; i.PID != b.PID || i.Generation != b.Generation || i.Release != b.Release {
+			t.Errorf("before %+v\nafter  %+v", b, i)
+		}
+	}
+}
+
+// What commands print and how they exit.
+func TestCommands(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.startAll()
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"list", 0, "h1-i0"},
+		{"list --instance h1*", 0, "h1-i0"},
+		{"list --json --state ready --label half=0", 0, `"name": "h0-i0"`},
+		{"list --label half", 2, "KEY=VALUE"},
+		{"restart", 2, "say which instances"},
+		{"restart --all --instance x", 2, "say which instances"},
+		{"restart nobody", 1, "no instance fits"},
+		{"restart --all --batch 0", 2, "--batch"},
+		{"restart --all --batch 200%", 2, "percentage"},
+		{"restart --all --on-failure explode", 2, "on-failure"},
+		{"restart --all --on-failure rollback", 2, "goes with upgrade"},
+		{"restart --all --dry-run --batch 50%", 0, "nothing was changed"},
+		{"upgrade --all", 2, "binary"},
+		{"upgrade --all --binary /none", 2, "/none"},
+		{"upgrade --all --binary " + w.inv, 2, "no program"},
+		{"inspect h0-i0", 0, "generation"},
+		{"inspect nobody", 2, "no host has"},
+		{"logs h0-i0", 0, "ready"},
+		{"report nothing", 2, "known at no host"},
+		{"resume nothing", 1, "known at no host"},
+		{"rollback h0-i0 --json", 1, "no earlier release"},
+		{"drain h0-i0", 0, "succeeded"},
+		{"start h0-i0", 1, "undrain"},
+		{"restart h0-i0", 0, "left drained"},
+		{"undrain h0-i0", 0, "succeeded"},
+		{"stop h0-i0", 0, "succeeded"},
+		{"start h0-i0", 0, "succeeded"},
+		{"reload --all", 0, "succeeded"},
+		{"operations", 0, "undrain"},
+		{"audit " + w.hosts[0].name, 0, "op.close"},
+		{"completion bash", 0, "martendrum"},
+		{"explode", 2, "unknown command"},
+		{"--fleet /none list", 2, "MARTENDRUM_FLEET"},
+	} {
+		out, errs, code := w.command(strings.Fields(c.args)...)
+		if code != c.code || !strings.Contains(out+errs, c.says) {
+			t.Errorf("%s: exit code %d, want %d and %q:\n%s%s", c.args, code, c.code, c.says, out, errs)
+		}
+	}
+	for _, hs := range w.ready() {
+		w.observed([]client.HostState{hs})
+	}
+	w.hosts[0].kill()
+	if _, errs, code := w.command("restart", "--all"); code != 3 || !strings.Contains(errs, "--skip-unreachable") {
+		t.Errorf("a change with a host away: %d %s", code, errs)
+	}
+	if out, _, code := w.command("restart", "--all", "--skip-unreachable"); code != 0 || !strings.Contains(out, "h1-i0") {
+		t.Errorf("without it: %d %s", code, out)
+	}
+	if _, errs, code := w.command("list"); code != 1 || !strings.Contains(errs, "1 of 2 hosts") {
+		t.Errorf("list with a host away: %d %s", code, errs)
+	}
+	w.hosts[1].kill()
+	if _, _, code := w.command("list"); code != 3 {
+		t.Errorf("list with all hosts away: %d", code)
+	}
+}
+
+// dev runs as the first command on a checkout, and ends cleanly.
+func TestDev(t *testing.T) {
+	cmd := exec.Command(filepath.Join(programs(t), "martendrum"), "dev")
+	cmd.Env = append(os.Environ(), "TMPDIR="+t.TempDir())
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	watchdog := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	defer watchdog.Stop()
+	inv, sc := "", bufio.NewScanner(pipe)
+	for inv == "" && sc.Scan() {
+		_, inv, _ = strings.Cut(sc.Text(), "MARTENDRUM_FLEET=")
+	}
+	w := &world{t: t, bin: programs(t), inv: inv}
+	eventually(t, "three ready sidecars", func() bool {
+		out, _, _ := w.command("list", "--state", "ready")
+		return strings.Count(out, "shop-") == 3
+	})
+	if out, errs, code := w.command("restart", "--all", "--soak", "0s", "--batch", "3"); code != 0 {
+		t.Errorf("restart: %d\n%s%s", code, out, errs)
+	}
+	cmd.Process.Signal(os.Interrupt)
+	for sc.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	if left := proc.Find("dev/shop-"); len(left) > 0 {
+		t.Errorf("sidecars are left running: %v", left)
+	}
+	if _, err := os.Stat(filepath.Dir(inv)); !os.IsNotExist(err) {
+		t.Errorf("its folder stays: %v", err)
+	}
+}
--- a/internal/fleet/proc/proc.go
+++ b/internal/fleet/proc/proc.go
@@ -147,6 +147,7 @@
 type Found struct {
 	PID   int
 	Ticks uint64
+	Exe   string // the path of its program, "" if not known
 }
 
 // Find returns the running processes whose launch begins with prefix, by launch.
@@ -168,7 +169,8 @@
 				continue
 			}
 			if ticks, state, err := stat(pid); err == nil && state != 'Z' {
-				out[string(launch)] = Found{PID: pid, Ticks: ticks}
+				exe, _ := os.Readlink(d + "/exe")
+				out[string(launch)] = Found{PID: pid, Ticks: ticks, Exe: exe}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/fleet/release/release_test.go
@@ -0,0 +1,115 @@
+package release
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func files(t *testing.T, program string) (dir *Dir, root, path string) {
+	t.Helper()
+	root = t.TempDir()
+	path = filepath.Join(root, "program")
+	if err := os.WriteFile(path, []byte(program), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	dir, err := Open(filepath.Join(root, "releases"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir, root, path
+}
+
+// What is written in part is never a release, whatever is cut off where; a new
+// owner clears it away.
+func TestHalfWritten(t *testing.T) {
+	d, root, path := files(t, "0123456789")
+	hash, err := Hash(path, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 10 {
+		if err := d.Write(hash, Sidecar, int64(n), []byte("0123456789")[n:n+1]); err != nil {
+			t.Fatal(err)
+		}
+		if have, got, _ := d.Have(hash); have || got != int64(n+1) {
+			t.Fatalf("after %d bytes: %v, %d", n+1, have, got)
+		}
+		if err := d.Verify(hash); !errors.Is(err, ErrNone) {
+			t.Fatalf("after %d bytes it can be started: %v", n+1, err)
+		}
+	}
+	if d, err = Open(filepath.Join(root, "releases")); err != nil {
+		t.Fatal(err)
+	}
+	if _, got, _ := d.Have(hash); got != 0 {
+		t.Errorf("%d bytes stay of what was never finished", got)
+	}
+	d.Write(hash, Sidecar, 0, []byte("012345678"))
+	if err := d.Done(hash); err == nil {
+		t.Error("a release that lacks its last byte was taken")
+	}
+	if err := d.Write(hash, Sidecar, 0, []byte("0123456789")); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // said again it does no harm
+		if err := d.Done(hash); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.Verify(hash); err != nil {
+		t.Error(err)
+	}
+	os.WriteFile(d.Path(hash, Sidecar), []byte("0123456780"), 0o700)
+	if err := d.Verify(hash); err == nil || !strings.Contains(err.Error(), "damaged") {
+		t.Errorf("a program changed on the disk: %v", err)
+	}
+	if again, err := d.Import(path, ""); err != nil || again != hash || d.Verify(hash) != nil {
+		t.Errorf("import does not mend it: %v", err)
+	}
+}
+
+func TestOverlays(t *testing.T) {
+	d, root, path := files(t, "x")
+	overlay := filepath.Join(root, "o.json")
+	for text, want := range map[string]string{
+		"{": "JSON", "[]": "object", `{"listen":"x"}`: "listen", `{"seed":"x"}`: "seed", `{"limits":{}}`: "", "": "",
+	} {
+		os.WriteFile(overlay, []byte(text), 0o600)
+		hash, err := d.Import(path, overlay)
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v; want %q", text, err, want)
+		}
+		if have, _, _ := d.Have(hash); have != (want == "") && hash != "" {
+			t.Errorf("%q: have %v", text, have)
+		}
+	}
+}
+
+func TestKeep(t *testing.T) {
+	d, root, _ := files(t, "x")
+	var hashes []string
+	for _, text := range []string{"a", "b", "c", "d"} {
+		path := filepath.Join(root, text)
+		os.WriteFile(path, []byte(text), 0o700)
+		h, err := d.Import(path, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		hashes = append(hashes, h)
+	}
+	if err := d.Keep(hashes[:1], 1); err != nil {
+		t.Fatal(err)
+	}
+	left := 0
+	for _, h := range hashes[1:] {
+		if d.Verify(h) == nil {
+			left++
+		}
+	}
+	if d.Verify(hashes[0]) != nil || left != 1 {
+		t.Errorf("the one in use: %v; %d of three others are left", d.Verify(hashes[0]), left)
+	}
+}
