Fix a data race of the discovery stand-in; run the fleet's tests in parallel

Need: the race detector saw two watches append to one buffer.

Change: the line is finished once. Independent tests run side by side.

--- a/internal/fleet/e2e/fleet_test.go
+++ b/internal/fleet/e2e/fleet_test.go
@@ -148,6 +148,7 @@
 // Once it is back and the operation has gone on, desired, actual and reported
 // state agree, and each instance was changed once.
 func TestAgentKilledAtEveryWrite(t *testing.T) {
+	t.Parallel()
 	for _, after := range []string{"", "1"} {
 		t.Run("after="+after, func(t *testing.T) {
 			t.Parallel()
@@ -241,6 +242,7 @@
 // The command is killed as it begins its first, second, ... instance. The operation
 // is seen by others, goes on where it stood, and no instance is changed twice.
 func TestResumeAfterCommandKilled(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 2)
 	w.startAll()
 	for kill := 1; kill <= 4; kill++ {
@@ -327,6 +329,7 @@
 // open, or it dies. The change ends, and does not count what it can't see as done;
 // once the agent is back, its record puts the report right.
 func TestSilentAgent(t *testing.T) {
+	t.Parallel()
 	for _, how := range []string{"hangs", "dies"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
@@ -412,6 +415,7 @@
 // An agent that dies in the midst of a change and is back soon: the change waits
 // for it and succeeds.
 func TestAgentComesBack(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 2)
 	w.startAll()
 	var back sync.WaitGroup
@@ -448,6 +452,7 @@
 // A release that never becomes ready, and one that becomes ready and dies while it
 // is soaked: the rollout stops at its limit, takes back what it changed, and says so.
 func TestBadReleases(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 2)
 	w.startAll()
 	first := w.ready()[0].Instances[0].Release
@@ -670,6 +675,7 @@
 
 // The record is lost: sidecars go on, and the new record names what runs.
 func TestRecordLost(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, 2)
 	w.startAll()
 	if rep, err := w.fleet.Start(context.Background(), w.op(api.ActRestart, nil), options()); err != nil || !rep.OK() {
@@ -699,6 +705,7 @@
 
 // What commands print and how they exit.
 func TestCommands(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 1)
 	w.startAll()
 	for _, c := range []struct {
@@ -766,6 +773,7 @@
 
 // dev runs as the first command on a checkout, and ends cleanly.
 func TestDev(t *testing.T) {
+	t.Parallel()
 	cmd := exec.Command(filepath.Join(programs(t), "martendrum"), "dev")
 	cmd.Env = append(os.Environ(), "TMPDIR="+t.TempDir())
 	pipe, err := cmd.StdoutPipe()
--- a/internal/standin/shop/shop.go
+++ b/internal/standin/shop/shop.go
@@ -62,10 +62,12 @@
 	}
 	line, err := json.Marshal(map[string]any{"index": 1, "snapshot": true, "endpoints": list})
 	if err != nil {
+		s.Close()
 		return nil, err
 	}
+	line = append(line, '\n')
 	s.Discovery, err = s.serve(func(w http.ResponseWriter, r *http.Request) {
-		w.Write(append(line, '\n'))
+		w.Write(line)
 		if r.URL.Query().Get("watch") != "1" {
 			return
 		}
