Bound releases on their way; test that the health call names the file in force

Need: an upload that is begun and never finished stayed until the agent's restart, and the sidecar's new header had no test.

Change: at most four releases are on their way at an agent, the oldest gives way; the reload test asks for Config-Sum before, after a bad file and after a good one.

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -161,8 +161,8 @@
 	up, in := limit(c)
 	pool.Limit(up)
 	srv.Limit(in)
-	watcher.Move(c.discovery)
 	srv.SetHealth(healthSum, c.sum)
+	watcher.Move(c.discovery)
 	slog.Info("configuration taken over", "discovery", c.discovery)
 }
 
--- a/cmd/fawnrock/main_test.go
+++ b/cmd/fawnrock/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
@@ -123,12 +124,29 @@
 	eventually(t, "ready", func() bool { s, _ := ask("GET", "/_health"); return s == http.StatusOK })
 	eventually(t, "an answer of the first server", func() bool { _, b := ask("GET", "/look"); return b == "one" })
 
+	// The health call tells which file is in force.
+	told := func() string {
+		r, err := client.Get("http://" + ln.Addr().String() + "/_health")
+		if err != nil {
+			return err.Error()
+		}
+		r.Body.Close()
+		return r.Header.Get(healthSum)
+	}
+	sumOf := func(text string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(text))) }
+	if got := told(); got != sumOf(fmt.Sprintf(configForm, first)) {
+		t.Errorf("the configuration in force is told to be %s", got)
+	}
+
 	write("{")
 	hup <- syscall.SIGHUP
 	eventually(t, "the reload of a bad file", func() bool { return len(hup) == 0 })
 	if s, b := ask("GET", "/look"); s != http.StatusOK || b != "one" {
 		t.Errorf("after a bad file: %d %q", s, b)
 	}
+	if got := told(); got != sumOf(fmt.Sprintf(configForm, first)) {
+		t.Errorf("after a bad file the configuration in force is told to be %s", got)
+	}
 
 	write(fmt.Sprintf(configForm, second))
 	hup <- syscall.SIGHUP
@@ -140,6 +158,10 @@
 		return b == "two"
 	})
 
+	if got := told(); got != sumOf(fmt.Sprintf(configForm, second)) {
+		t.Errorf("after the reload the configuration in force is told to be %s", got)
+	}
+
 	type answer struct {
 		status int
 		body   string
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -97,7 +97,6 @@
 	change     int64
 	changed    chan struct{} // closed at the next change
 	unwritable string        // why the last write of the record failed
-	audits     []api.AuditEntry
 }
 
 // New opens the state folder, reads the record and begins to look after the
@@ -296,9 +295,6 @@
 	if err := a.ctx.Err(); err != nil {
 		return api.Errorf(api.Unwritable, "agent %s is stopping", a.cfg.Name)
 	}
-	if len(a.audits) > 0 {
-		c.Audit = append(slices.Clone(a.audits), c.Audit...)
-	}
 	if len(c.Audit) > 0 {
 		c.AuditKeep = a.cfg.Limits.Audit
 	}
@@ -314,7 +310,7 @@
 	if a.unwritable != "" {
 		slog.Info("the record can be written again")
 	}
-	a.unwritable, a.audits = "", nil
+	a.unwritable = ""
 	a.bump()
 	return nil
 }
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -23,6 +23,10 @@
 	Overlay = "overlay.json"
 )
 
+// incomingMost is how many releases may be on their way at once; a further one
+// drops the oldest, which its sender begins again.
+const incomingMost = 4
+
 // Most is the most bytes of a program, and OverlayMost of an overlay.
 const (
 	Most        = 256 << 20
@@ -127,6 +131,11 @@
 	if offset < 0 || offset+int64(len(data)) > most {
 		return fmt.Errorf("release: %s over %d bytes", file, most)
 	}
+	if _, err := os.Stat(d.in(hash)); errors.Is(err, os.ErrNotExist) {
+		if err := prune(filepath.Join(d.path, "incoming"), nil, incomingMost-1); err != nil {
+			return err
+		}
+	}
 	if err := os.MkdirAll(d.in(hash), 0o750); err != nil {
 		return fmt.Errorf("release: %w", err)
 	}
@@ -262,8 +271,11 @@
 }
 
 // Keep removes all releases but those named and the latest spare others.
-func (d *Dir) Keep(used []string, spare int) error {
-	entries, err := os.ReadDir(d.path)
+func (d *Dir) Keep(used []string, spare int) error { return prune(d.path, used, spare) }
+
+// prune removes all folders with a hash's name but those named and the latest spare.
+func prune(path string, used []string, spare int) error {
+	entries, err := os.ReadDir(path)
 	if err != nil {
 		return fmt.Errorf("release: %w", err)
 	}
@@ -275,7 +287,7 @@
 	}
 	slices.SortFunc(rest, func(a, b os.FileInfo) int { return b.ModTime().Compare(a.ModTime()) })
 	for _, info := range rest[min(spare, len(rest)):] {
-		if err := os.RemoveAll(filepath.Join(d.path, info.Name())); err != nil {
+		if err := os.RemoveAll(filepath.Join(path, info.Name())); err != nil {
 			return fmt.Errorf("release: %w", err)
 		}
 	}
--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// Releases that are begun and never finished don't pile up.
+func TestIncomingIsBounded(t *testing.T) {
+	d, root, _ := files(t, "x")
+	for n := range 20 {
+		if err := d.Write(strings.Repeat(string("0123456789abcdef0123"[n]), 63)+"0", Sidecar, 0, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if e, err := os.ReadDir(filepath.Join(root, "releases", "incoming")); err != nil || len(e) > incomingMost {
+		t.Errorf("%d are on their way, %v", len(e), err)
+	}
+}
+
 func TestKeep(t *testing.T) {
 	d, root, _ := files(t, "x")
 	var hashes []string
