Tell an agent's sidecars from those of another agent of the same name

Need: two dev fleets on one machine have agents of one name. With one killed (its output was read by a pipe that closed), the other took the orphans for its own, as its record did not name them, and was never ready: TestDev failed that way.

Change: each state folder has an id, which is part of the name of every launch; only launches with it are taken over. dev goes on when its output is read no more, so that it ends its sidecars. TestDev leaves a developer's own fleet out of account.

--- a/cmd/martendrum/run.go
+++ b/cmd/martendrum/run.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -107,6 +109,8 @@
 }
 
 func dev(ctx context.Context, sidecar string, many int, out io.Writer) (err error) {
+	// Output that nobody reads any more must not end this before the sidecars.
+	signal.Ignore(syscall.SIGPIPE)
 	dir, err := os.MkdirTemp("", "martendrum-dev-")
 	if err != nil {
 		return err
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -17,6 +17,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -82,6 +83,7 @@
 	releases *release.Dir
 	started  time.Time
 	flock    *os.File
+	id       string // of the state folder, in the name of each launch
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -175,7 +177,13 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	begin := &store.Change{}
+	if a.id, err = identity(filepath.Join(a.cfg.StateDir, "agent.id")); err != nil {
+		return err
+	}
 	found := a.machine.Find(a.cfg.Name + "/")
+	maps.DeleteFunc(found, func(launch string, _ proc.Found) bool {
+		return !strings.HasPrefix(launch[strings.LastIndexByte(launch, '/')+1:], a.id+".")
+	})
 	boot, now := a.machine.Boot(), time.Now()
 	limits := life.Config{
 		KillAfter:  time.Duration(a.cfg.Limits.KillAfter),
@@ -521,6 +529,20 @@
 	return hex.EncodeToString(b[:])
 }
 
+// identity is the state folder's own name, made once. Another agent of the same
+// name on this machine has another folder, and its sidecars are not taken for ours.
+func identity(path string) (string, error) {
+	b, err := os.ReadFile(path)
+	if err == nil && len(b) > 0 {
+		return string(b), nil
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", err
+	}
+	id := random()
+	return id, writeFile(path, []byte(id))
+}
+
 // writeFile replaces a file whole or not at all.
 func writeFile(path string, data []byte) error {
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -163,7 +163,7 @@
 		i.poke()
 		return nil
 	}
-	row.Launch = fmt.Sprintf("%s/%s/%d/%s", a.cfg.Name, row.Name, row.Generation, random())
+	row.Launch = fmt.Sprintf("%s/%s/%d/%s.%s", a.cfg.Name, row.Name, row.Generation, a.id, random())
 	if i.gone == row.Generation {
 		row.Restarts++
 	}
