Write the fleet's length decoding, TLS loading and equal branches once

Need: a last reading found the length of MessagePack types decoded in two places, certificates loaded in two, branches with one body, and a method nobody called.

Change: sized serves readObject and skip, pki.TLS serves agent and client; Exited and Recall lose their twin branches; life.Crashes is gone. Behaviour and tests stay.

--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -18,6 +17,7 @@
 
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/lease"
+	"chalkrack/internal/fleet/pki"
 	"chalkrack/internal/fleet/release"
 	"chalkrack/internal/fleet/rollout"
 	"chalkrack/internal/fleet/store"
@@ -115,19 +115,12 @@
 // ServerTLS is the agent's side of mutual TLS: callers need a certificate of the
 // fleet's CA, whose organisational unit is their role.
 func ServerTLS(ca, cert, key string) (*tls.Config, error) {
-	pair, err := tls.LoadX509KeyPair(cert, key)
+	c, err := pki.TLS(ca, cert, key)
 	if err != nil {
-		return nil, fmt.Errorf("tls: %w", err)
-	}
-	pem, err := os.ReadFile(ca)
-	if err != nil {
-		return nil, fmt.Errorf("tls: ca: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("tls: ca: %s holds no certificate", ca)
+		return nil, err
 	}
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}, nil
+	c.ClientCAs, c.ClientAuth = c.RootCAs, tls.RequireAndVerifyClientCert
+	return c, nil
 }
 
 // welcome finds out the role of a connection.
--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -6,11 +6,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +17,7 @@
 
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/inventory"
+	"chalkrack/internal/fleet/pki"
 	"chalkrack/internal/msgpackrpc"
 )
 
@@ -60,19 +59,10 @@
 func New(v *inventory.Inventory, who string) (*Fleet, error) {
 	f := &Fleet{Timeout: time.Duration(v.Timeout), Who: who}
 	if v.TLS.Cert != "" {
-		pair, err := tls.LoadX509KeyPair(v.TLS.Cert, v.TLS.Key)
-		if err != nil {
-			return nil, fmt.Errorf("tls: %w", err)
-		}
-		pem, err := os.ReadFile(v.TLS.CA)
-		if err != nil {
-			return nil, fmt.Errorf("tls: ca: %w", err)
-		}
-		pool := x509.NewCertPool()
-		if !pool.AppendCertsFromPEM(pem) {
-			return nil, fmt.Errorf("tls: ca: %s holds no certificate", v.TLS.CA)
+		var err error
+		if f.tls, err = pki.TLS(v.TLS.CA, v.TLS.Cert, v.TLS.Key); err != nil {
+			return nil, err
 		}
-		f.tls = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}, RootCAs: pool}
 	}
 	for _, h := range v.Hosts {
 		f.Agents = append(f.Agents, &Agent{Host: h, fleet: f, dialing: make(chan struct{}, 1)})
--- a/internal/fleet/life/life.go
+++ b/internal/fleet/life/life.go
@@ -80,7 +80,6 @@
 func (l *Life) Since() time.Time  { return l.since }
 func (l *Life) Reason() string    { return l.reason }
 func (l *Life) Process() int64    { return l.process }
-func (l *Life) Crashes() int      { return len(l.crashes) }
 func (l *Life) Generation() int64 { return l.generation }
 func (l *Life) Wanted() bool      { return l.run }
 func (l *Life) Settled() bool     { return l.process == 0 || l.process == l.generation && l.run }
@@ -161,14 +160,9 @@
 
 // Exited tells that the process has ended, and how.
 func (l *Life) Exited(now time.Time, how string) []Kind {
-	wanted := l.phase != Draining
 	ended := l.process
 	l.process = 0
-	if !wanted {
-		l.enter(now, Stopped, how)
-		return l.step(now)
-	}
-	if !l.run || ended != l.generation {
+	if l.phase == Draining || !l.run || ended != l.generation {
 		l.enter(now, Stopped, how)
 		return l.step(now)
 	}
--- a/internal/fleet/pki/pki.go
+++ b/internal/fleet/pki/pki.go
@@ -6,6 +6,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -24,6 +25,24 @@
 	LeafFor = 397 * 24 * time.Hour
 )
 
+// TLS is what both sides of a connection in the fleet share: their own certificate,
+// and the CA that the other's must be of.
+func TLS(ca, cert, key string) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	pem, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, fmt.Errorf("tls: ca: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("tls: ca: %s holds no certificate", ca)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}, RootCAs: pool}, nil
+}
+
 func serial() *big.Int {
 	n, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
 	if err != nil {
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -153,12 +153,10 @@
 	} else if t.back {
 		return // what came before the step back
 	}
-	if m.result != "" {
-		m.note(t, kind, status, reason)
-		return
-	}
 	m.note(t, kind, status, reason)
-	m.judge(t)
+	if m.result == "" {
+		m.judge(t)
+	}
 }
 
 func (m *Machine) note(t *Target, kind, status, reason string) {
--- a/internal/msgpackrpc/frame.go
+++ b/internal/msgpackrpc/frame.go
@@ -94,18 +94,7 @@
 			if buf, err = readBody(br, buf, uint64(extra), lim.Message); err != nil {
 				return nil, err
 			}
-			n := uintOf(buf[at:])
-			switch {
-			case isContainer(code):
-				children = n
-				if code >= 0xde {
-					children = 2 * n
-				}
-			case code >= 0xc7 && code <= 0xc9: // ext: a type byte and its data
-				body = n + 1
-			default:
-				body = n
-			}
+			body, children = sized(code, uintOf(buf[at:]))
 		}
 		if body > 0 {
 			if buf, err = readBody(br, buf, body, lim.Message); err != nil {
@@ -188,7 +177,18 @@
 	return extra, body, children, err
 }
 
-func isContainer(code byte) bool { return code >= 0xdc && code <= 0xdf }
+// sized tells what follows a length of n, for a type that shape gives extra bytes.
+func sized(code byte, n uint64) (body, children uint64) {
+	switch {
+	case code >= 0xde: // map
+		return 0, 2 * n
+	case code >= 0xdc: // array
+		return 0, n
+	case code >= 0xc7 && code <= 0xc9: // ext: a type byte and its data
+		return n + 1, 0
+	}
+	return n, 0
+}
 
 func uintOf(b []byte) uint64 {
 	switch len(b) {
@@ -210,18 +210,8 @@
 		at++
 		extra, body, children, _ := shape(code)
 		if extra > 0 {
-			n := uintOf(b[at : at+extra])
+			body, children = sized(code, uintOf(b[at:at+extra]))
 			at += extra
-			switch {
-			case code >= 0xde:
-				children = 2 * n
-			case isContainer(code):
-				children = n
-			case code >= 0xc7 && code <= 0xc9:
-				body = n + 1
-			default:
-				body = n
-			}
 		}
 		at += int(body)
 		left += children
