--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -21,8 +21,9 @@
 	memoryMB, sockets int
 	known             *discovery.List // nil: none
 	settings          *settings.Settings
-	asks              bool   // discovery must be asked
-	sum               string // of the file
+	asks              bool          // discovery must be asked
+	record            *recordConfig // of the store of record; nil: off
+	sum               string        // of the file
 }
 
 // reload reads the file again. The environment is as it was at the start, so that
@@ -124,5 +125,10 @@
 		return nil, errors.New("config: settings.guarantees.drainGraceUs must be 0 or more")
 	}
 	c.asks = s.Config.AskWithin > 0
+	if path := getenv("MARTENDRUM_RECORD"); path != "" {
+		if c.record, err = loadRecord(path, s, (c.sockets-socketsSpare)/4); err != nil {
+			return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
+		}
+	}
 	return c, nil
 }
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math"
@@ -39,8 +40,30 @@
 	// healthSum tells in answers to the health call which file is in force: its
 	// SHA-256. An agent sees by it whether a reload was taken over.
 	healthSum = "Config-Sum"
+	// healthRecord tells how the store of record does, where there is one.
+	healthRecord = "Record"
 )
 
+// recorder is the store of record of a build that has one, see record.go.
+type recorder interface {
+	sidecar.Recorder
+	Status() string
+	// Close writes what waits, as long as ctx allows.
+	Close(ctx context.Context) error
+}
+
+// recordFlush is how long the last ends may take to be written: it fits between
+// the last answer and SIGKILL.
+const recordFlush = 200 * time.Millisecond
+
+func closeRecord(r recorder) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordFlush)
+	defer cancel()
+	if err := r.Close(ctx); err != nil {
+		slog.Warn("the record was not closed well", "err", err)
+	}
+}
+
 func main() {
 	slog.SetDefault(limitlog.New(os.Stderr, slog.LevelInfo))
 	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
@@ -60,7 +83,7 @@
 func limit(c *config) (upstream.Config, front.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
 	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
-	conns := c.sockets - socketsSpare
+	conns := c.sockets - socketsSpare - c.record.Sockets()
 	return upstream.Config{
 			ConnIdle:    c.settings.ConnIdle,
 			DialTimeout: c.settings.DialTimeout,
@@ -100,11 +123,22 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	rec, err := openRecord(c)
+	if err != nil {
+		return err
+	}
+	if rec != nil {
+		host.SetRecorder(rec)
+		defer closeRecord(rec)
+	}
 	if c.known != nil {
 		host.Listed(c.known)
 	}
 	srv := front.New(in, host)
 	srv.SetHealth(healthSum, c.sum)
+	if rec != nil {
+		srv.SetHealthFunc(healthRecord, rec.Status)
+	}
 	go srv.Serve(ln)
 
 	wait := time.NewTimer(listMost)
--- /dev/null
+++ b/cmd/fawnrock/record.go
@@ -0,0 +1,58 @@
+//go:build record
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"chalkrack/internal/record"
+	"chalkrack/internal/record/conf"
+	"chalkrack/internal/record/keeper"
+	"chalkrack/internal/settings"
+)
+
+// recordAsk is how long a start asks the store for a sign of life. One that is away is
+// no reason not to start; one that can't be used is.
+const recordAsk = time.Second
+
+// recordConfig is the operator's file.
+type recordConfig = conf.Config
+
+func loadRecord(path string, set *settings.Settings, sockets int) (*recordConfig, error) {
+	c, err := conf.Load(path)
+	if err == nil {
+		_, err = c.Keeper(set, sockets)
+	}
+	return c, err
+}
+
+// openRecord opens the store of record; nil if there is none.
+func openRecord(c *config) (recorder, error) {
+	if c.record == nil {
+		return nil, nil
+	}
+	kc, err := c.record.Keeper(c.settings, 0) // its sockets were checked
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	b, err := c.record.Open(ctx, true)
+	if err != nil {
+		return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
+	}
+	ask, cancelAsk := context.WithTimeout(ctx, recordAsk)
+	defer cancelAsk()
+	switch err := b.Ping(ask); {
+	case errors.Is(err, record.ErrUnusable), errors.Is(err, record.ErrReadOnly):
+		b.Close()
+		return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
+	case err != nil:
+		slog.Warn("the store of record is away at the start", "err", err)
+	}
+	return keeper.New(kc, b), nil
+}
--- /dev/null
+++ b/cmd/fawnrock/record_off.go
@@ -0,0 +1,22 @@
+//go:build !record
+
+package main
+
+import (
+	"errors"
+
+	"chalkrack/internal/settings"
+)
+
+// recordConfig has no fields: this build has no store of record, whose databases would
+// cost it memory even while off. docs/design/record.md has the figures.
+type recordConfig struct{}
+
+// Sockets is none.
+func (*recordConfig) Sockets() int { return 0 }
+
+func loadRecord(string, *settings.Settings, int) (*recordConfig, error) {
+	return nil, errors.New("this build has no store of record: run the one that has, `go build -tags record -o bin/fawnrock-record ./cmd/fawnrock`")
+}
+
+func openRecord(*config) (recorder, error) { return nil, nil }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -176,6 +176,17 @@
 // Fail tells the client that the request failed.
 func (x *Exchange) Fail() { x.answer(http.StatusBadGateway, "", nil, nil) }
 
+// Deny tells the client, in a field of the answer, why its request is not carried
+// out: a status that is neither an answer nor a refusal, and where above 0 the time
+// to come back. why is one line.
+func (x *Exchange) Deny(status int, why string, retryAfter time.Duration) {
+	field := "Record-State: " + why + "\r\n"
+	if retryAfter > 0 {
+		field += "Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	x.answer(status, field, nil, nil)
+}
+
 // Serve passes on a server's whole answer.
 func (x *Exchange) Serve(ans *upstream.Answer) { x.answer(http.StatusOK, "", ans.Header, ans.Body) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,6 +83,7 @@
 	ids      ids
 	draining bool
 	health   string // a header line of the health call's answers
+	more     func() string
 }
 
 // state is what a connection is about.
@@ -137,10 +138,21 @@
 	s.health = name + ": " + value + "\r\n"
 }
 
-func (s *Server) healthField() string {
+// SetHealthFunc sets another one, whose value is asked for at each call.
+func (s *Server) SetHealthFunc(name string, value func() string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.health
+	s.more = func() string { return name + ": " + value() + "\r\n" }
+}
+
+func (s *Server) healthField() string {
+	s.mu.Lock()
+	field, more := s.health, s.more
+	s.mu.Unlock()
+	if more != nil {
+		field += more()
+	}
+	return field
 }
 
 // Serve accepts connections until the listener is closed.
--- /dev/null
+++ b/internal/record/breaker.go
@@ -0,0 +1,70 @@
+package record
+
+import "time"
+
+// Breaker says whether the store is worth asking. It opens after a run of failures,
+// lets one try through when its pause is over, and closes at the first success.
+// Pauses double up to a bound.
+type Breaker struct {
+	after     int
+	least     time.Duration
+	most      time.Duration
+	failures  int
+	open      bool
+	pause     time.Duration
+	until     time.Duration
+	trying    bool
+	lastError string
+}
+
+// NewBreaker returns a closed breaker that opens after so many failures in a row
+// and pauses from least to most.
+func NewBreaker(after int, least, most time.Duration) Breaker {
+	return Breaker{after: after, least: least, most: most}
+}
+
+// Allow says whether the store may be asked at now. While the breaker is open, one
+// try a pause is allowed; jitter within 0 and 1 stretches the next pause by up to half.
+func (b *Breaker) Allow(now time.Duration) bool {
+	switch {
+	case !b.open:
+		return true
+	case b.trying || now < b.until:
+		return false
+	}
+	b.trying = true
+	return true
+}
+
+// Succeeded notes that the store did its work.
+func (b *Breaker) Succeeded() {
+	b.failures, b.open, b.trying, b.pause = 0, false, false, 0
+}
+
+// Failed notes that it did not.
+func (b *Breaker) Failed(now time.Duration, cause string, jitter float64) {
+	b.failures++
+	b.lastError = cause
+	if !b.open && b.failures < b.after {
+		return
+	}
+	b.open, b.trying = true, false
+	b.pause = min(max(2*b.pause, b.least), b.most)
+	b.until = now + b.pause + time.Duration(jitter/2*float64(b.pause))
+}
+
+// Open says whether the breaker is open, until when at least, and why.
+func (b *Breaker) Open() (open bool, until time.Duration, cause string) {
+	return b.open, b.until, b.lastError
+}
+
+// State names the breaker's state.
+func (b *Breaker) State() string {
+	switch {
+	case !b.open:
+		return "closed"
+	case b.trying:
+		return "half-open"
+	}
+	return "open"
+}
--- /dev/null
+++ b/internal/record/conf/conf.go
@@ -0,0 +1,203 @@
+// Package conf reads the operator's file for the store of record, deploy/record.toml,
+// and opens the store that it names.
+package conf
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/fleet/units"
+	"chalkrack/internal/record"
+	"chalkrack/internal/record/keeper"
+	"chalkrack/internal/record/postgres"
+	"chalkrack/internal/record/sqlite"
+	"chalkrack/internal/settings"
+)
+
+// Config is the file. Relative paths in it are relative to its folder.
+type Config struct {
+	Store  string `toml:"store"`
+	SQLite struct {
+		Path string      `toml:"path"`
+		Most units.Bytes `toml:"most"`
+	} `toml:"sqlite"`
+	Postgres struct {
+		URL          string         `toml:"url"`
+		PasswordFile string         `toml:"password_file"`
+		CA           string         `toml:"ca"`
+		Connections  int            `toml:"connections"`
+		Connect      units.Duration `toml:"connect"`
+	} `toml:"postgres"`
+	Wait struct {
+		Share     float64        `toml:"share"`
+		Statement units.Duration `toml:"statement"`
+		EndFor    units.Duration `toml:"end_for"`
+		Lease     units.Duration `toml:"lease"`
+	} `toml:"wait"`
+	Keep struct {
+		Answered  units.Duration `toml:"answered"`
+		NeverRan  units.Duration `toml:"never_ran"`
+		Unsettled units.Duration `toml:"may_have_run"`
+		Answer    units.Bytes    `toml:"answer"`
+		SweepEach units.Duration `toml:"sweep_each"`
+	} `toml:"keep"`
+	Queue struct {
+		Ops   int         `toml:"ops"`
+		Bytes units.Bytes `toml:"bytes"`
+		Batch int         `toml:"batch"`
+	} `toml:"queue"`
+	Breaker struct {
+		After int            `toml:"after"`
+		Least units.Duration `toml:"pause_min"`
+		Most  units.Duration `toml:"pause_max"`
+	} `toml:"breaker"`
+	Classes []Class `toml:"class"`
+
+	path  string
+	rules []record.Rule
+}
+
+// Class is one class that is recorded.
+type Class struct {
+	Name string `toml:"name"`
+	Key  string `toml:"key"`
+	Away string `toml:"away"` // "refuse" or "pass"
+}
+
+const (
+	refuse = "refuse"
+	pass   = "pass"
+)
+
+// Load reads and checks a file. Errors name the file and the place.
+func Load(path string) (*Config, error) {
+	c := &Config{path: path}
+	d := func(v time.Duration) units.Duration { return units.Duration(v) }
+	c.SQLite.Path, c.SQLite.Most = "record.db", 256<<20
+	c.Postgres.Connections, c.Postgres.Connect = 2, d(2*time.Second)
+	c.Wait.Share, c.Wait.Statement, c.Wait.EndFor, c.Wait.Lease = 0.1, d(time.Second), d(time.Minute), d(5*time.Second)
+	c.Keep.Answered, c.Keep.NeverRan, c.Keep.Unsettled, c.Keep.Answer, c.Keep.SweepEach = d(24*time.Hour), d(time.Hour), d(720*time.Hour), 64<<10, d(5*time.Second)
+	c.Queue.Ops, c.Queue.Bytes, c.Queue.Batch = 1024, 2<<20, 128
+	c.Breaker.After, c.Breaker.Least, c.Breaker.Most = 5, d(100*time.Millisecond), d(5*time.Second)
+	if err := units.Load(path, c); err != nil {
+		return nil, err
+	}
+	dir, err := filepath.Abs(filepath.Dir(path))
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range []*string{&c.SQLite.Path, &c.Postgres.PasswordFile, &c.Postgres.CA} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.Store != "sqlite" && c.Store != "postgres":
+		return fmt.Errorf("store: %q; want \"sqlite\" or \"postgres\"", c.Store)
+	case c.Store == "sqlite" && c.SQLite.Most < 1<<20:
+		return fmt.Errorf("sqlite.most: 1MiB at least")
+	case c.Store == "postgres" && c.Postgres.URL == "":
+		return fmt.Errorf("postgres.url is missing, as in \"postgres://user@host/database\"")
+	case c.Postgres.Connections < 1 || c.Postgres.Connections > 64:
+		return fmt.Errorf("postgres.connections: %d; want 1 to 64", c.Postgres.Connections)
+	case !(c.Wait.Share > 0 && c.Wait.Share <= 0.5):
+		return fmt.Errorf("wait.share: %v; want a share of a class's aim, above 0 and at most 0.5", c.Wait.Share)
+	case c.Wait.Statement <= 0 || c.Wait.EndFor <= 0 || c.Postgres.Connect <= 0:
+		return fmt.Errorf("wait.statement, wait.end_for and postgres.connect must be above 0")
+	case c.Wait.Lease < units.Duration(time.Second):
+		return fmt.Errorf("wait.lease: 1s at least")
+	case c.Keep.Answered < units.Duration(time.Minute) || c.Keep.Unsettled < units.Duration(time.Minute) || c.Keep.NeverRan <= 0:
+		return fmt.Errorf("keep.answered and keep.may_have_run must be 1m at least, keep.never_ran above 0")
+	case c.Keep.Answer < 0 || c.Keep.SweepEach < units.Duration(100*time.Millisecond):
+		return fmt.Errorf("keep.answer must be 0B or more, keep.sweep_each 100ms at least")
+	case c.Queue.Ops < 1 || c.Queue.Bytes < 64<<10 || c.Queue.Batch < 1:
+		return fmt.Errorf("queue.ops and queue.batch must be 1 at least, queue.bytes 64KiB")
+	case c.Breaker.After < 1 || c.Breaker.Least <= 0 || c.Breaker.Most < c.Breaker.Least:
+		return fmt.Errorf("breaker: want after >= 1 and 0 < pause_min <= pause_max")
+	case len(c.Classes) == 0:
+		return fmt.Errorf("class: none is named, so nothing would be recorded")
+	}
+	seen := make(map[string]bool)
+	for n := range c.Classes {
+		k := &c.Classes[n]
+		if k.Name == "" || seen[k.Name] {
+			return fmt.Errorf("class %d: name %q is empty or there twice", n+1, k.Name)
+		}
+		seen[k.Name] = true
+		if k.Away == "" {
+			k.Away = refuse
+		}
+		if k.Away != refuse && k.Away != pass {
+			return fmt.Errorf("class %s: away: %q; want %q or %q", k.Name, k.Away, refuse, pass)
+		}
+		rule, err := record.ParseRule(k.Key)
+		if err != nil {
+			return fmt.Errorf("class %s: key: %w", k.Name, err)
+		}
+		c.rules = append(c.rules, rule)
+	}
+	return nil
+}
+
+// Keeping is how long rows are kept.
+func (c *Config) Keeping() record.Keep {
+	return record.Keep{Answered: time.Duration(c.Keep.Answered), NeverRan: time.Duration(c.Keep.NeverRan), Unsettled: time.Duration(c.Keep.Unsettled)}
+}
+
+// Keeper checks the file against a deployment's settings and says how the store is
+// used. sockets bounds the store's connections, 0 for no bound.
+func (c *Config) Keeper(set *settings.Settings, sockets int) (keeper.Config, error) {
+	out := keeper.Config{Name: c.Store, Writers: 1, Batch: c.Queue.Batch, Queue: c.Queue.Ops, QueueBytes: int(c.Queue.Bytes),
+		Statement: time.Duration(c.Wait.Statement), EndFor: time.Duration(c.Wait.EndFor), Lease: time.Duration(c.Wait.Lease),
+		AnswerMost: int(c.Keep.Answer), Keep: c.Keeping(), SweepEach: time.Duration(c.Keep.SweepEach),
+		BreakAfter: c.Breaker.After, PauseLeast: time.Duration(c.Breaker.Least), PauseMost: time.Duration(c.Breaker.Most)}
+	if c.Store == "postgres" {
+		if out.Writers = c.Postgres.Connections; sockets > 0 && out.Writers > sockets {
+			return out, fmt.Errorf("%s: postgres.connections: %d; the sidecar's limits.sockets leave %d", c.path, out.Writers, sockets)
+		}
+	}
+	for n, k := range c.Classes {
+		at := set.Class([]byte(k.Name))
+		if at < 0 {
+			return out, fmt.Errorf("%s: class %s: the settings have no class of that name", c.path, k.Name)
+		}
+		class := set.Config.Classes[at]
+		if k.Away == pass && class.Effect == chalkrack.Unsafe {
+			return out, fmt.Errorf("%s: class %s: away: its requests must not run twice, so that they can't go on without a record; want %q", c.path, k.Name, refuse)
+		}
+		wait := min(time.Duration(c.Wait.Share*float64(class.Aim)), set.Deadlines[at]/8)
+		out.Classes = append(out.Classes, keeper.Class{Name: k.Name, Rule: c.rules[n], Pass: k.Away == pass, Wait: max(wait, time.Millisecond)})
+	}
+	return out, nil
+}
+
+// Sockets is how many descriptors the store takes of a sidecar at most.
+func (c *Config) Sockets() int {
+	switch {
+	case c == nil:
+		return 0
+	case c.Store == "postgres":
+		return c.Postgres.Connections
+	}
+	return 6 // the file, its log, its index and its lock, twice for a reader
+}
+
+// Open opens the store; owner says that it is for a sidecar, which holds a SQLite file
+// alone. A PostgreSQL database that is away is no error.
+func (c *Config) Open(ctx context.Context, owner bool) (record.Backend, error) {
+	if c.Store == "sqlite" {
+		return sqlite.Open(ctx, sqlite.Config{Path: c.SQLite.Path, Most: int64(c.SQLite.Most), Keep: c.Keeping(), Owner: owner})
+	}
+	return postgres.Open(postgres.Config{URL: c.Postgres.URL, PasswordFile: c.Postgres.PasswordFile, CA: c.Postgres.CA,
+		Connections: c.Postgres.Connections, Statement: time.Duration(c.Wait.Statement), Connect: time.Duration(c.Postgres.Connect)})
+}
--- /dev/null
+++ b/internal/record/keeper/keeper.go
@@ -0,0 +1,436 @@
+// Package keeper brings a sidecar's requests to the store of record: it claims each
+// key before its request goes on, writes each attempt before its first byte and each
+// end before its answer, waits for none of it longer than a stated share of the
+// class's aim, and goes on without the store where the operator allows. What is
+// known of a key is internal/record's to decide, whether to send again the decision
+// module's.
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chalkrack/internal/front"
+	"chalkrack/internal/record"
+	"chalkrack/internal/sidecar"
+	"chalkrack/internal/upstream"
+)
+
+// Class is a class of requests that is recorded.
+type Class struct {
+	Name string
+	Rule record.Rule
+	Pass bool          // goes on while the store is away; else refused
+	Wait time.Duration // for each answer of the store, at most
+}
+
+// Config says how a store is used. All of it must be set.
+type Config struct {
+	Name       string // of the store, for people
+	Classes    []Class
+	Writers    int           // transactions at once
+	Batch      int           // ops in one transaction
+	Queue      int           // ops that wait, at most
+	QueueBytes int           // bytes of answers among them
+	Statement  time.Duration // a transaction may take
+	EndFor     time.Duration // an end that could not be written is tried again for so long
+	Lease      time.Duration // past its deadline, a claim's owner counts as alive
+	AnswerMost int           // bytes of an answer's body that are kept
+	Keep       record.Keep
+	SweepEach  time.Duration
+	BreakAfter int // failures in a row
+	PauseLeast time.Duration
+	PauseMost  time.Duration
+
+	slow time.Duration
+}
+
+const (
+	// sweepMost rows are touched by one transaction of a sweep, so that requests
+	// get in between.
+	sweepMost = 256
+	// awayRetry is when a client may come back that was refused for want of the
+	// store, busyRetry one whose key is under way elsewhere.
+	awayRetry = 500 * time.Millisecond
+	busyRetry = 500 * time.Millisecond
+)
+
+// Keeper is a sidecar.Recorder.
+type Keeper struct {
+	cfg     Config
+	backend record.Backend
+	c       *committer
+	owner   string
+	tokens  atomic.Uint64
+	classes map[string]*Class
+	end     chan struct{}
+	wg      sync.WaitGroup
+
+	mu     sync.Mutex
+	gaps   map[string]*record.Gap // that are not written yet, by class
+	counts map[string]int64
+}
+
+var _ sidecar.Recorder = (*Keeper)(nil)
+
+// New returns a Keeper over b, which it closes in the end.
+func New(cfg Config, b record.Backend) *Keeper {
+	var id [12]byte
+	rand.Read(id[:])
+	k := &Keeper{cfg: cfg, backend: b, owner: hex.EncodeToString(id[:]), classes: make(map[string]*Class), end: make(chan struct{}),
+		gaps: make(map[string]*record.Gap), counts: make(map[string]int64)}
+	for n := range cfg.Classes {
+		c := &k.cfg.Classes[n]
+		k.classes[c.Name] = c
+		k.cfg.slow = max(k.cfg.slow, c.Wait)
+	}
+	k.c = newCommitter(&k.cfg, b)
+	k.wg.Go(k.sweep)
+	return k
+}
+
+// Owner names this run of the sidecar in the record.
+func (k *Keeper) Owner() string { return k.owner }
+
+// Close writes what waits, as long as ctx allows, and closes the store.
+func (k *Keeper) Close(ctx context.Context) error {
+	close(k.end)
+	k.c.close(ctx)
+	k.wg.Wait()
+	k.writeGaps()
+	return k.backend.Close()
+}
+
+func (k *Keeper) count(what string) {
+	k.mu.Lock()
+	k.counts[what]++
+	k.mu.Unlock()
+}
+
+// ask submits op and calls then once: with the store's word or, when wait is over,
+// with ErrAway. late gets a word that comes after that; it may be nil.
+func (k *Keeper) ask(op *record.Op, wait time.Duration, keep bool, then func(error), late func()) {
+	j := &job{op: op, keep: keep, size: len(op.Answer) + len(op.Header), until: time.Now().Add(wait)}
+	if keep {
+		j.until = time.Now().Add(k.cfg.EndFor)
+	}
+	var once sync.Once
+	t := time.AfterFunc(wait, func() {
+		once.Do(func() {
+			k.count("waited in vain")
+			then(fmt.Errorf("%w: no word within %v", ErrAway, wait))
+		})
+	})
+	j.done = func(err error) {
+		first := false
+		once.Do(func() { first = true })
+		t.Stop()
+		switch {
+		case first:
+			then(err)
+		case err == nil && late != nil:
+			late()
+		}
+	}
+	k.c.submit(j)
+}
+
+// Begin implements sidecar.Recorder.
+func (k *Keeper) Begin(x *front.Exchange, left time.Duration, then func(sidecar.Verdict)) {
+	class := k.classes[x.Class]
+	if class == nil {
+		then(sidecar.Verdict{})
+		return
+	}
+	key, err := class.Rule.Key(x.Request.Head, x.Request.Body)
+	if err != nil {
+		k.count("no key")
+		why := strings.Map(printable, err.Error())
+		then(sidecar.Verdict{Answer: func(x *front.Exchange) { x.Deny(http.StatusBadRequest, why, 0) }})
+		return
+	}
+	id, _ := record.Field(x.Request.Head, "Req-Id") // the front saw to it
+	e := &entry{k: k, class: class, key: key, lease: left + k.cfg.Lease,
+		token: fmt.Sprintf("%s-%d", k.owner, k.tokens.Add(1)), body: record.Fingerprint(x.Request.Head, x.Tenant, x.Request.Body), request: id}
+	op := e.op(record.Claim)
+	release := func() {
+		if op.Result == record.Granted && !class.Pass {
+			k.ask(e.endOp(record.NeverRan), class.Wait, true, func(error) {}, nil) // its client was turned away meanwhile
+		}
+	}
+	k.ask(op, min(class.Wait, left/4), false, func(err error) {
+		switch {
+		case err == nil:
+			then(k.verdict(e, op))
+		case class.Pass:
+			e.gap(err)
+			then(sidecar.Verdict{Entry: e})
+		default:
+			k.count("refused")
+			if !errors.Is(err, ErrAway) { // it may have been written all the same
+				op.Result = record.Granted
+				release()
+			}
+			then(sidecar.Verdict{Answer: func(x *front.Exchange) { x.Refuse(awayRetry) }})
+		}
+	}, release)
+}
+
+func printable(r rune) rune {
+	if r < ' ' || r > '~' {
+		return '?'
+	}
+	return r
+}
+
+// verdict is what the store's word on a claim means for its request.
+func (k *Keeper) verdict(e *entry, op *record.Op) sidecar.Verdict {
+	k.count("claims " + op.Result.String())
+	deny := func(status int, why string, after time.Duration) sidecar.Verdict {
+		return sidecar.Verdict{Answer: func(x *front.Exchange) { x.Deny(status, why, after) }}
+	}
+	row := &op.Row
+	switch op.Result {
+	case record.Granted:
+		return sidecar.Verdict{Entry: e}
+	case record.Busy:
+		return deny(http.StatusConflict, "in-flight; ask again with the same key", busyRetry)
+	case record.Mismatched:
+		return deny(http.StatusUnprocessableEntity, "key-reused; the key belongs to a request that asked for something else", 0)
+	case record.Known:
+		if row.Cut || row.Settled != "" {
+			return deny(http.StatusConflict, "answered; it ran, and its answer is not kept", 0)
+		}
+		ans := &upstream.Answer{Header: parseHeader(row.Header), Body: row.Answer}
+		return sidecar.Verdict{Answer: func(x *front.Exchange) { x.Serve(ans) }}
+	}
+	return deny(http.StatusConflict, "may-have-run; it is not sent again, the shop's staff must settle it", 0)
+}
+
+// entry is a recorded request.
+type entry struct {
+	k       *Keeper
+	class   *Class
+	key     string
+	token   string
+	body    []byte
+	request string
+	lease   time.Duration
+
+	mu     sync.Mutex
+	broken bool // the store failed it: it is asked no more about attempts
+	gapped bool
+}
+
+func (e *entry) op(kind record.Kind) *record.Op {
+	return &record.Op{Kind: kind, Class: e.class.Name, Key: e.key, Token: e.token, Owner: e.k.owner, Body: e.body, Request: e.request, Lease: e.lease}
+}
+
+func (e *entry) endOp(to record.State) *record.Op {
+	op := e.op(record.End)
+	op.To = to
+	return op
+}
+
+// gap marks that the request goes on without the store.
+func (e *entry) gap(cause error) {
+	e.mu.Lock()
+	was := e.gapped
+	e.broken, e.gapped = true, true
+	e.mu.Unlock()
+	if was {
+		return
+	}
+	now := time.Now().UnixMicro()
+	k := e.k
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts["gaps"]++
+	g := k.gaps[e.class.Name]
+	if g == nil {
+		g = &record.Gap{Owner: k.owner, Class: e.class.Name, From: now, Cause: cause.Error()}
+		k.gaps[e.class.Name] = g
+	}
+	g.Until = now
+	g.Requests++
+}
+
+// Sending implements sidecar.Entry.
+func (e *entry) Sending(n int, server string, then func(ok bool)) {
+	e.mu.Lock()
+	broken := e.broken
+	e.mu.Unlock()
+	if broken {
+		then(e.class.Pass)
+		return
+	}
+	op := e.op(record.Send)
+	op.Attempt, op.Server = n, server
+	e.k.ask(op, e.class.Wait, false, func(err error) {
+		switch {
+		case err == nil && op.Result == record.Granted:
+			then(true)
+		case err == nil:
+			e.k.count("fenced")
+			e.mu.Lock()
+			e.broken = true
+			e.mu.Unlock()
+			then(false) // others may go on with the key: not this one, whatever its class
+		case e.class.Pass:
+			e.gap(err)
+			then(true)
+		default:
+			e.mu.Lock()
+			e.broken = true
+			e.mu.Unlock()
+			then(false)
+		}
+	}, nil)
+}
+
+// End implements sidecar.Entry.
+func (e *entry) End(end sidecar.End, ans *upstream.Answer, then func()) {
+	op := e.endOp(map[sidecar.End]record.State{sidecar.Served: record.Answered, sidecar.NeverRan: record.NeverRan, sidecar.MayHaveRun: record.MayHaveRun}[end])
+	if ans != nil {
+		op.Status, op.Header = http.StatusOK, formHeader(ans.Header)
+		if len(ans.Body) <= e.k.cfg.AnswerMost {
+			op.Answer = ans.Body
+		} else {
+			op.Cut = true
+		}
+	}
+	e.k.ask(op, e.class.Wait, true, func(error) { then() }, nil)
+}
+
+// Fields of an answer that are kept: those that say what its body is.
+var kept = []string{"Content-Type", "Content-Encoding", "Content-Language", "Etag", "Last-Modified", "Location"}
+
+// headerMost bounds the kept fields, in bytes; past it they are left out.
+const headerMost = 2 << 10
+
+func formHeader(h http.Header) []byte {
+	var b []byte
+	for _, name := range kept {
+		for _, v := range h[name] {
+			if line := name + ": " + v + "\r\n"; len(b)+len(line) <= headerMost {
+				b = append(b, line...)
+			}
+		}
+	}
+	return b
+}
+
+func parseHeader(b []byte) http.Header {
+	h := make(http.Header)
+	for line := range bytes.SplitSeq(b, []byte("\r\n")) {
+		if k, v, ok := bytes.Cut(line, []byte(": ")); ok {
+			h.Add(string(k), string(v))
+		}
+	}
+	return h
+}
+
+// sweep drops what has been kept for long enough and writes gaps. It ends with the
+// Keeper.
+func (k *Keeper) sweep() {
+	t := time.NewTicker(k.cfg.SweepEach)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-k.end:
+			return
+		}
+		if k.away() {
+			continue
+		}
+		k.writeGaps()
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), k.cfg.Statement)
+			n, err := k.backend.Sweep(ctx, k.cfg.Keep, sweepMost)
+			cancel()
+			if err != nil {
+				slog.Warn("the record was not swept", "err", err)
+			}
+			if err != nil || n < sweepMost {
+				break
+			}
+			select {
+			case <-time.After(5 * time.Millisecond): // requests get in between
+			case <-k.end:
+				return
+			}
+		}
+	}
+}
+
+func (k *Keeper) away() bool {
+	k.c.mu.Lock()
+	defer k.c.mu.Unlock()
+	open, _, _ := k.c.breaker.Open()
+	return open
+}
+
+func (k *Keeper) writeGaps() {
+	k.mu.Lock()
+	gaps := k.gaps
+	k.gaps = make(map[string]*record.Gap)
+	k.mu.Unlock()
+	for class, g := range gaps {
+		ctx, cancel := context.WithTimeout(context.Background(), k.cfg.Statement)
+		err := k.backend.Gap(ctx, *g)
+		cancel()
+		if err == nil {
+			continue
+		}
+		slog.Warn("a gap of the record was not noted", "class", class, "requests", g.Requests, "err", err)
+		k.mu.Lock()
+		if now := k.gaps[class]; now != nil {
+			now.From, now.Requests, now.Cause = g.From, now.Requests+g.Requests, g.Cause
+		} else {
+			k.gaps[class] = g
+		}
+		k.mu.Unlock()
+	}
+}
+
+// Status is one line for the health call: the breaker's state, what waits, and the
+// counts since the start.
+func (k *Keeper) Status() string {
+	k.c.mu.Lock()
+	line := fmt.Sprintf("%s; breaker=%s; queued=%d; lost=%d", k.cfg.Name, k.c.breaker.State(), k.c.queued, k.c.lost)
+	open, _, cause := k.c.breaker.Open()
+	k.c.mu.Unlock()
+	k.mu.Lock()
+	var names []string
+	for name := range k.counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		line += fmt.Sprintf("; %s=%d", strings.ReplaceAll(name, " ", "-"), k.counts[name])
+	}
+	k.mu.Unlock()
+	if open {
+		line += "; cause=" + strings.Map(printable, cause)
+	}
+	return line
+}
+
+// Batches is how many transactions were written, and of how many ops.
+func (k *Keeper) Batches() (batches, ops int64) {
+	k.c.mu.Lock()
+	defer k.c.mu.Unlock()
+	return k.c.batches, k.c.ops
+}
--- /dev/null
+++ b/internal/record/postgres/postgres.go
@@ -0,0 +1,503 @@
+// Package postgres keeps the record of many sidecars in one PostgreSQL database, so
+// that a key is recognised at each of them. Times are the database's. A key belongs to
+// the claim whose token its row holds: every write is made on the version of the row
+// that was read, and a token that the row has no more is fenced. What a lost
+// connection leaves in doubt, a COMMIT above all, is asked for again.
+package postgres
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgxpool"
+
+	"chalkrack/internal/record"
+)
+
+// migrations bring a database from version n to n+1, each a list of statements. They
+// are never changed once released.
+var migrations = [][]string{
+	{`CREATE TABLE martendrum_record (
+		class TEXT NOT NULL, key TEXT NOT NULL, state TEXT NOT NULL, body BYTEA NOT NULL, owner TEXT NOT NULL, token TEXT NOT NULL,
+		request TEXT NOT NULL, attempts BIGINT NOT NULL, servers TEXT NOT NULL, began BIGINT NOT NULL, changed BIGINT NOT NULL,
+		expires BIGINT NOT NULL, status BIGINT NOT NULL, header BYTEA NOT NULL, answer BYTEA NOT NULL, cut BOOLEAN NOT NULL,
+		settled TEXT NOT NULL, note TEXT NOT NULL, version BIGINT NOT NULL, PRIMARY KEY (class, key))`,
+		`CREATE INDEX martendrum_record_state ON martendrum_record (state, changed)`},
+	{`CREATE TABLE martendrum_gaps (owner TEXT NOT NULL, class TEXT NOT NULL, since BIGINT NOT NULL, until BIGINT NOT NULL,
+		requests BIGINT NOT NULL, cause TEXT NOT NULL, PRIMARY KEY (owner, class, since))`,
+		`CREATE INDEX martendrum_gaps_until ON martendrum_gaps (until)`},
+}
+
+// Version is the schema's that this build reads and writes.
+var Version = len(migrations)
+
+const (
+	// schemaLock is the advisory lock under which the schema is brought up to date.
+	schemaLock = 0x6d6172746e
+	gapsMost   = 1000
+	// raceMost is how often a transaction is made anew that another one overtook.
+	raceMost = 8
+	// clock is the database's time in microseconds since 1970.
+	clock = "CAST(date_part('epoch', clock_timestamp()) * 1000000 AS bigint)"
+	// startMost bounds bringing the schema up to date.
+	startMost = 20 * time.Second
+)
+
+// Config says which database, and how it is used.
+type Config struct {
+	// URL is a connection string of PostgreSQL's, without a password.
+	URL          string
+	PasswordFile string // "": none; read anew for each connection
+	CA           string // PEM file; "": as the URL says
+	Connections  int    // at once, at most
+	Statement    time.Duration
+	Connect      time.Duration
+}
+
+// Store is a record in a database.
+type Store struct {
+	cfg  Config
+	pool *pgxpool.Pool
+	name string
+
+	mu    sync.Mutex
+	known bool // the schema is this build's
+
+	columns []string
+	insert  string
+	update  string
+}
+
+// Open returns the Store. It does not need the database: a sidecar starts without it.
+// A database of a newer schema, or one that can be reached and not used, is an error
+// of Ready.
+func Open(cfg Config) (*Store, error) {
+	pc, err := pgxpool.ParseConfig(cfg.URL)
+	if err != nil {
+		return nil, fmt.Errorf("record: postgres.url: %w", err)
+	}
+	if pc.ConnConfig.Password != "" && cfg.PasswordFile != "" {
+		return nil, errors.New("record: postgres.url holds a password and password_file is set: keep the file")
+	}
+	c := pc.ConnConfig
+	c.ConnectTimeout = cfg.Connect
+	c.RuntimeParams["statement_timeout"] = strconv.FormatInt(cfg.Statement.Milliseconds(), 10)
+	c.RuntimeParams["application_name"] = "martendrum"
+	if cfg.CA != "" {
+		if err := trust(c, cfg.CA); err != nil {
+			return nil, err
+		}
+	}
+	pc.MaxConns, pc.MinConns = int32(cfg.Connections), 0
+	pc.MaxConnIdleTime = 5 * time.Minute
+	if cfg.PasswordFile != "" {
+		pc.BeforeConnect = func(_ context.Context, c *pgx.ConnConfig) error {
+			b, err := os.ReadFile(cfg.PasswordFile)
+			if err != nil {
+				return fmt.Errorf("password_file: %w", err)
+			}
+			c.Password = strings.TrimRight(string(b), "\r\n")
+			return nil
+		}
+	}
+	s := &Store{cfg: cfg, name: fmt.Sprintf("record %s:%d/%s", c.Host, c.Port, c.Database), columns: strings.Split(record.Columns, ", ")}
+	s.statements()
+	if s.pool, err = pgxpool.NewWithConfig(context.Background(), pc); err != nil {
+		return nil, fmt.Errorf("%s: %w", s.name, err)
+	}
+	return s, nil
+}
+
+// trust makes connections verify the server by the CA in a file, its name too.
+func trust(c *pgx.ConnConfig, file string) error {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("record: postgres.ca: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("record: postgres.ca: %s holds no certificate in PEM form", file)
+	}
+	c.TLSConfig = &tls.Config{RootCAs: roots, ServerName: c.Host, MinVersion: tls.VersionTLS12}
+	c.Fallbacks = nil // never without TLS
+	return nil
+}
+
+// types of the columns that are not text.
+var types = map[string]string{"body": "bytea", "header": "bytea", "answer": "bytea", "cut": "boolean", "attempts": "bigint", "began": "bigint",
+	"changed": "bigint", "expires": "bigint", "status": "bigint", "version": "bigint"}
+
+// statements writes the two that hold all columns.
+func (s *Store) statements() {
+	var marks, sets []string
+	for n, c := range s.columns {
+		t := types[c]
+		if t == "" {
+			t = "text"
+		}
+		mark := fmt.Sprintf("$%d::%s", n+1, t)
+		marks = append(marks, mark)
+		if n >= 2 { // after the key
+			sets = append(sets, c+" = "+mark)
+		}
+	}
+	s.insert = "INSERT INTO martendrum_record (" + record.Columns + ") VALUES (" + strings.Join(marks, ", ") + ") ON CONFLICT (class, key) DO NOTHING"
+	s.update = "UPDATE martendrum_record SET " + strings.Join(sets, ", ") +
+		fmt.Sprintf(" WHERE class = $1::text AND key = $2::text AND version = $%d::bigint", len(s.columns)+1)
+}
+
+// Close closes the connections.
+func (s *Store) Close() error {
+	s.pool.Close()
+	return nil
+}
+
+// sqlState is an error's SQLSTATE, "" if it is none of the database's.
+func sqlState(err error) string {
+	if e, ok := errors.AsType[*pgconn.PgError](err); ok {
+		return e.Code
+	}
+	return ""
+}
+
+// explain names the database and says what an operator can do about an error.
+func (s *Store) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch sqlState(err) {
+	case "53100", "53200":
+		err = fmt.Errorf("%w: the server has no room: %w", record.ErrFull, err)
+	case "25006":
+		err = fmt.Errorf("%w: it is a standby or read-only by its settings; name the primary: %w", record.ErrReadOnly, err)
+	case "28P01", "28000":
+		err = fmt.Errorf("%w: the server does not let this user in; see password_file: %w", record.ErrUnusable, err)
+	case "53300":
+		err = fmt.Errorf("the server has no connection left; lower connections or raise its max_connections: %w", err)
+	case "42501":
+		err = fmt.Errorf("%w: this user may not; it needs to read and write the tables martendrum_*, and at first to create them: %w", record.ErrUnusable, err)
+	}
+	return fmt.Errorf("%s: %w", s.name, err)
+}
+
+// Ready brings the schema up to date, or says why the database can't be used.
+func (s *Store) Ready(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, startMost)
+	defer cancel()
+	if err := s.migrate(ctx, Version); err != nil {
+		return s.explain(err)
+	}
+	s.known = true
+	return nil
+}
+
+func (s *Store) migrate(ctx context.Context, to int) error {
+	return pgx.BeginFunc(ctx, s.pool, func(tx pgx.Tx) error {
+		do := func(q string, args ...any) error {
+			_, err := tx.Exec(ctx, q, args...)
+			return err
+		}
+		// Sidecars that start together wait here for the first of them.
+		if err := do("SELECT pg_advisory_xact_lock($1::bigint)", int64(schemaLock)); err != nil {
+			return err
+		}
+		if err := do("CREATE TABLE IF NOT EXISTS martendrum_schema (version BIGINT NOT NULL)"); err != nil {
+			return err
+		}
+		var have int64
+		if err := tx.QueryRow(ctx, "SELECT CAST(coalesce(max(version), 0) AS bigint) FROM martendrum_schema").Scan(&have); err != nil {
+			return err
+		}
+		if have > int64(Version) {
+			return fmt.Errorf("%w: its schema is version %d and this build knows up to %d: run the newer build that wrote it", record.ErrUnusable, have, Version)
+		}
+		for n := int(have); n < to; n++ {
+			for _, q := range migrations[n] {
+				if err := do(q); err != nil {
+					return fmt.Errorf("to schema version %d: %w", n+1, err)
+				}
+			}
+			if err := do("INSERT INTO martendrum_schema (version) VALUES ($1::bigint)", int64(n+1)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// errRaced says that another transaction changed a row between read and write.
+var errRaced = errors.New("another transaction came first")
+
+// again says whether a transaction that ended with err is to be made anew: it was
+// overtaken and surely undone, or its outcome is in doubt, which reading resolves.
+func again(err error, committing bool) bool {
+	switch sqlState(err) {
+	case "40001", "40P01", "55P03":
+		return true
+	case "":
+		return errors.Is(err, errRaced) || committing
+	}
+	// The server may be going down with the commit done or not.
+	return committing && strings.HasPrefix(sqlState(err), "57P")
+}
+
+// Apply implements record.Backend.
+func (s *Store) Apply(ctx context.Context, ops []*record.Op) (err error) {
+	defer func() {
+		if err != nil {
+			for _, op := range ops {
+				op.Result = record.None
+			}
+			err = s.explain(err)
+		}
+	}()
+	if err := s.Ready(ctx); err != nil {
+		return err
+	}
+	for n := 0; ; n++ {
+		committing, err := s.apply(ctx, ops)
+		if err == nil || n >= raceMost || !again(err, committing) {
+			return err
+		}
+		t := time.NewTimer(time.Duration(rand.Int64N(int64(time.Millisecond) << min(n, 5))))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return err
+		}
+	}
+}
+
+// apply makes one transaction: it reads each row under a lock, in the order of the
+// keys, so that two of these don't wait for one another, and writes what changed.
+func (s *Store) apply(ctx context.Context, ops []*record.Op) (committing bool, err error) {
+	type entry struct {
+		row  record.Row
+		had  int64 // its version
+		keep bool  // it has changed
+	}
+	type id struct{ class, key string }
+	rows := make(map[id]*entry)
+	var keys []id
+	for _, op := range ops {
+		k := id{op.Class, op.Key}
+		if rows[k] == nil {
+			rows[k] = &entry{}
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b id) int { return strings.Compare(a.class+"\x00"+a.key, b.class+"\x00"+b.key) })
+	tx, err := s.pool.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.ReadCommitted})
+	if err != nil {
+		return false, err
+	}
+	defer func() {
+		if err != nil {
+			// Also when ctx is over: a connection left in a transaction is closed.
+			back, cancel := context.WithTimeout(context.Background(), time.Second)
+			tx.Rollback(back)
+			cancel()
+		}
+	}()
+	var now int64
+	read := &pgx.Batch{}
+	for _, k := range keys {
+		e := rows[k]
+		read.Queue("SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text FOR UPDATE", k.class, k.key).QueryRow(func(r pgx.Row) error {
+			err := r.Scan(e.row.Fields()...)
+			if errors.Is(err, pgx.ErrNoRows) {
+				e.row, err = record.Row{}, nil
+			}
+			e.had = e.row.Version
+			return err
+		})
+	}
+	// Read last, when the locks are had: waiting for them takes time.
+	read.Queue("SELECT " + clock).QueryRow(func(r pgx.Row) error { return r.Scan(&now) })
+	if err := tx.SendBatch(ctx, read).Close(); err != nil {
+		return false, err
+	}
+	for _, op := range ops {
+		e := rows[id{op.Class, op.Key}]
+		e.keep = record.Apply(&e.row, now, op) || e.keep
+	}
+	write := &pgx.Batch{}
+	one := func(t pgconn.CommandTag) error {
+		if t.RowsAffected() != 1 {
+			return errRaced
+		}
+		return nil
+	}
+	for _, k := range keys {
+		switch e := rows[k]; {
+		case !e.keep:
+		case e.had == 0:
+			write.Queue(s.insert, e.row.Values()...).Exec(one)
+		default:
+			write.Queue(s.update, append(e.row.Values(), e.had)...).Exec(one)
+		}
+	}
+	if write.Len() > 0 {
+		if err := tx.SendBatch(ctx, write).Close(); err != nil {
+			return false, err
+		}
+	}
+	return true, tx.Commit(ctx)
+}
+
+// Get implements record.Backend.
+func (s *Store) Get(ctx context.Context, class, key string) (row record.Row, err error) {
+	if err := s.Ready(ctx); err != nil {
+		return row, err
+	}
+	err = s.pool.QueryRow(ctx, "SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text", class, key).Scan(row.Fields()...)
+	if errors.Is(err, pgx.ErrNoRows) {
+		return record.Row{}, nil
+	}
+	return row, s.explain(err)
+}
+
+// rows reads all rows of a query.
+func rows[T any](ctx context.Context, s *Store, scan func(*T) []any, q string, args ...any) (out []T, err error) {
+	if err := s.Ready(ctx); err != nil {
+		return nil, err
+	}
+	r, err := s.pool.Query(ctx, q, args...)
+	if err != nil {
+		return nil, s.explain(err)
+	}
+	out, err = pgx.CollectRows(r, func(r pgx.CollectableRow) (v T, err error) {
+		err = r.Scan(scan(&v)...)
+		return v, err
+	})
+	return out, s.explain(err)
+}
+
+// List implements record.Backend.
+func (s *Store) List(ctx context.Context, f record.Filter) ([]record.Row, error) {
+	return rows(ctx, s, (*record.Row).Fields, "SELECT "+strings.Replace(record.Columns, "answer,", "CAST('' AS bytea),", 1)+` FROM martendrum_record
+		WHERE ($1::text = '' OR state = $1::text) AND ($2::text = '' OR class = $2::text) AND changed >= $3::bigint AND (class, key) > ($4::text, $5::text)
+		ORDER BY class, key LIMIT $6::bigint`, string(f.State), f.Class, f.ChangedSince, f.AfterClass, f.AfterKey, int64(f.Most))
+}
+
+// Sweep implements record.Backend.
+func (s *Store) Sweep(ctx context.Context, keep record.Keep, most int) (int, error) {
+	if err := s.Ready(ctx); err != nil {
+		return 0, err
+	}
+	var now int64
+	if err := s.pool.QueryRow(ctx, "SELECT "+clock).Scan(&now); err != nil {
+		return 0, s.explain(err)
+	}
+	lapsed, err := s.pool.Exec(ctx, `UPDATE martendrum_record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
+		changed = $1::bigint, version = version + 1 WHERE state = 'in-flight' AND expires <= $1::bigint AND (class, key) IN
+		(SELECT class, key FROM martendrum_record WHERE state = 'in-flight' AND expires <= $1::bigint ORDER BY class, key LIMIT $2::bigint)`, now, int64(most))
+	if err != nil {
+		return 0, s.explain(err)
+	}
+	n := int(lapsed.RowsAffected())
+	for _, state := range record.States {
+		kept := keep.Of(state)
+		if kept <= 0 || n >= most {
+			continue
+		}
+		gone, err := s.pool.Exec(ctx, `DELETE FROM martendrum_record WHERE state = $1::text AND changed < $2::bigint AND (class, key) IN
+			(SELECT class, key FROM martendrum_record WHERE state = $1::text AND changed < $2::bigint ORDER BY class, key LIMIT $3::bigint)`,
+			string(state), now-kept.Microseconds(), int64(most-n))
+		if err != nil {
+			return n, s.explain(err)
+		}
+		n += int(gone.RowsAffected())
+	}
+	return n, nil
+}
+
+// Gap implements record.Backend.
+func (s *Store) Gap(ctx context.Context, g record.Gap) error {
+	if err := s.Ready(ctx); err != nil {
+		return err
+	}
+	if _, err := s.pool.Exec(ctx, `INSERT INTO martendrum_gaps (owner, class, since, until, requests, cause)
+		VALUES ($1::text, $2::text, $3::bigint, $4::bigint, $5::bigint, $6::text) ON CONFLICT (owner, class, since) DO NOTHING`,
+		g.Owner, g.Class, g.From, g.Until, g.Requests, g.Cause); err != nil {
+		return s.explain(err)
+	}
+	_, err := s.pool.Exec(ctx, "DELETE FROM martendrum_gaps WHERE until <= (SELECT until FROM martendrum_gaps ORDER BY until DESC LIMIT 1 OFFSET $1::bigint)", int64(gapsMost))
+	return s.explain(err)
+}
+
+// Gaps implements record.Backend.
+func (s *Store) Gaps(ctx context.Context, most int) ([]record.Gap, error) {
+	return rows(ctx, s, func(g *record.Gap) []any { return []any{&g.Owner, &g.Class, &g.From, &g.Until, &g.Requests, &g.Cause} },
+		"SELECT owner, class, since, until, requests, cause FROM martendrum_gaps ORDER BY until DESC LIMIT $1::bigint", int64(most))
+}
+
+// Stats implements record.Backend. Bytes are those of the answers that are kept.
+func (s *Store) Stats(ctx context.Context) (st record.Stats, err error) {
+	type count struct {
+		state    record.State
+		n, bytes int64
+	}
+	cs, err := rows(ctx, s, func(c *count) []any { return []any{&c.state, &c.n, &c.bytes} },
+		"SELECT state, CAST(count(*) AS bigint), CAST(coalesce(sum(length(answer) + length(header)), 0) AS bigint) FROM martendrum_record GROUP BY state")
+	st.Rows = make(map[record.State]int64)
+	for _, c := range cs {
+		st.Rows[c.state] = c.n
+		st.Bytes += c.bytes
+	}
+	return st, err
+}
+
+// Check implements record.Backend.
+func (s *Store) Check(ctx context.Context) (found []string, err error) {
+	bad, err := rows(ctx, s, (*record.Row).Fields, "SELECT "+strings.Replace(record.Columns, "answer,", "CAST('' AS bytea),", 1)+` FROM martendrum_record
+		WHERE state NOT IN ('in-flight', 'answered', 'never-ran', 'may-have-run') OR length(body) <> 32 OR token = ''
+		OR state = 'answered' AND status = 0 AND settled = '' ORDER BY class, key LIMIT 20`)
+	for _, r := range bad {
+		found = append(found, fmt.Sprintf("row %s %q: state %q, fingerprint of %d bytes, status %d", r.Class, r.Key, r.State, len(r.Body), r.Status))
+	}
+	return found, err
+}
+
+// Compact implements record.Backend.
+func (s *Store) Compact(ctx context.Context) error {
+	if err := s.Ready(ctx); err != nil {
+		return err
+	}
+	_, err := s.pool.Exec(ctx, "VACUUM martendrum_record")
+	return s.explain(err)
+}
+
+// Ping implements record.Backend. It brings the schema up to date where that is due,
+// and asks whether the server takes writes.
+func (s *Store) Ping(ctx context.Context) error {
+	if err := s.Ready(ctx); err != nil {
+		return err
+	}
+	var readOnly string
+	if err := s.pool.QueryRow(ctx, "SELECT current_setting('transaction_read_only')").Scan(&readOnly); err != nil {
+		return s.explain(err)
+	}
+	if readOnly == "on" {
+		return s.explain(record.ErrReadOnly)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/record/postgres/postgres_test.go
@@ -0,0 +1,243 @@
+package postgres
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"chalkrack/internal/record"
+	bt "chalkrack/internal/record/backendtest"
+	"chalkrack/internal/standin/pgserver"
+)
+
+var ctx = context.Background()
+
+func config(u string) Config {
+	return Config{URL: u, Connections: 4, Statement: 5 * time.Second, Connect: 5 * time.Second}
+}
+
+func serve(t *testing.T, cfg pgserver.Config) *pgserver.Server {
+	t.Helper()
+	s, err := pgserver.Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func mustOpen(t *testing.T, c Config) *Store {
+	t.Helper()
+	s, err := Open(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestBackend(t *testing.T) {
+	bt.Run(t, func(t *testing.T) record.Backend { return mustOpen(t, config(serve(t, pgserver.Config{}).URL())) })
+}
+
+// The same against a real server, where an operator names one; each test gets a schema
+// of its own, which is dropped.
+func TestRealServer(t *testing.T) {
+	at := os.Getenv("MARTENDRUM_TEST_POSTGRES")
+	if at == "" {
+		t.Skip("MARTENDRUM_TEST_POSTGRES names no server")
+	}
+	n := 0
+	bt.Run(t, func(t *testing.T) record.Backend {
+		n++
+		schema := fmt.Sprintf("martendrum_test_%d_%d", os.Getpid(), n)
+		conn, err := pgx.Connect(ctx, at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Exec(ctx, "CREATE SCHEMA "+schema); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			conn.Exec(ctx, "DROP SCHEMA "+schema+" CASCADE")
+			conn.Close(ctx)
+		})
+		u, err := url.Parse(at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		q := u.Query()
+		q.Set("search_path", schema)
+		u.RawQuery = q.Encode()
+		return mustOpen(t, config(u.String()))
+	})
+}
+
+func TestMigrations(t *testing.T) {
+	for from := range Version {
+		srv := serve(t, pgserver.Config{})
+		old := mustOpen(t, config(srv.URL()))
+		if err := old.migrate(ctx, from); err != nil {
+			t.Fatal(err)
+		}
+		s := mustOpen(t, config(srv.URL()))
+		bt.Expect(t, s, bt.Claim("k", "a", time.Hour), record.Granted)
+		if err := s.Gap(ctx, record.Gap{Class: "x"}); err != nil {
+			t.Error(from, err)
+		}
+	}
+	srv := serve(t, pgserver.Config{})
+	s := mustOpen(t, config(srv.URL()))
+	if err := s.Ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s.pool.Exec(ctx, "INSERT INTO martendrum_schema (version) VALUES ($1::bigint)", int64(99))
+	if err := mustOpen(t, config(srv.URL())).Ready(ctx); err == nil || !strings.Contains(err.Error(), "newer build") {
+		t.Error(err)
+	}
+}
+
+// The connection is lost at COMMIT, before it took effect or after, or its reply is:
+// what became of it is asked, and each op is told the truth and carried out once.
+func TestAmbiguousCommit(t *testing.T) {
+	for _, stage := range []pgserver.Stage{pgserver.Before, pgserver.After} {
+		for _, fault := range []pgserver.Fault{{Reset: true}, {Code: "57P01"}, {Code: "40001"}} {
+			t.Run(fmt.Sprintf("%s %v %s", stage, fault.Reset, fault.Code), func(t *testing.T) {
+				srv := serve(t, pgserver.Config{})
+				s := mustOpen(t, config(srv.URL()))
+				bt.Expect(t, s, bt.Claim("warm", "w", time.Hour), record.Granted)
+				var left, hit atomic.Int64
+				srv.Inject(func(e pgserver.Event) pgserver.Fault {
+					if e.Stage == stage && strings.EqualFold(e.SQL, "commit") && left.Add(-1) >= 0 {
+						hit.Add(1)
+						return fault
+					}
+					return pgserver.Fault{}
+				})
+				for n, op := range []*record.Op{bt.Claim("k", "a", time.Hour), bt.Send("k", "a", 0), bt.Send("k", "a", 1), bt.End("k", "a", record.Answered)} {
+					left.Store(2) // and the first try to resolve it, too
+					bt.Expect(t, s, op, record.Granted)
+					if hit.Load() != int64(2*n+2) {
+						t.Fatalf("op %d: %d faults", n, hit.Load())
+					}
+				}
+				row, err := s.Get(ctx, "activate", "k")
+				if err != nil || row.Attempts != 2 || row.Servers != "s0,s1" || row.State != record.Answered || row.Version != 4 {
+					t.Errorf("%+v %v", row, err)
+				}
+			})
+		}
+	}
+}
+
+// Each bad day ends in an error that says what it is, in time, and the store goes on
+// when it is over.
+func TestBadDays(t *testing.T) {
+	srv := serve(t, pgserver.Config{MostConns: 3})
+	c := config(srv.URL())
+	c.Statement, c.Connect = 200*time.Millisecond, 200*time.Millisecond
+	s := mustOpen(t, c)
+	bt.Expect(t, s, bt.Claim("warm", "w", time.Hour), record.Granted)
+	always := func(f pgserver.Fault) func(pgserver.Event) pgserver.Fault {
+		return func(e pgserver.Event) pgserver.Fault { return f }
+	}
+	n := 0
+	for name, day := range map[string]struct {
+		begin, end func()
+		want       string
+	}{
+		"slow":          {func() { srv.Inject(always(pgserver.Fault{Delay: time.Hour})) }, func() { srv.Inject(nil) }, "57014"},
+		"hung":          {func() { srv.Inject(always(pgserver.Fault{Stall: true})) }, func() { srv.Inject(nil) }, "57014"},
+		"reset":         {func() { srv.Inject(always(pgserver.Fault{Reset: true})) }, func() { srv.Inject(nil) }, ""},
+		"going down":    {func() { srv.Inject(always(pgserver.Fault{Code: "57P01"})) }, func() { srv.Inject(nil) }, "57P01"},
+		"serialization": {func() { srv.Inject(always(pgserver.Fault{Code: "40001"})) }, func() { srv.Inject(nil) }, "40001"},
+		"no room":       {func() { srv.Inject(always(pgserver.Fault{Code: "53100"})) }, func() { srv.Inject(nil) }, "full"},
+		"read-only":     {func() { srv.SetReadOnly(true) }, func() { srv.SetReadOnly(false) }, "name the primary"},
+		"starting up":   {func() { srv.SetRefuse(true); srv.ResetAll() }, func() { srv.SetRefuse(false) }, "57P03"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n++
+			key := fmt.Sprint("k", n)
+			day.begin()
+			began := time.Now()
+			short, cancel := context.WithTimeout(ctx, 2*time.Second)
+			err := s.Apply(short, []*record.Op{bt.Claim(key, key, time.Hour)})
+			for range 3 { // a kept connection may fail otherwise first
+				if err != nil && !strings.Contains(err.Error(), day.want) {
+					err = s.Apply(short, []*record.Op{bt.Claim(key, key, time.Hour)})
+				}
+			}
+			cancel()
+			if err == nil || !strings.Contains(err.Error(), day.want) || !strings.Contains(err.Error(), srv.Addr()) {
+				t.Errorf("%v; want it to say %q", err, day.want)
+			}
+			if took := time.Since(began); took > 10*time.Second {
+				t.Errorf("it took %v", took)
+			}
+			day.end()
+			deadline := time.Now().Add(20 * time.Second)
+			for {
+				op := bt.Claim(key, key, time.Hour)
+				if err = s.Apply(ctx, []*record.Op{op}); err == nil && op.Result == record.Granted {
+					return
+				}
+				if time.Now().After(deadline) {
+					t.Fatalf("it does not come back: %v %v", op.Result, err)
+				}
+			}
+		})
+	}
+	if err := s.Ping(ctx); err != nil {
+		t.Error(err)
+	}
+	srv.SetReadOnly(true)
+	if err := s.Ping(ctx); !errors.Is(err, record.ErrReadOnly) {
+		t.Error(err)
+	}
+}
+
+// Connections are bounded, and a password is read from its file for each.
+func TestPasswordAndBound(t *testing.T) {
+	srv := serve(t, pgserver.Config{User: "kasir", Password: "rahasia"})
+	file := filepath.Join(t.TempDir(), "password")
+	os.WriteFile(file, []byte("wrong\n"), 0o600)
+	c := config(srv.URL())
+	c.PasswordFile, c.Connections = file, 2
+	s := mustOpen(t, c)
+	if err := s.Ping(ctx); err == nil || !strings.Contains(err.Error(), "password_file") {
+		t.Error(err)
+	}
+	os.WriteFile(file, []byte("rahasia\n"), 0o600)
+	if err := s.Ping(ctx); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	for n := range 10 {
+		go func() {
+			key := fmt.Sprint(n)
+			done <- s.Apply(ctx, []*record.Op{bt.Claim(key, key, time.Hour)})
+		}()
+	}
+	for range 10 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if n := srv.Conns(); n > 2 {
+			t.Errorf("%d connections", n)
+		}
+	}
+	for want, c := range map[string]Config{"postgres.ca": {URL: srv.URL(), CA: file, Connections: 1}, "postgres.url": {URL: "postgres://%zz"}} {
+		if _, err := Open(c); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v; want it to say %q", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,286 @@
+package record
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The machine against a world of sidecars that claim, send, stall, die and come back,
+// servers that run what they get, staff that settles truthfully, and a clock that
+// jumps. Whatever happens, no key's request runs twice, and what ran is never said
+// not to have.
+func TestNoKeyRunsTwice(t *testing.T) {
+	for range 20 { // what goes wrong takes several steps in their order: one check's runs are few
+		rapid.Check(t, noKeyRunsTwice)
+	}
+}
+
+func noKeyRunsTwice(t *rapid.T) {
+	type claim struct {
+		token  string
+		key    int
+		sends  int  // granted
+		unsent int  // of them, not a byte has gone out yet
+		ran    bool // one of them ran
+		over   bool
+	}
+	var rows [2]Row
+	var runs [2]int
+	var claims []*claim
+	now := int64(1_000_000)
+	pick := func() *claim {
+		if len(claims) == 0 {
+			t.Skip("no claim")
+		}
+		return claims[rapid.IntRange(0, len(claims)-1).Draw(t, "claim")]
+	}
+	op := func(c *claim, kind Kind) *Op {
+		return &Op{Kind: kind, Class: "c", Key: fmt.Sprint(c.key), Token: c.token, Owner: "o", Body: []byte{1}, Lease: time.Second}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"claim": func(t *rapid.T) {
+			c := &claim{token: fmt.Sprint(len(claims)), key: rapid.IntRange(0, 1).Draw(t, "key")}
+			o := op(c, Claim)
+			Apply(&rows[c.key], now, o)
+			if o.Result == Granted {
+				claims = append(claims, c)
+			}
+		},
+		"send": func(t *rapid.T) {
+			c := pick()
+			if c.over {
+				t.Skip("over")
+			}
+			o := op(c, Send)
+			o.Attempt, o.Server = c.sends, "s"
+			Apply(&rows[c.key], now, o)
+			if o.Result == Granted && rapid.IntRange(0, 3).Draw(t, "heard of") > 0 {
+				c.sends++
+				c.unsent++
+			}
+		},
+		// A byte goes out as late as it will: the sidecar may have stalled since. The
+		// decision module sends the next attempt of an unsafe request only when those
+		// before are known not to have run; so one of a claim's attempts runs at most.
+		"run": func(t *rapid.T) {
+			c := pick()
+			if c.unsent == 0 || c.ran {
+				t.Skip("nothing to run")
+			}
+			c.unsent--
+			c.ran = true
+			if runs[c.key]++; runs[c.key] > 1 {
+				t.Fatalf("key %d ran %d times", c.key, runs[c.key])
+			}
+		},
+		"end": func(t *rapid.T) {
+			c := pick()
+			o := op(c, End)
+			switch {
+			case c.ran:
+				o.To = rapid.SampledFrom([]State{Answered, MayHaveRun}).Draw(t, "to")
+			case c.unsent > 0: // called off before a byte, or not known
+				if rapid.Bool().Draw(t, "called off") {
+					c.unsent, o.To = 0, NeverRan
+				} else {
+					o.To = MayHaveRun
+				}
+			default:
+				o.To = NeverRan
+			}
+			if c.over = o.To != MayHaveRun || c.over; c.over {
+				c.unsent = 0
+			}
+			Apply(&rows[c.key], now, o)
+		},
+		"die": func(t *rapid.T) { // with its bytes unsent; its row lapses in time
+			c := pick()
+			c.unsent, c.over = 0, true
+		},
+		"settle": func(t *rapid.T) {
+			k := rapid.IntRange(0, 1).Draw(t, "key")
+			o := &Op{Kind: Settle, Class: "c", Key: fmt.Sprint(k), To: NeverRan, By: "sari"}
+			if runs[k] > 0 {
+				o.To = Answered
+			} else if slices.ContainsFunc(claims, func(c *claim) bool { return c.key == k && c.unsent > 0 }) {
+				t.Skip("staff waits until the sidecar is known to be gone")
+			}
+			Apply(&rows[k], now, o)
+		},
+		"time": func(t *rapid.T) {
+			now += rapid.Int64Range(0, 2).Draw(t, "s")*700_000 + rapid.Int64Range(0, 1000).Draw(t, "µs")
+		},
+		"jump": func(t *rapid.T) {
+			if rapid.IntRange(0, 9).Draw(t, "rarely") > 0 {
+				t.Skip("not now")
+			}
+			now += rapid.Int64Range(-1e12, 1e12).Draw(t, "µs")
+		},
+		"": func(t *rapid.T) {
+			for k := range rows {
+				if runs[k] > 0 && rows[k].State == NeverRan {
+					t.Fatalf("key %d ran and is said not to have: %+v", k, rows[k])
+				}
+			}
+		},
+	})
+}
+
+// Carried out twice, an op does what it does once: that is how a commit of unknown
+// outcome is resolved.
+func TestOpsAreIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var row Row
+		n := 0
+		for range rapid.IntRange(1, 12).Draw(t, "ops") {
+			if rapid.Bool().Draw(t, "a new claim") {
+				n++
+			}
+			o := Op{Kind: Kind(rapid.IntRange(0, 3).Draw(t, "kind")), Class: "c", Key: "k", Token: fmt.Sprint(n), Owner: "o", Body: []byte{1},
+				Lease: time.Duration(rapid.IntRange(1, 5).Draw(t, "lease")) * time.Second, Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"), Server: "s",
+				To: rapid.SampledFrom(States[1:]).Draw(t, "to"), Status: 200, Answer: []byte("a")}
+			Apply(&row, 5, &o)
+			once, again := row, o
+			again.Result = None
+			Apply(&row, 6, &again)
+			if o.Kind == Settle { // a settlement says by its result whether it was the one
+				continue
+			}
+			if o.Result != again.Result || row.Version != once.Version || row.State != once.State || row.Attempts != once.Attempts {
+				t.Fatalf("%+v: %v, again %v; %+v, again %+v", o, o.Result, again.Result, once, row)
+			}
+		}
+	})
+}
+
+func TestRules(t *testing.T) {
+	head := []byte("POST /activate/1?x=2 HTTP/1.1\r\nHost: a\r\nIdempotency-KEY:  k 1 \r\nTwice: 1\r\nTwice: 1\r\nReq-Id: r7\r\n")
+	body := []byte(`{"sim":{"iccid":"8962","n":17,"list":["a",{"x":"y"}],"no":null,"a/b":"slash","obj":{}}}`)
+	for _, c := range []struct{ rule, want, err string }{
+		{"header:Idempotency-Key", "k 1", ""},
+		{"header:Twice", "", "twice"},
+		{"header:None", "", "empty or missing"},
+		{"request-id", "r7", ""},
+		{"json:/sim/iccid", "8962", ""},
+		{"json:/sim/n", "17", ""},
+		{"json:/sim/list/1/x", "y", ""},
+		{"json:/sim/a~1b", "slash", ""},
+		{"json:/sim/list/9", "", "missing"},
+		{"json:/sim/no", "", "missing"},
+		{"json:/sim/iccid/deeper", "", "missing"},
+		{"json:/sim/obj", "", "neither"},
+		{"header:", "", "no rule"}, {"json:sim", "", "no rule"}, {"body", "", "no rule"}, {"header:a b", "", "no rule"},
+	} {
+		r, err := ParseRule(c.rule)
+		got := ""
+		if err == nil {
+			got, err = r.Key(head, body)
+			if r.String() != c.rule {
+				t.Errorf("%s is written %s", c.rule, r)
+			}
+		}
+		if got != c.want || (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s: %q %v; want %q %q", c.rule, got, err, c.want, c.err)
+		}
+	}
+	r, _ := ParseRule("json:/k")
+	for body, want := range map[string]string{`{"k":`: "no JSON", `{"k":"a"} {}`: "more than one", `{"k":"` + strings.Repeat("x", 300) + `"}`: "at most", `{"k":"a\u0000"}`: "UTF-8"} {
+		if _, err := r.Key(nil, []byte(body)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.20s: %v, want %q", body, err, want)
+		}
+	}
+}
+
+func FuzzKey(f *testing.F) {
+	f.Add("json:/a/0", []byte("POST / HTTP/1.1\r\nA: b\r\n"), []byte(`{"a":["k"]}`))
+	f.Add("header:A", []byte("POST / HTTP/1.1\r\nA: b\r\n"), []byte{})
+	f.Fuzz(func(t *testing.T, rule string, head, body []byte) {
+		r, err := ParseRule(rule)
+		if err != nil {
+			return
+		}
+		if key, err := r.Key(head, body); err == nil && (key == "" || len(key) > keyMost || strings.ContainsRune(key, 0)) {
+			t.Errorf("key %q", key)
+		}
+	})
+}
+
+func TestFingerprint(t *testing.T) {
+	same := Fingerprint([]byte("POST /a HTTP/1.1\r\nReq-Id: 1\r\n"), "t", []byte("b"))
+	for want, got := range map[bool][][]byte{
+		true: {Fingerprint([]byte("POST /a HTTP/1.1\r\nReq-Id: 2\r\n"), "t", []byte("b"))},
+		false: {Fingerprint([]byte("POST /b HTTP/1.1\r\n"), "t", []byte("b")), Fingerprint([]byte("POST /a HTTP/1.1\r\n"), "u", []byte("b")),
+			Fingerprint([]byte("POST /a HTTP/1.1\r\n"), "t", []byte("c")), Fingerprint([]byte("POST /a HTTP/1.1\r\n"), "tb", nil)},
+	} {
+		for n, g := range got {
+			if bytes.Equal(g, same) != want {
+				t.Errorf("%v %d", want, n)
+			}
+		}
+	}
+}
+
+func TestClock(t *testing.T) {
+	keep := Keep{Answered: 4 * time.Hour, Unsettled: 40 * time.Hour}
+	wall := time.Now()
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	saved := wall.UnixMicro()
+	for name, c := range map[string]struct {
+		saved int64
+		at    time.Duration // after wall
+		want  int64         // over saved
+	}{
+		"a new record":         {0, time.Minute, us(time.Minute)},
+		"a short stop":         {saved - us(time.Minute), time.Second, us(time.Minute + time.Second)},
+		"a clock set forward":  {saved - us(365*24*time.Hour), time.Second, us(time.Hour + time.Second)},
+		"a clock set back":     {saved + us(24*time.Hour), time.Second, us(time.Second)},
+		"a reading before now": {saved, -time.Hour, 0},
+	} {
+		from := c.saved
+		if from == 0 {
+			from = saved
+		}
+		if got := NewClock(c.saved, wall, keep).At(wall.Add(c.at)) - from; got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	b := NewBreaker(3, 100*time.Millisecond, 400*time.Millisecond)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for n := range 3 {
+		if !b.Allow(ms(n)) || b.State() != "closed" {
+			t.Fatal(n, b.State())
+		}
+		b.Failed(ms(n), "slow", 0)
+	}
+	if open, until, cause := b.Open(); !open || until != ms(102) || cause != "slow" || b.State() != "open" {
+		t.Error(open, until, cause)
+	}
+	at, pause := ms(102), 100
+	for _, want := range []int{200, 400, 400} {
+		if b.Allow(at - 1) {
+			t.Error("asked too soon")
+		}
+		if !b.Allow(at) || b.Allow(at) || b.State() != "half-open" {
+			t.Error("one try, no more, is due")
+		}
+		b.Failed(at, "slow", 0.5)
+		pause = want
+		at += ms(pause) + ms(pause)/4
+	}
+	if !b.Allow(at) {
+		t.Error("no try")
+	}
+	b.Succeeded()
+	if b.State() != "closed" || !b.Allow(0) {
+		t.Error(b.State())
+	}
+}
--- /dev/null
+++ b/internal/record/sqlite/sqlite.go
@@ -0,0 +1,476 @@
+// Package sqlite keeps a sidecar's record in a SQLite file: write-ahead log, full
+// synchronous, a bounded size. One sidecar owns a file; `martendrum record` may read
+// and settle in it meanwhile. Each Apply is one transaction and one sync, so that
+// requests brought together share it.
+package sqlite
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	driver "modernc.org/sqlite"
+	lib "modernc.org/sqlite/lib"
+
+	"chalkrack/internal/record"
+)
+
+// migrations bring a file from version n to n+1. They are never changed once
+// released: a file may be at any of them.
+var migrations = []string{
+	`CREATE TABLE record (
+		class TEXT NOT NULL, key TEXT NOT NULL, state TEXT NOT NULL, body BLOB NOT NULL, owner TEXT NOT NULL, token TEXT NOT NULL,
+		request TEXT NOT NULL, attempts INTEGER NOT NULL, servers TEXT NOT NULL, began INTEGER NOT NULL, changed INTEGER NOT NULL,
+		expires INTEGER NOT NULL, status INTEGER NOT NULL, header BLOB NOT NULL, answer BLOB NOT NULL, cut INTEGER NOT NULL,
+		settled TEXT NOT NULL, note TEXT NOT NULL, version INTEGER NOT NULL, PRIMARY KEY (class, key)) WITHOUT ROWID;
+	CREATE INDEX record_state ON record (state, changed);
+	CREATE TABLE meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL);`,
+	`CREATE TABLE gaps (n INTEGER PRIMARY KEY AUTOINCREMENT, owner TEXT NOT NULL, class TEXT NOT NULL, since INTEGER NOT NULL,
+		until INTEGER NOT NULL, requests INTEGER NOT NULL, cause TEXT NOT NULL);`,
+}
+
+// Version is the schema's that this build reads and writes.
+var Version = len(migrations)
+
+const (
+	pageSize = 4096
+	// pagesLeast is the least bound: an empty schema and a few rows.
+	pagesLeast = 64
+	// Part of the bound is left for what ends requests under way: new claims are
+	// turned away as full before that.
+	claimRoom = 0.9
+	gapsMost  = 1000
+	// sweepPages are given back to the file system by one Sweep.
+	sweepPages = 64
+	startMost  = 30 * time.Second
+)
+
+// Config says which file, and how it is used.
+type Config struct {
+	Path string
+	Most int64 // bytes
+	Keep record.Keep
+	// Owner takes the file for one sidecar: what an earlier owner left in flight is
+	// made what is known of it. Without it the file must be there already.
+	Owner bool
+}
+
+// Store is a record in a file.
+type Store struct {
+	cfg   Config
+	db    *sql.DB
+	lock  *os.File
+	clock record.Clock
+	most  int64 // pages
+
+	mu    sync.Mutex // one writer; guards the prepared statements
+	get   *sql.Stmt
+	put   *sql.Stmt
+	pages *sql.Stmt
+}
+
+// Open opens the file, makes it if there is none, and brings its schema up to date.
+// Errors name the file and say what to do.
+func Open(ctx context.Context, cfg Config) (*Store, error) { return open(ctx, cfg, Version) }
+
+func open(ctx context.Context, cfg Config, version int) (_ *Store, err error) {
+	ctx, cancel := context.WithTimeout(ctx, startMost)
+	defer cancel()
+	s := &Store{cfg: cfg, most: max(cfg.Most/pageSize, pagesLeast)}
+	defer func() {
+		if err != nil {
+			s.Close()
+			err = fmt.Errorf("record %s: %w", cfg.Path, err)
+		}
+	}()
+	if cfg.Owner {
+		if err := s.own(); err != nil {
+			return nil, err
+		}
+	} else if _, err := os.Stat(cfg.Path); err != nil {
+		return nil, fmt.Errorf("there is no such file; a sidecar makes it at its first start: %w", err)
+	}
+	q := url.Values{"_pragma": {"busy_timeout(3000)", "auto_vacuum(2)", "journal_mode(WAL)", "synchronous(FULL)",
+		fmt.Sprintf("max_page_count(%d)", s.most), "journal_size_limit(4194304)", "cache_size(-1024)"}, "_txlock": {"immediate"}}
+	if s.db, err = sql.Open("sqlite", "file:"+(&url.URL{Path: cfg.Path}).EscapedPath()+"?"+q.Encode()); err != nil {
+		return nil, err
+	}
+	s.db.SetMaxOpenConns(2) // one writes, one reads
+	if err := s.migrate(ctx, version); err != nil {
+		return nil, err
+	}
+	if version < Version {
+		return s, nil
+	}
+	if err := s.begin(ctx); err != nil {
+		return nil, explain(err)
+	}
+	return s, nil
+}
+
+// own takes the lock file, which the kernel frees when the process ends.
+func (s *Store) own() error {
+	f, err := os.OpenFile(s.cfg.Path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("the folder must be there and be writable: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		holder := make([]byte, 32)
+		n, _ := f.Read(holder)
+		f.Close()
+		return fmt.Errorf("locked by process %s: one sidecar owns a file; give this one a file of its own", strings.TrimSpace(string(holder[:n])))
+	}
+	s.lock = f
+	f.Truncate(0)
+	fmt.Fprintln(f, os.Getpid())
+	return nil
+}
+
+func (s *Store) migrate(ctx context.Context, to int) error {
+	var ok string
+	if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
+		if err == nil {
+			err = errors.New(ok)
+		}
+		return damaged(err)
+	}
+	var have int
+	if err := s.db.QueryRowContext(ctx, "PRAGMA user_version").Scan(&have); err != nil {
+		return damaged(err)
+	}
+	if have > Version {
+		return fmt.Errorf("its schema is version %d and this build knows up to %d: run the newer build that wrote it", have, Version)
+	}
+	if have >= to {
+		return nil
+	}
+	if !s.cfg.Owner {
+		return fmt.Errorf("its schema is version %d, this build's %d: start the sidecar first, which brings it up to date", have, Version)
+	}
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return explain(err)
+	}
+	defer tx.Rollback()
+	for n := have; n < to; n++ {
+		if _, err := tx.ExecContext(ctx, migrations[n]); err != nil {
+			return fmt.Errorf("to schema version %d: %w", n+1, explain(err))
+		}
+	}
+	if _, err := tx.ExecContext(ctx, fmt.Sprintf("PRAGMA user_version = %d", to)); err != nil {
+		return explain(err)
+	}
+	return explain(tx.Commit())
+}
+
+func damaged(err error) error {
+	if code(err) == lib.SQLITE_BUSY || code(err) == lib.SQLITE_LOCKED {
+		return explain(err)
+	}
+	return fmt.Errorf("it can't be read (%w): if it is damaged, keep it with its -wal and -shm files for `martendrum record export`, move them aside and start again; keys that it held are then unknown", err)
+}
+
+// begin takes up where the last owner stopped.
+func (s *Store) begin(ctx context.Context) error {
+	var saved int64
+	if err := s.db.QueryRowContext(ctx, "SELECT value FROM meta WHERE name = 'clock'").Scan(&saved); err != nil && !errors.Is(err, sql.ErrNoRows) {
+		return err
+	}
+	wall := time.Now()
+	s.clock = record.NewClock(saved, wall, s.cfg.Keep)
+	var err error
+	prepare := func(q string) (st *sql.Stmt) {
+		if err == nil {
+			st, err = s.db.PrepareContext(ctx, q)
+		}
+		return st
+	}
+	s.get = prepare("SELECT " + record.Columns + " FROM record WHERE class = ? AND key = ?")
+	s.put = prepare("INSERT OR REPLACE INTO record (" + record.Columns + ") VALUES (?" + strings.Repeat(",?", strings.Count(record.Columns, ",")) + ")")
+	s.pages = prepare("SELECT p.page_count - f.freelist_count FROM pragma_page_count p, pragma_freelist_count f")
+	if err != nil || !s.cfg.Owner {
+		return err
+	}
+	// The former owner is dead: its lock was free. What Lapse says of one row is said
+	// here of all.
+	now := s.clock.At(wall)
+	return s.write(ctx, func(tx *sql.Tx) error {
+		if _, err := tx.ExecContext(ctx, `UPDATE record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
+			changed = ?, version = version + 1 WHERE state = 'in-flight'`, now); err != nil {
+			return err
+		}
+		return s.save(ctx, tx, now)
+	})
+}
+
+func (s *Store) save(ctx context.Context, tx *sql.Tx, now int64) error {
+	_, err := tx.ExecContext(ctx, "INSERT OR REPLACE INTO meta (name, value) VALUES ('clock', ?)", now)
+	return err
+}
+
+// Close closes the file and gives it free.
+func (s *Store) Close() (err error) {
+	if s.db != nil {
+		err = s.db.Close()
+	}
+	if s.lock != nil {
+		s.lock.Close()
+	}
+	return err
+}
+
+func code(err error) int {
+	if e, ok := errors.AsType[*driver.Error](err); ok {
+		return e.Code() & 0xff
+	}
+	return 0
+}
+
+// explain says what an operator can do about an error.
+func explain(err error) error {
+	switch code(err) {
+	case 0:
+		return err
+	case lib.SQLITE_FULL:
+		return fmt.Errorf("%w: raise its bound, or free space on the disk: %w", record.ErrFull, err)
+	case lib.SQLITE_READONLY, lib.SQLITE_PERM, lib.SQLITE_CANTOPEN:
+		return fmt.Errorf("%w: the sidecar's user must be able to write the file and its folder: %w", record.ErrReadOnly, err)
+	case lib.SQLITE_BUSY, lib.SQLITE_LOCKED:
+		return fmt.Errorf("locked by another program for longer than 3 s: end what has it open: %w", err)
+	case lib.SQLITE_CORRUPT, lib.SQLITE_NOTADB:
+		return fmt.Errorf("the file is damaged: `martendrum record check` tells more: %w", err)
+	}
+	return err
+}
+
+func (s *Store) write(ctx context.Context, do func(tx *sql.Tx) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return explain(err)
+	}
+	if err := do(tx); err != nil {
+		tx.Rollback()
+		return explain(err)
+	}
+	return explain(tx.Commit())
+}
+
+// Apply implements record.Backend.
+func (s *Store) Apply(ctx context.Context, ops []*record.Op) error {
+	err := s.write(ctx, func(tx *sql.Tx) error {
+		get, put := tx.StmtContext(ctx, s.get), tx.StmtContext(ctx, s.put)
+		now := s.clock.At(time.Now())
+		var used int64
+		if err := tx.StmtContext(ctx, s.pages).QueryRowContext(ctx).Scan(&used); err != nil {
+			return err
+		}
+		full := float64(used) > claimRoom*float64(s.most)
+		for _, op := range ops {
+			if full && op.Kind == record.Claim {
+				return fmt.Errorf("%w: %d of %d pages are used; raise its bound, or settle and drop", record.ErrFull, used, s.most)
+			}
+			row, err := scan(get.QueryRowContext(ctx, op.Class, op.Key))
+			if err != nil {
+				return err
+			}
+			if record.Apply(&row, now, op) {
+				if _, err := put.ExecContext(ctx, row.Values()...); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		for _, op := range ops {
+			op.Result = record.None
+		}
+		return fmt.Errorf("record %s: %w", s.cfg.Path, err)
+	}
+	return nil
+}
+
+func scan(r *sql.Row) (row record.Row, err error) {
+	if err = r.Scan(row.Fields()...); errors.Is(err, sql.ErrNoRows) {
+		return record.Row{}, nil
+	}
+	return row, err
+}
+
+// Get implements record.Backend.
+func (s *Store) Get(ctx context.Context, class, key string) (record.Row, error) {
+	row, err := scan(s.get.QueryRowContext(ctx, class, key))
+	return row, explain(err)
+}
+
+// List implements record.Backend.
+func (s *Store) List(ctx context.Context, f record.Filter) (out []record.Row, err error) {
+	rows, err := s.db.QueryContext(ctx, `SELECT `+strings.Replace(record.Columns, "answer,", "x'' AS answer,", 1)+` FROM record
+		WHERE (?1 = '' OR state = ?1) AND (?2 = '' OR class = ?2) AND changed >= ?3 AND (class, key) > (?4, ?5)
+		ORDER BY class, key LIMIT ?6`, string(f.State), f.Class, f.ChangedSince, f.AfterClass, f.AfterKey, f.Most)
+	if err != nil {
+		return nil, explain(err)
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var r record.Row
+		if err := rows.Scan(r.Fields()...); err != nil {
+			return out, explain(err)
+		}
+		out = append(out, r)
+	}
+	return out, explain(rows.Err())
+}
+
+// Sweep implements record.Backend.
+func (s *Store) Sweep(ctx context.Context, keep record.Keep, most int) (n int, err error) {
+	err = s.write(ctx, func(tx *sql.Tx) error {
+		n = 0
+		now := s.clock.At(time.Now())
+		lapsed, err := tx.ExecContext(ctx, `UPDATE record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
+			changed = ?1, version = version + 1 WHERE (class, key) IN
+			(SELECT class, key FROM record WHERE state = 'in-flight' AND expires <= ?1 LIMIT ?2)`, now, most)
+		if err != nil {
+			return err
+		}
+		n += affected(lapsed)
+		for _, state := range record.States {
+			kept := keep.Of(state)
+			if kept <= 0 || n >= most {
+				continue
+			}
+			gone, err := tx.ExecContext(ctx, `DELETE FROM record WHERE (class, key) IN
+				(SELECT class, key FROM record WHERE state = ? AND changed < ? LIMIT ?)`, string(state), now-kept.Microseconds(), most-n)
+			if err != nil {
+				return err
+			}
+			n += affected(gone)
+		}
+		return s.save(ctx, tx, now)
+	})
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows, err := s.db.QueryContext(ctx, fmt.Sprintf("PRAGMA incremental_vacuum(%d)", sweepPages))
+	if err != nil {
+		return n, explain(err)
+	}
+	for rows.Next() {
+	}
+	rows.Close()
+	return n, explain(rows.Err())
+}
+
+func affected(r sql.Result) int {
+	n, _ := r.RowsAffected() // this driver has it always
+	return int(n)
+}
+
+// Gap implements record.Backend.
+func (s *Store) Gap(ctx context.Context, g record.Gap) error {
+	return s.write(ctx, func(tx *sql.Tx) error {
+		if _, err := tx.ExecContext(ctx, "INSERT INTO gaps (owner, class, since, until, requests, cause) VALUES (?,?,?,?,?,?)",
+			g.Owner, g.Class, g.From, g.Until, g.Requests, g.Cause); err != nil {
+			return err
+		}
+		_, err := tx.ExecContext(ctx, "DELETE FROM gaps WHERE n <= (SELECT max(n) FROM gaps) - ?", gapsMost)
+		return err
+	})
+}
+
+// Gaps implements record.Backend.
+func (s *Store) Gaps(ctx context.Context, most int) (out []record.Gap, err error) {
+	rows, err := s.db.QueryContext(ctx, "SELECT owner, class, since, until, requests, cause FROM gaps ORDER BY n DESC LIMIT ?", most)
+	if err != nil {
+		return nil, explain(err)
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var g record.Gap
+		if err := rows.Scan(&g.Owner, &g.Class, &g.From, &g.Until, &g.Requests, &g.Cause); err != nil {
+			return out, err
+		}
+		out = append(out, g)
+	}
+	return out, explain(rows.Err())
+}
+
+// Stats implements record.Backend.
+func (s *Store) Stats(ctx context.Context) (st record.Stats, err error) {
+	st = record.Stats{Rows: make(map[record.State]int64), Most: s.most * pageSize}
+	if err := s.pages.QueryRowContext(ctx).Scan(&st.Bytes); err != nil {
+		return st, explain(err)
+	}
+	st.Bytes *= pageSize
+	rows, err := s.db.QueryContext(ctx, "SELECT state, count(*) FROM record GROUP BY state")
+	if err != nil {
+		return st, explain(err)
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var state record.State
+		var n int64
+		if err := rows.Scan(&state, &n); err != nil {
+			return st, err
+		}
+		st.Rows[state] = n
+	}
+	return st, explain(rows.Err())
+}
+
+// Check implements record.Backend.
+func (s *Store) Check(ctx context.Context) (found []string, err error) {
+	for _, q := range []string{"PRAGMA integrity_check(20)",
+		`SELECT 'row ' || class || ' ' || quote(key) || ': ' || CASE WHEN state NOT IN ('in-flight','answered','never-ran','may-have-run') THEN 'unknown state ' || quote(state)
+			WHEN length(body) <> 32 THEN 'fingerprint of ' || length(body) || ' bytes' WHEN token = '' THEN 'no token' ELSE 'answered without a status' END
+		FROM record WHERE state NOT IN ('in-flight','answered','never-ran','may-have-run') OR length(body) <> 32 OR token = ''
+			OR state = 'answered' AND status = 0 AND settled = '' LIMIT 20`} {
+		rows, err := s.db.QueryContext(ctx, q)
+		if err != nil {
+			return found, explain(err)
+		}
+		for rows.Next() {
+			var line string
+			if err := rows.Scan(&line); err != nil {
+				rows.Close()
+				return found, err
+			}
+			if line != "ok" {
+				found = append(found, line)
+			}
+		}
+		rows.Close()
+		if err := rows.Err(); err != nil {
+			return append(found, err.Error()), nil
+		}
+	}
+	return found, nil
+}
+
+// Compact implements record.Backend. It writes the file anew, and needs it alone.
+func (s *Store) Compact(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, q := range []string{"VACUUM", "PRAGMA wal_checkpoint(TRUNCATE)"} {
+		if _, err := s.db.ExecContext(ctx, q); err != nil {
+			return fmt.Errorf("record %s: %w", s.cfg.Path, explain(err))
+		}
+	}
+	return nil
+}
+
+// Ping implements record.Backend. It writes: a disk that only reads is no store.
+func (s *Store) Ping(ctx context.Context) error {
+	return s.write(ctx, func(tx *sql.Tx) error { return s.save(ctx, tx, s.clock.At(time.Now())) })
+}
--- /dev/null
+++ b/internal/record/sqlite/sqlite_test.go
@@ -0,0 +1,236 @@
+package sqlite
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack/internal/record"
+	bt "chalkrack/internal/record/backendtest"
+)
+
+var ctx = context.Background()
+
+func cfg(path string) Config {
+	return Config{Path: path, Most: 16 << 20, Keep: bt.Keep, Owner: true}
+}
+
+func mustOpen(t *testing.T, c Config) *Store {
+	t.Helper()
+	s, err := Open(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestBackend(t *testing.T) {
+	bt.Run(t, func(t *testing.T) record.Backend { return mustOpen(t, cfg(filepath.Join(t.TempDir(), "a b?#%.db"))) })
+}
+
+func TestPragmas(t *testing.T) {
+	s := mustOpen(t, cfg(filepath.Join(t.TempDir(), "r.db")))
+	for pragma, want := range map[string]string{"journal_mode": "wal", "synchronous": "2", "auto_vacuum": "2", "max_page_count": "4096"} {
+		var got string
+		if s.db.QueryRow("PRAGMA " + pragma).Scan(&got); got != want {
+			t.Errorf("%s is %s, want %s", pragma, got, want)
+		}
+	}
+}
+
+// What a dead owner left in flight is known at the next start, whatever the clock says.
+func TestRestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.db")
+	s := mustOpen(t, cfg(path))
+	bt.Apply(t, s, bt.Claim("sent", "a", time.Hour), bt.Send("sent", "a", 0), bt.Claim("unsent", "b", time.Hour),
+		bt.Claim("done", "c", time.Hour), bt.Send("done", "c", 0), bt.End("done", "c", record.Answered))
+	s.Close()
+	s = mustOpen(t, cfg(path))
+	bt.Expect(t, s, bt.Claim("sent", "x", time.Hour), record.Unsettled)
+	bt.Expect(t, s, bt.Claim("unsent", "x", time.Hour), record.Granted)
+	bt.Expect(t, s, bt.Claim("done", "x", time.Hour), record.Known)
+}
+
+func TestMigrations(t *testing.T) {
+	for from := range Version {
+		path := filepath.Join(t.TempDir(), "r.db")
+		old, err := open(ctx, cfg(path), from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		old.Close()
+		s := mustOpen(t, cfg(path))
+		bt.Expect(t, s, bt.Claim("k", "a", time.Hour), record.Granted)
+		if err := s.Gap(ctx, record.Gap{Class: "x"}); err != nil {
+			t.Error(from, err)
+		}
+	}
+}
+
+// fill writes keys until the store is full, and returns how many it holds.
+func fill(t *testing.T, s *Store) (n int, err error) {
+	t.Helper()
+	for ; n < 5000; n++ {
+		key := fmt.Sprint("fill", n)
+		end := bt.End(key, key, record.Answered)
+		end.Answer = make([]byte, 20000)
+		if err = s.Apply(ctx, []*record.Op{bt.Claim(key, key, time.Hour), bt.Send(key, key, 0), end}); err != nil {
+			break
+		}
+	}
+	return n, err
+}
+
+// A full store takes no new keys, ends what is under way, loses nothing, and takes
+// keys again when it has room.
+func TestFull(t *testing.T) {
+	c := cfg(filepath.Join(t.TempDir(), "r.db"))
+	c.Most = 1 << 20
+	s := mustOpen(t, c)
+	bt.Apply(t, s, bt.Claim("flying", "f", time.Hour), bt.Send("flying", "f", 0))
+	n, err := fill(t, s)
+	if !errors.Is(err, record.ErrFull) || !strings.Contains(err.Error(), c.Path) {
+		t.Fatalf("after %d: %v", n, err)
+	}
+	bt.Expect(t, s, bt.End("flying", "f", record.Answered), record.Granted)
+	for k := range n {
+		if row, err := s.Get(ctx, "activate", fmt.Sprint("fill", k)); err != nil || row.State != record.Answered {
+			t.Fatalf("%d of %d: %+v %v", k, n, row.State, err)
+		}
+	}
+	time.Sleep(2 * time.Millisecond)
+	if n, err := s.Sweep(ctx, record.Keep{Answered: time.Millisecond, NeverRan: time.Hour, Unsettled: time.Hour}, 10000); err != nil || n == 0 {
+		t.Fatal(n, err)
+	}
+	bt.Expect(t, s, bt.Claim("new", "n", time.Hour), record.Granted)
+	if st, err := os.Stat(c.Path); err != nil || st.Size() > 1<<20 {
+		t.Error(st.Size(), err)
+	}
+}
+
+// Files that can't be used are said so at start, with what to do, and are left alone.
+func TestCorruptFile(t *testing.T) {
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	noise := []byte(strings.Repeat("this is no database ", 1000))
+	os.WriteFile(path("noise"), noise, 0o600)
+	newer := mustOpen(t, cfg(path("newer")))
+	newer.db.Exec("PRAGMA user_version = 99")
+	newer.Close()
+	held := mustOpen(t, cfg(path("held")))
+	for name, want := range map[string]string{"noise": "move them aside", "newer": "run the newer build", "held": fmt.Sprint("locked by process ", os.Getpid()), "none/x": "folder"} {
+		s, err := Open(ctx, cfg(path(name)))
+		if err == nil {
+			s.Close()
+		}
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), path(name)) {
+			t.Errorf("%s: %v; want it to say %q", name, err, want)
+		}
+	}
+	if got, _ := os.ReadFile(path("noise")); string(got) != string(noise) {
+		t.Error("the damaged file was changed")
+	}
+	bt.Expect(t, held, bt.Claim("k", "a", time.Hour), record.Granted)
+
+	// A torn log: cut at each of many places it holds a whole number of batches, the
+	// first ones, or is said to be damaged. Nothing is made up.
+	live := mustOpen(t, cfg(path("live")))
+	const batches = 12
+	var ends [batches]int64
+	for n := range batches {
+		key := fmt.Sprintf("k%02d", n)
+		bt.Apply(t, live, bt.Claim(key, key, time.Hour), bt.Send(key, key, 0), bt.End(key, key, record.Answered))
+		st, err := os.Stat(path("live") + "-wal")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends[n] = st.Size()
+	}
+	main, _ := os.ReadFile(path("live"))
+	wal, _ := os.ReadFile(path("live") + "-wal")
+	cuts := 0
+	for cut := 0; cut <= len(wal); cut += 1013 {
+		for _, flip := range []bool{false, true} {
+			torn := append([]byte(nil), wal[:cut]...)
+			if flip && cut > 40 {
+				torn[cut-20] ^= 0x55
+			}
+			p := filepath.Join(t.TempDir(), "torn")
+			os.WriteFile(p, main, 0o600)
+			os.WriteFile(p+"-wal", torn, 0o600)
+			s, err := Open(ctx, cfg(p))
+			if err != nil {
+				if !strings.Contains(err.Error(), p) {
+					t.Fatal(err)
+				}
+				continue
+			}
+			cuts++
+			gone := false
+			for n := range batches {
+				row, err := s.Get(ctx, "activate", fmt.Sprintf("k%02d", n))
+				if err != nil || row.State != record.Unknown && row.State != record.Answered {
+					t.Fatalf("cut at %d: key %d is %+v %v", cut, n, row, err)
+				}
+				if row.State == record.Unknown {
+					gone = true
+				} else if gone {
+					t.Fatalf("cut at %d: key %d is there and one before it is not", cut, n)
+				}
+				if !flip && row.State == record.Unknown && ends[n] <= int64(cut) {
+					t.Fatalf("cut at %d: key %d was whole and is gone", cut, n)
+				}
+			}
+			s.Close()
+		}
+	}
+	t.Logf("%d torn logs opened", cuts)
+
+	// Damage in the midst of the file is found by the check, if not at start.
+	live.Close()
+	whole, _ := os.ReadFile(path("live"))
+	found := 0
+	for page := pageSize; page < len(whole); page += pageSize {
+		p := filepath.Join(t.TempDir(), "hurt")
+		hurt := append([]byte(nil), whole...)
+		for i := page; i < page+64; i++ {
+			hurt[i] ^= 0xa5
+		}
+		os.WriteFile(p, hurt, 0o600)
+		s, err := Open(ctx, cfg(p))
+		if err != nil {
+			found++
+			continue
+		}
+		bad, err := s.Check(ctx)
+		if err != nil || len(bad) > 0 {
+			found++
+		}
+		s.Close()
+	}
+	if found == 0 {
+		t.Error("no damage was found")
+	}
+	t.Logf("damage found in %d of %d pages", found, len(whole)/pageSize-1)
+}
+
+// A reader beside the owner sees and settles; compacting needs the file alone.
+func TestBesideItsOwner(t *testing.T) {
+	c := cfg(filepath.Join(t.TempDir(), "r.db"))
+	owner := mustOpen(t, c)
+	bt.Apply(t, owner, bt.Claim("k", "a", time.Hour), bt.Send("k", "a", 0), bt.End("k", "a", record.MayHaveRun))
+	c.Owner = false
+	staff := mustOpen(t, c)
+	bt.Expect(t, staff, &record.Op{Kind: record.Settle, Class: "activate", Key: "k", To: record.NeverRan, By: "sari"}, record.Granted)
+	bt.Expect(t, owner, bt.Claim("k", "b", time.Hour), record.Granted)
+	c.Path += "x"
+	if _, err := Open(ctx, c); err == nil || !strings.Contains(err.Error(), "no such file") {
+		t.Error(err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,6 +33,8 @@
 	pool    *upstream.Pool
 	watcher *discovery.Watcher
 
+	recorder Recorder // nil: nothing is recorded
+
 	start time.Time
 	unix  time.Duration // at start
 
@@ -57,6 +59,10 @@
 	out      int
 	alarm    *alarm // at its deadline
 	over     bool   // has its final answer, or needs none any more
+
+	pending bool  // waits for the record's verdict; the Balancer does not know it yet
+	entry   Entry // nil: it is not recorded
+	told    End   // to the record
 }
 
 // attempt is a request's attempt and its place.
@@ -66,6 +72,9 @@
 	q    *request
 	n    int
 	done bool
+
+	unsent   bool // called off before a byte went out
+	neverRan bool // for certain
 }
 
 // New returns a Host of a new Balancer, which the watcher tells of the servers.
@@ -130,15 +139,27 @@
 		x.State = q
 		h.held[q.id] = q
 		q.alarm = h.after(&alarm{at: deadline, q: q})
-		h.b.Arrive(now, chalkrack.Request{
-			ID:       q.id,
-			Class:    class,
-			Tenant:   h.set.Tenant([]byte(x.Tenant)),
-			Deadline: deadline,
+		if h.recorder == nil {
+			h.admit(now, q)
+			return
+		}
+		q.pending = true
+		h.actions = append(h.actions, func() {
+			h.recorder.Begin(x, deadline-now, func(v Verdict) { h.begun(q, v) })
 		})
 	})
 }
 
+// admit brings a request to the Balancer.
+func (h *Host) admit(now time.Duration, q *request) {
+	h.b.Arrive(now, chalkrack.Request{
+		ID:       q.id,
+		Class:    h.set.Class([]byte(q.x.Class)),
+		Tenant:   h.set.Tenant([]byte(q.x.Tenant)),
+		Deadline: q.deadline,
+	})
+}
+
 // Gone implements front.Handler.
 func (h *Host) Gone(x *front.Exchange) (taken bool) {
 	h.locked(func(now time.Duration) {
@@ -239,6 +260,10 @@
 	a.Once = effect == chalkrack.Unsafe
 	q.attempts = append(q.attempts, a)
 	q.out++
+	if entry := q.entry; entry != nil {
+		h.actions = append(h.actions, func() { h.sendRecorded(entry, a) })
+		return
+	}
 	h.actions = append(h.actions, func() { h.pool.Start(&a.Attempt) })
 }
 
@@ -246,7 +271,7 @@
 func (h *Host) Cancel(id chalkrack.RequestID, n int) {
 	if q := h.held[id]; q != nil && n < len(q.attempts) {
 		a := q.attempts[n]
-		a.Abandon()
+		a.unsent = !a.Abandon()
 		h.actions = append(h.actions, func() {
 			a.Close()
 			a.Done(chalkrack.Cancelled, nil, chalkrack.Report{})
@@ -269,7 +294,7 @@
 	}
 	q.over = true
 	x := q.x
-	h.actions = append(h.actions, func() { answer(x) })
+	h.tell(q, q.came(), nil, func() { answer(x) })
 	h.forget(q)
 }
 
@@ -328,6 +353,7 @@
 // forget drops a request that needs nothing more, its deadline too.
 func (h *Host) forget(q *request) {
 	if q.over && q.out == 0 && q.x != nil {
+		h.tell(q, q.came(), nil, nil)
 		delete(h.held, q.id)
 		if q.alarm.place >= 0 {
 			heap.Remove(&h.alarms, q.alarm.place)
@@ -348,14 +374,17 @@
 		return
 	}
 	q := a.q
-	a.done = true
+	a.done, a.neverRan = true, a.unsent || o.NeverRan()
 	q.out--
 	switch {
 	case q.over:
+		if o == chalkrack.OK && ans != nil {
+			h.tell(q, Served, ans, nil) // too late for the client, not for the record
+		}
 	case o == chalkrack.OK && ans != nil:
 		q.over = true
 		x := q.x
-		h.actions = append(h.actions, func() { x.Serve(ans) })
+		h.tell(q, Served, ans, func() { x.Serve(ans) })
 	case o == chalkrack.OK: // nothing to show for it
 		o = chalkrack.Reset
 	}
@@ -380,6 +409,9 @@
 		h.actions = append(h.actions, a.Close)
 		h.done(now, a, o, nil, chalkrack.Report{})
 	}
+	if q.pending {
+		h.end(q.id, func(x *front.Exchange) { x.Refuse(h.set.Config.MaxRetryAfter / 10) }) // nothing was sent
+	}
 	if !q.over {
 		// Guards the rule of one final answer, whatever the Balancer makes of it.
 		slog.Error("request unanswered at its deadline", "class", q.x.Class)
--- /dev/null
+++ b/internal/standin/pgserver/server.go
@@ -0,0 +1,398 @@
+// Package pgserver is a stand-in for a PostgreSQL server, for tests over loopback: it
+// speaks the published frontend/backend protocol, version 3 (PostgreSQL's manual, part
+// VII, chapter "Frontend/Backend Protocol"), in front of an embedded SQLite database.
+// It runs the statements that this repository sends, unchanged, and causes on demand
+// what a real server does on bad days. What it does otherwise than PostgreSQL is said
+// in docs/design/record.md: above all, one transaction writes at a time, and a
+// statement whose result types it can't tell is an error.
+package pgserver
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+	_ "modernc.org/sqlite" // the engine
+)
+
+// Config says what the server is. The zero Config lets the user "app" in without a
+// password.
+type Config struct {
+	User, Password string
+	TLS            *tls.Config // nil: connections are plain
+	MostConns      int         // 0: 100
+	Dir            string      // of the database, which outlives the server; "": its own
+}
+
+// Stage is where a statement stands.
+type Stage string
+
+const (
+	Before Stage = "before" // it has not been carried out
+	After  Stage = "after"  // it has, and its reply has not gone out
+)
+
+// Event is a statement at a stage. N counts all events of the server from 1.
+type Event struct {
+	N     int64
+	Conn  int64 // counts from 1
+	Stage Stage
+	SQL   string
+}
+
+// Fault is what happens to a statement. The zero Fault is none.
+type Fault struct {
+	Delay time.Duration // first
+	Stall bool          // no more comes on the connection, until it is closed or canceled
+	Reset bool          // the connection is reset
+	Code  string        // SQLSTATE of an error; of class 57P it ends the connection
+}
+
+// Server is the stand-in.
+type Server struct {
+	cfg   Config
+	id    int64
+	ln    net.Listener
+	db    *sql.DB
+	dir   string
+	scram *scram.Server
+	end   chan struct{}
+	wg    sync.WaitGroup
+
+	events, conns atomic.Int64
+
+	mu       sync.Mutex
+	open     map[*session]struct{}
+	inject   func(Event) Fault
+	readOnly bool
+	skew     time.Duration
+	refuse   bool // connections are turned away
+}
+
+// servers finds a server for the SQL functions that need one.
+var servers sync.Map // id to *Server
+
+var ids atomic.Int64
+
+// Start starts a server on a free port of 127.0.0.1.
+func Start(cfg Config) (_ *Server, err error) {
+	if cfg.User == "" {
+		cfg.User = "app"
+	}
+	if cfg.MostConns == 0 {
+		cfg.MostConns = 100
+	}
+	s := &Server{cfg: cfg, id: ids.Add(1), dir: cfg.Dir, end: make(chan struct{}), open: make(map[*session]struct{})}
+	if cfg.Dir == "" {
+		if s.dir, err = os.MkdirTemp("", "pgserver"); err != nil {
+			return nil, fmt.Errorf("pgserver: %w", err)
+		}
+	}
+	if cfg.Password != "" {
+		if s.scram, err = credentials(cfg.User, cfg.Password); err != nil {
+			return nil, fmt.Errorf("pgserver: %w", err)
+		}
+	}
+	if err := functions(); err != nil {
+		return nil, fmt.Errorf("pgserver: %w", err)
+	}
+	q := url.Values{"_pragma": {"busy_timeout(20000)", "journal_mode(WAL)", "synchronous(NORMAL)"}}
+	if s.db, err = sql.Open("sqlite", "file:"+(&url.URL{Path: filepath.Join(s.dir, "data.db")}).EscapedPath()+"?"+q.Encode()); err != nil {
+		return nil, fmt.Errorf("pgserver: %w", err)
+	}
+	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		s.db.Close()
+		return nil, fmt.Errorf("pgserver: %w", err)
+	}
+	servers.Store(s.id, s)
+	s.wg.Go(s.accept)
+	return s, nil
+}
+
+// credentials makes what SCRAM-SHA-256 (RFC 7677) keeps of a password.
+func credentials(user, password string) (*scram.Server, error) {
+	// PostgreSQL takes the name from its start-up message and lets the one in SCRAM be
+	// empty; see the manual, "SASL Authentication".
+	client, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		return nil, err
+	}
+	salt := make([]byte, 16)
+	rand.Read(salt)
+	kept, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: 4096})
+	if err != nil {
+		return nil, err
+	}
+	return scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return kept, nil })
+}
+
+// Addr is where the server listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// URL is the connection string, without a password.
+func (s *Server) URL() string {
+	mode := "disable"
+	if s.cfg.TLS != nil {
+		mode = "require"
+	}
+	return fmt.Sprintf("postgres://%s@%s/app?sslmode=%s", s.cfg.User, s.Addr(), mode)
+}
+
+// Inject sets what is asked for each event, nil for no faults. It is called from the
+// connections' goroutines.
+func (s *Server) Inject(f func(Event) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inject = f
+}
+
+// SetReadOnly makes the server refuse writes, as a standby does.
+func (s *Server) SetReadOnly(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readOnly = on
+}
+
+// SetSkew sets the server's clock off by d.
+func (s *Server) SetSkew(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skew = d
+}
+
+// SetRefuse makes the server turn new connections away, as one does that starts up.
+func (s *Server) SetRefuse(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = on
+}
+
+// ResetAll resets all connections.
+func (s *Server) ResetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.reset()
+	}
+}
+
+// Conns is how many connections are open.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Events is how many events there were.
+func (s *Server) Events() int64 { return s.events.Load() }
+
+// Close ends the server and its connections.
+func (s *Server) Close() error {
+	close(s.end)
+	s.ln.Close()
+	s.ResetAll()
+	s.wg.Wait()
+	servers.Delete(s.id)
+	err := s.db.Close()
+	if s.cfg.Dir == "" {
+		os.RemoveAll(s.dir)
+	}
+	return err
+}
+
+func (s *Server) accept() {
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Go(func() { s.serve(nc) })
+	}
+}
+
+// startMost bounds a connection's start-up.
+const startMost = 10 * time.Second
+
+func (s *Server) serve(nc net.Conn) {
+	raw := nc
+	defer func() { nc.Close() }()
+	nc.SetDeadline(time.Now().Add(startMost))
+	b := pgproto3.NewBackend(nc, nc)
+	var start *pgproto3.StartupMessage
+	for start == nil {
+		m, err := b.ReceiveStartupMessage()
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest:
+			if s.cfg.TLS == nil {
+				nc.Write([]byte("N"))
+				continue
+			}
+			nc.Write([]byte("S"))
+			tc := tls.Server(nc, s.cfg.TLS)
+			if tc.Handshake() != nil {
+				return
+			}
+			nc = tc
+			b = pgproto3.NewBackend(nc, nc)
+		case *pgproto3.GSSEncRequest:
+			nc.Write([]byte("N"))
+		case *pgproto3.CancelRequest:
+			s.cancel(m)
+			return
+		case *pgproto3.StartupMessage:
+			start = m
+		}
+	}
+	c := &session{srv: s, raw: raw, nc: nc, b: b, n: s.conns.Add(1), statements: make(map[string]*statement), portals: make(map[string]*portal)}
+	var key [8]byte
+	rand.Read(key[:])
+	c.pid, c.secret = uint32(c.n), key[:4]
+	fatal := func(code, text string) {
+		b.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: text})
+		b.Flush()
+	}
+	s.mu.Lock()
+	refuse, crowded := s.refuse, len(s.open) >= s.cfg.MostConns
+	if !refuse && !crowded {
+		s.open[c] = struct{}{}
+	}
+	s.mu.Unlock()
+	switch {
+	case refuse:
+		fatal("57P03", "the database system is starting up")
+		return
+	case crowded:
+		fatal("53300", "sorry, too many clients already")
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+	}()
+	if err := s.authenticate(b, start); err != nil {
+		fatal("28P01", fmt.Sprintf("password authentication failed for user %q", start.Parameters["user"]))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startMost)
+	conn, err := s.db.Conn(ctx)
+	cancel()
+	if err != nil {
+		fatal("58000", err.Error())
+		return
+	}
+	defer conn.Close()
+	c.db = conn
+	if c.timeout, err = parseTimeout(start.Parameters["statement_timeout"]); err != nil {
+		fatal("22023", err.Error())
+		return
+	}
+	for name, value := range map[string]string{"server_version": "17.0 (stand-in)", "client_encoding": "UTF8", "standard_conforming_strings": "on",
+		"integer_datetimes": "on", "DateStyle": "ISO, MDY", "TimeZone": "UTC"} {
+		b.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+	b.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	b.Send(&pgproto3.NoticeResponse{Severity: "NOTICE", SeverityUnlocalized: "NOTICE", Code: "00000", Message: "this is a stand-in"})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if b.Flush() != nil {
+		return
+	}
+	nc.SetDeadline(time.Time{})
+	c.run()
+}
+
+// authenticate makes the SASL exchange of SCRAM-SHA-256, or lets the user in.
+func (s *Server) authenticate(b *pgproto3.Backend, start *pgproto3.StartupMessage) error {
+	if start.Parameters["user"] != s.cfg.User {
+		return errors.New("no such user")
+	}
+	if s.scram != nil {
+		b.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{"SCRAM-SHA-256"}})
+		if err := b.Flush(); err != nil {
+			return err
+		}
+		b.SetAuthType(pgproto3.AuthTypeSASL)
+		m, err := b.Receive()
+		if err != nil {
+			return err
+		}
+		first, ok := m.(*pgproto3.SASLInitialResponse)
+		if !ok || first.AuthMechanism != "SCRAM-SHA-256" {
+			return errors.New("no SASL response")
+		}
+		talk := s.scram.NewConversation()
+		say, err := talk.Step(string(first.Data))
+		if err != nil {
+			return err
+		}
+		b.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(say)})
+		if err := b.Flush(); err != nil {
+			return err
+		}
+		b.SetAuthType(pgproto3.AuthTypeSASLContinue)
+		if m, err = b.Receive(); err != nil {
+			return err
+		}
+		last, ok := m.(*pgproto3.SASLResponse)
+		if !ok {
+			return errors.New("no SASL response")
+		}
+		if say, err = talk.Step(string(last.Data)); err != nil || !talk.Valid() {
+			return errors.New("wrong password")
+		}
+		b.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(say)})
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+// cancel carries out a cancel request: the key tells whose.
+func (s *Server) cancel(m *pgproto3.CancelRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.pid == m.ProcessID && string(c.secret) == string(m.SecretKey) {
+			c.interrupt()
+		}
+	}
+}
+
+// now is the server's time, in seconds since 1970.
+func (s *Server) now() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(time.Now().Add(s.skew).UnixMicro()) / 1e6
+}
+
+func (s *Server) isReadOnly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readOnly
+}
+
+// fault asks what happens to a statement.
+func (s *Server) fault(c *session, stage Stage, text string) Fault {
+	n := s.events.Add(1)
+	s.mu.Lock()
+	inject := s.inject
+	s.mu.Unlock()
+	if inject == nil {
+		return Fault{}
+	}
+	return inject(Event{N: n, Conn: c.n, Stage: stage, SQL: text})
+}
--- /dev/null
+++ b/internal/standin/pgserver/session.go
@@ -0,0 +1,511 @@
+package pgserver
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+	driver "modernc.org/sqlite"
+	lib "modernc.org/sqlite/lib"
+)
+
+// session is one connection, served by one goroutine.
+type session struct {
+	srv     *Server
+	raw, nc net.Conn
+	b       *pgproto3.Backend
+	db      *sql.Conn
+	n       int64
+	pid     uint32
+	secret  []byte
+	timeout time.Duration // of a statement; 0: none
+
+	statements map[string]*statement
+	portals    map[string]*portal
+	status     byte // I: idle, T: in a transaction, E: in one that failed
+	skipping   bool // after an error, until Sync
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // of the statement under way; nil: none
+}
+
+// statement is one that was prepared.
+type statement struct {
+	*query
+}
+
+// portal is a statement with its parameters.
+type portal struct {
+	*query
+	args    []any
+	formats []int16 // of the results
+}
+
+var types = pgtype.NewMap()
+
+// failure is an error with its SQLSTATE.
+type failure struct {
+	code, text string
+}
+
+func (f *failure) Error() string { return f.code + ": " + f.text }
+
+// errGone ends a session.
+var errGone = errors.New("pgserver: the connection is over")
+
+func parseTimeout(ms string) (time.Duration, error) {
+	if ms == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(ms)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("invalid value for parameter \"statement_timeout\": %q", ms)
+	}
+	return time.Duration(n) * time.Millisecond, nil
+}
+
+func (c *session) reset() {
+	if t, ok := c.raw.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.raw.Close()
+	c.interrupt()
+}
+
+// interrupt cancels the statement under way.
+func (c *session) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
+func (c *session) run() {
+	c.status = 'I'
+	defer func() {
+		if c.status != 'I' { // its connection is gone: what it had begun is undone
+			ctx, cancel := context.WithTimeout(context.Background(), startMost)
+			c.db.ExecContext(ctx, "ROLLBACK")
+			cancel()
+		}
+	}()
+	for {
+		m, err := c.b.Receive()
+		if err != nil {
+			return
+		}
+		if _, sync := m.(*pgproto3.Sync); c.skipping && !sync {
+			if _, over := m.(*pgproto3.Terminate); over {
+				return
+			}
+			continue
+		}
+		err = c.handle(m)
+		if errors.Is(err, errGone) {
+			return
+		}
+		if err != nil {
+			if !c.fail(err) {
+				return
+			}
+			if _, simple := m.(*pgproto3.Query); simple {
+				c.ready()
+			} else {
+				c.skipping = true
+			}
+		}
+		switch m.(type) {
+		case *pgproto3.Sync, *pgproto3.Query, *pgproto3.Flush:
+			if c.b.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *session) ready() { c.b.Send(&pgproto3.ReadyForQuery{TxStatus: c.status}) }
+
+// fail sends an error; false if it ends the session.
+func (c *session) fail(err error) (goesOn bool) {
+	f := failed(err)
+	severity := "ERROR"
+	if strings.HasPrefix(f.code, "57P") {
+		severity = "FATAL"
+	}
+	c.b.Send(&pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: f.code, Message: f.text})
+	if severity == "FATAL" {
+		c.b.Flush()
+		return false
+	}
+	if c.status == 'T' {
+		c.status = 'E'
+	}
+	return true
+}
+
+// failed gives an error its SQLSTATE.
+func failed(err error) *failure {
+	if f, ok := errors.AsType[*failure](err); ok {
+		return f
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return &failure{"57014", "canceling statement due to user request or statement timeout"}
+	}
+	code := "XX000"
+	if e, ok := errors.AsType[*driver.Error](err); ok {
+		code = map[int]string{lib.SQLITE_CONSTRAINT: "23505", lib.SQLITE_BUSY: "55P03", lib.SQLITE_INTERRUPT: "57014",
+			lib.SQLITE_FULL: "53100", lib.SQLITE_READONLY: "25006", lib.SQLITE_ERROR: "42601"}[e.Code()&0xff]
+		switch text := e.Error(); {
+		case strings.Contains(text, "no such table"):
+			code = "42P01"
+		case strings.Contains(text, "already exists"):
+			code = "42P07"
+		case strings.Contains(text, "no such column"):
+			code = "42703"
+		case code == "":
+			code = "XX000"
+		}
+	}
+	return &failure{code, err.Error()}
+}
+
+func (c *session) handle(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return c.simple(m.String)
+	case *pgproto3.Parse:
+		q, err := c.srv.parse(m.Query, m.ParameterOIDs)
+		if err != nil {
+			return err
+		}
+		c.statements[m.Name] = &statement{q}
+		c.b.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Describe:
+		return c.describe(m)
+	case *pgproto3.Bind:
+		return c.bind(m)
+	case *pgproto3.Execute:
+		p := c.portals[m.Portal]
+		if p == nil {
+			return &failure{"34000", fmt.Sprintf("portal %q does not exist", m.Portal)}
+		}
+		return c.execute(p)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.statements, m.Name)
+		} else {
+			delete(c.portals, m.Name)
+		}
+		c.b.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Sync:
+		c.skipping = false
+		clear(c.portals)
+		c.ready()
+	case *pgproto3.Flush:
+	case *pgproto3.Terminate:
+		return errGone
+	default:
+		return &failure{"0A000", fmt.Sprintf("the stand-in does not take %T", m)}
+	}
+	return nil
+}
+
+// simple is a query of the simple protocol: one statement or several.
+func (c *session) simple(text string) error {
+	parts := split(text)
+	if len(parts) == 0 {
+		c.b.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for _, part := range parts {
+		q, err := c.srv.parse(part, nil)
+		if err != nil {
+			return err
+		}
+		if len(q.params) > 0 {
+			return &failure{"42P02", "there is no parameter $1"}
+		}
+		if len(q.columns) > 0 {
+			c.b.Send(q.description(nil))
+		}
+		if err := c.execute(&portal{query: q}); err != nil {
+			return err
+		}
+	}
+	c.ready()
+	return nil
+}
+
+func (c *session) describe(m *pgproto3.Describe) error {
+	var q *query
+	var formats []int16
+	if m.ObjectType == 'S' {
+		s := c.statements[m.Name]
+		if s == nil {
+			return &failure{"26000", fmt.Sprintf("prepared statement %q does not exist", m.Name)}
+		}
+		q = s.query
+		c.b.Send(&pgproto3.ParameterDescription{ParameterOIDs: q.params})
+	} else {
+		p := c.portals[m.Name]
+		if p == nil {
+			return &failure{"34000", fmt.Sprintf("portal %q does not exist", m.Name)}
+		}
+		q, formats = p.query, p.formats
+	}
+	if len(q.columns) == 0 {
+		c.b.Send(&pgproto3.NoData{})
+	} else {
+		c.b.Send(q.description(formats))
+	}
+	return nil
+}
+
+// format is that of field n, by the rule of Bind: none, one for all, or one each.
+func format(formats []int16, n int) int16 {
+	switch {
+	case len(formats) == 1:
+		return formats[0]
+	case n < len(formats):
+		return formats[n]
+	}
+	return 0
+}
+
+func (c *session) bind(m *pgproto3.Bind) error {
+	s := c.statements[m.PreparedStatement]
+	if s == nil {
+		return &failure{"26000", fmt.Sprintf("prepared statement %q does not exist", m.PreparedStatement)}
+	}
+	if len(m.Parameters) != len(s.params) {
+		return &failure{"08P01", fmt.Sprintf("bind message supplies %d parameters, but prepared statement %q requires %d", len(m.Parameters), m.PreparedStatement, len(s.params))}
+	}
+	p := &portal{query: s.query, formats: append([]int16(nil), m.ResultFormatCodes...)}
+	for n, raw := range m.Parameters {
+		v, err := decode(s.params[n], format(m.ParameterFormatCodes, n), raw)
+		if err != nil {
+			return &failure{"22P02", fmt.Sprintf("parameter $%d: %v", n+1, err)}
+		}
+		p.args = append(p.args, v)
+	}
+	c.portals[m.DestinationPortal] = p
+	c.b.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func decode(oid uint32, format int16, raw []byte) (any, error) {
+	if raw == nil {
+		return nil, nil
+	}
+	switch oid {
+	case pgtype.Int8OID:
+		var v int64
+		err := types.Scan(oid, format, raw, &v)
+		return v, err
+	case pgtype.BoolOID:
+		var v bool
+		err := types.Scan(oid, format, raw, &v)
+		return v, err
+	case pgtype.ByteaOID:
+		var v []byte
+		err := types.Scan(oid, format, raw, &v)
+		if v == nil {
+			v = []byte{}
+		}
+		return v, err
+	case pgtype.TextOID:
+		return string(raw), nil
+	}
+	return nil, fmt.Errorf("the stand-in has no type of OID %d", oid)
+}
+
+// execute carries a statement out and sends its rows.
+func (c *session) execute(p *portal) error {
+	if c.status == 'E' && p.kind != rollback && p.kind != commit {
+		return &failure{"25P02", "current transaction is aborted, commands ignored until end of transaction block"}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if c.timeout > 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), c.timeout)
+	}
+	defer cancel()
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.cancel = nil
+		c.mu.Unlock()
+	}()
+	if err := c.suffer(ctx, Before, p.text); err != nil {
+		return err
+	}
+	if p.writes && c.srv.isReadOnly() {
+		return &failure{"25006", "cannot execute " + strings.ToUpper(p.kind) + " in a read-only transaction"}
+	}
+	rows, tag, err := c.carryOut(ctx, p)
+	if err != nil {
+		return err
+	}
+	if err := c.suffer(ctx, After, p.text); err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var out [][]byte
+		for n, v := range row {
+			b, err := encode(p.columns[n].oid, format(p.formats, n), v)
+			if err != nil {
+				return &failure{"XX000", fmt.Sprintf("column %s: %v", p.columns[n].name, err)}
+			}
+			out = append(out, b)
+		}
+		c.b.Send(&pgproto3.DataRow{Values: out})
+	}
+	c.b.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// suffer does what the fault of a statement's stage says.
+func (c *session) suffer(ctx context.Context, stage Stage, text string) error {
+	f := c.srv.fault(c, stage, text)
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.srv.end:
+			return errGone
+		}
+	}
+	switch {
+	case f.Stall:
+		// What is written already is held back too: a hung server says nothing.
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.srv.end:
+		}
+		return errGone
+	case f.Reset:
+		c.reset()
+		return errGone
+	case f.Code != "":
+		return &failure{f.Code, "injected"}
+	}
+	return nil
+}
+
+// rowsMost is how many rows a statement may return.
+const rowsMost = 20000
+
+func (c *session) carryOut(ctx context.Context, p *portal) (rows [][]any, tag string, err error) {
+	switch p.kind {
+	case begin:
+		if c.status != 'I' {
+			c.b.Send(&pgproto3.NoticeResponse{Severity: "WARNING", SeverityUnlocalized: "WARNING", Code: "25001", Message: "there is already a transaction in progress"})
+			return nil, "BEGIN", nil
+		}
+		if _, err := c.db.ExecContext(ctx, "BEGIN IMMEDIATE"); err != nil {
+			return nil, "", err
+		}
+		c.status = 'T'
+		return nil, "BEGIN", nil
+	case commit, rollback:
+		was := c.status
+		if was == 'I' {
+			c.b.Send(&pgproto3.NoticeResponse{Severity: "WARNING", SeverityUnlocalized: "WARNING", Code: "25P01", Message: "there is no transaction in progress"})
+			return nil, strings.ToUpper(p.kind), nil
+		}
+		if was == 'E' || p.kind == rollback {
+			tag = "ROLLBACK"
+		} else {
+			tag = "COMMIT"
+		}
+		if _, err := c.db.ExecContext(context.WithoutCancel(ctx), tag); err != nil {
+			return nil, "", err
+		}
+		c.status = 'I'
+		return nil, tag, nil
+	}
+	if len(p.columns) == 0 {
+		r, err := c.db.ExecContext(ctx, p.sqlite, p.args...)
+		if err != nil {
+			return nil, "", err
+		}
+		n, err := r.RowsAffected()
+		switch p.kind {
+		case "insert":
+			tag = fmt.Sprintf("INSERT 0 %d", n)
+		case "update", "delete":
+			tag = fmt.Sprintf("%s %d", strings.ToUpper(p.kind), n)
+		default:
+			tag = strings.ToUpper(p.kind)
+		}
+		return nil, tag, err
+	}
+	r, err := c.db.QueryContext(ctx, p.sqlite, p.args...)
+	if err != nil {
+		return nil, "", err
+	}
+	defer r.Close()
+	for r.Next() {
+		row := make([]any, len(p.columns))
+		to := make([]any, len(row))
+		for n := range row {
+			to[n] = &row[n]
+		}
+		if err := r.Scan(to...); err != nil {
+			return nil, "", err
+		}
+		if rows = append(rows, row); len(rows) > rowsMost {
+			return nil, "", &failure{"54000", fmt.Sprintf("the stand-in returns %d rows at most", rowsMost)}
+		}
+	}
+	if err := r.Err(); err != nil {
+		return nil, "", err
+	}
+	tag = fmt.Sprintf("SELECT %d", len(rows))
+	if p.kind == "insert" {
+		tag = fmt.Sprintf("INSERT 0 %d", len(rows))
+	} else if p.kind != "select" {
+		tag = fmt.Sprintf("%s %d", strings.ToUpper(p.kind), len(rows))
+	}
+	return rows, tag, nil
+}
+
+func encode(oid uint32, format int16, v any) ([]byte, error) {
+	if v == nil {
+		return nil, nil
+	}
+	switch oid {
+	case pgtype.BoolOID:
+		if n, ok := v.(int64); ok {
+			v = n != 0
+		}
+	case pgtype.TextOID:
+		if b, ok := v.([]byte); ok {
+			v = string(b)
+		}
+	case pgtype.ByteaOID:
+		if s, ok := v.(string); ok {
+			v = []byte(s)
+		}
+	case voidOID:
+		return []byte{}, nil
+	}
+	b, err := types.Encode(oid, format, v, nil)
+	if b == nil && err == nil {
+		b = []byte{}
+	}
+	return b, err
+}
--- a/test.sh
+++ b/test.sh
@@ -15,4 +15,7 @@
 test -n "$build"
 sh -c "$build"
 test -x bin/drill
+# The sidecar that has the store of record is a build of its own.
+go vet -tags record ./cmd/fawnrock
+go test -race -count=1 -tags record ./cmd/fawnrock
 go test -race -count=1 ./...
