Kill a recording sidecar at every point in turn and ask again with the same key

Need: that no keyed request runs twice or is lost over a restart has to be shown point by point, not for some.

Change: internal/record/e2e runs a whole sidecar as a child process over SQLite or the PostgreSQL stand-in, counts the points in a run without a kill (in the sidecar round each step of the record, at a server, at the client, at each of the database's statements), and dies at each of them in a run of its own; a new sidecar over the same record is asked again.

--- /dev/null
+++ b/internal/record/e2e/crash_test.go
@@ -0,0 +1,298 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chalkrack/internal/record"
+	"chalkrack/internal/standin/pgserver"
+	"chalkrack/internal/standin/shop"
+)
+
+// process is a sidecar in a process of its own.
+type process struct {
+	cmd   *exec.Cmd
+	addr  string
+	in    func() error
+	out   *bufio.Reader
+	err   bytes.Buffer
+	death sync.Once
+}
+
+func launch(p *plan) (*process, error) {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	c := &process{cmd: exec.Command(os.Args[0])}
+	c.cmd.Env = append(os.Environ(), "E2E_RECORD="+string(text))
+	c.cmd.Stderr = &c.err
+	in, err := c.cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.in = in.Close
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.out = bufio.NewReader(out)
+	if err := c.cmd.Start(); err != nil {
+		return nil, err
+	}
+	line, err := c.out.ReadString('\n')
+	if addr, ok := strings.CutPrefix(strings.TrimSpace(line), "ready "); ok {
+		c.addr = addr
+		return c, nil
+	}
+	c.end()
+	return nil, fmt.Errorf("the sidecar did not start: %v %s", err, c.err.String())
+}
+
+func (c *process) kill() { c.cmd.Process.Kill() }
+
+// end kills the process, if it still runs, and waits for it.
+func (c *process) end() {
+	c.death.Do(func() {
+		c.cmd.Process.Kill()
+		c.cmd.Wait()
+	})
+}
+
+// points ends the process in peace and returns how many points it passed.
+func (c *process) points() (n int64, err error) {
+	c.in()
+	line, err := c.out.ReadString('\n')
+	if _, scanErr := fmt.Sscanf(line, "points %d", &n); scanErr != nil {
+		return 0, fmt.Errorf("%q %v", line, err)
+	}
+	return n, nil
+}
+
+// Kinds of crash points, by where they are counted.
+const (
+	inSidecar  = "in the sidecar"  // it kills itself
+	atServer   = "at a server"     // it is killed while a server has its request
+	atClient   = "at the client"   // it is killed when the client has sent, or has its answer
+	atDatabase = "at the database" // it is killed before or after a statement
+)
+
+// crash is one way to run a request.
+type crash struct {
+	store string
+	class string
+	name  string
+	act   func(hit int) act
+}
+
+func (c crash) String() string { return c.store + " " + c.class + " " + c.name }
+
+// tally is what became of the keys.
+type tally struct {
+	mu                                    sync.Mutex
+	runs, answered, refused, may, retried int
+	byKind                                map[string]int
+}
+
+// A sidecar is killed at each point in turn: they are counted in a run without a kill,
+// and then each is died at in a run of its own. A new sidecar over the same record is
+// asked again with the same key. Nothing runs twice, and each key ends answered,
+// refused and then carried out, or listed as one that may have run.
+func TestCrashAtEveryPoint(t *testing.T) {
+	first := func(a act) func(int) act {
+		return func(hit int) act {
+			if hit == 1 {
+				return a
+			}
+			return act{}
+		}
+	}
+	served := crash{name: "served", act: func(int) act { return act{} }}
+	declined := crash{name: "turned away once", act: first(act{decline: true})}
+	reset := crash{name: "run, then reset", act: first(act{reset: true})}
+	half := crash{name: "half an answer", act: first(act{half: true})}
+	failed := crash{name: "run, then 500", act: first(act{fail: true})}
+	refused := crash{name: "turned away by all", act: func(int) act { return act{decline: true} }}
+	total := &tally{byKind: make(map[string]int)}
+	t.Run("all", func(t *testing.T) {
+		for _, store := range []string{"sqlite", "postgres"} {
+			for class, cs := range map[string][]crash{
+				"activate":    {served, declined, reset, half, failed, refused},
+				"id-register": {served, reset, refused},
+				"report":      {served, reset},
+			} {
+				for _, c := range cs {
+					c.store, c.class = store, class
+					t.Run(c.String(), func(t *testing.T) {
+						t.Parallel()
+						c.run(t, total)
+					})
+				}
+			}
+		}
+	})
+	t.Logf("%d runs that were killed: %v; keys: %d answered, %d of them asked again after a refusal, %d refused for good, %d may have run",
+		total.runs, total.byKind, total.answered, total.retried, total.refused, total.may)
+	if total.runs < 300 || total.answered == 0 || total.may == 0 || total.retried == 0 {
+		t.Error("too few points, or one of the ends never came")
+	}
+}
+
+func (c crash) run(t *testing.T, total *tally) {
+	dir := t.TempDir()
+	w := &world{runs: make(map[string]int)}
+	s, err := shop.NewWith(3, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var pg *pgserver.Server
+	if c.store == "postgres" {
+		if pg, err = pgserver.Start(pgserver.Config{}); err != nil {
+			t.Fatal(err)
+		}
+		defer pg.Close()
+	}
+	n := 0
+	counts := c.once(t, s, w, pg, dir, &n, "", 0, nil)
+	for kind, most := range counts {
+		for at := int64(1); at <= most; at++ {
+			c.once(t, s, w, pg, dir, &n, kind, at, total)
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
+
+// once makes one request, whose sidecar dies at point at of a kind, and asks again.
+// Without a kind nothing dies, and the points are counted.
+func (c crash) once(t *testing.T, s *shop.Shop, w *world, pg *pgserver.Server, dir string, n *int, kind string, at int64, total *tally) map[string]int64 {
+	t.Helper()
+	*n++
+	q := request{class: c.class, key: fmt.Sprintf("key%d", *n)}
+	p := &plan{Servers: s.Addrs()}
+	if pg != nil {
+		p.Postgres = pg.URL()
+	} else {
+		p.SQLite = filepath.Join(dir, "record.db")
+	}
+	if kind == inSidecar {
+		p.CrashAt = at
+	}
+	child, err := launch(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer child.end()
+	var server, client, database atomic.Int64
+	dies := func(where string, count *atomic.Int64) {
+		if count.Add(1) == at && kind == where {
+			child.kill()
+			child.cmd.Process.Wait() // dead before it can do more
+		}
+	}
+	w.mu.Lock()
+	w.hits, w.act, w.at = 0, c.act, func(string) { dies(atServer, &server) }
+	w.mu.Unlock()
+	if pg != nil {
+		pg.Inject(func(pgserver.Event) pgserver.Fault {
+			dies(atDatabase, &database)
+			return pgserver.Fault{}
+		})
+	}
+	first, err := ask(child.addr, q, func() { dies(atClient, &client) })
+	if err != nil {
+		t.Fatalf("%v, %s %d: %v", c, kind, at, err)
+	}
+	dies(atClient, &client)
+	if kind == "" {
+		points, err := child.points()
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts := map[string]int64{inSidecar: points, atServer: server.Load(), atClient: client.Load()}
+		if pg != nil {
+			counts[atDatabase] = database.Load()
+		}
+		return counts
+	}
+	child.end()
+	if pg != nil {
+		pg.Inject(nil)
+		pg.SetSkew(time.Duration(*n) * time.Minute) // the dead owner's time is over
+	}
+	w.mu.Lock()
+	w.hits, w.act, w.at = 0, nil, nil
+	w.mu.Unlock()
+	again, err := start(p, nil)
+	if err != nil {
+		t.Fatalf("%v, %s %d: %v", c, kind, at, err)
+	}
+	defer again.stop()
+	c.judge(t, w, again, q, first, fmt.Sprintf("%v, %s, point %d, first %v", c, kind, at, first.status), kind, total)
+	return nil
+}
+
+func (c crash) judge(t *testing.T, w *world, n *node, q request, first answer, where, kind string, total *tally) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	row, err := n.backend.Get(ctx, q.class, q.key)
+	if err != nil {
+		t.Fatalf("%s: %v", where, err)
+	}
+	before := w.ran(q)
+	a, err := ask(n.addr, q, nil)
+	if err != nil {
+		t.Fatalf("%s: %v", where, err)
+	}
+	total.mu.Lock()
+	defer total.mu.Unlock()
+	total.runs++
+	total.byKind[kind]++
+	switch {
+	case w.ran(q) > 1:
+		t.Errorf("%s: it ran %d times; row %+v", where, w.ran(q), row)
+	case a.status == http.StatusOK:
+		total.answered++
+		if w.ran(q) != 1 || first.status == http.StatusOK && a.body != first.body || a.body != "done: "+q.class+" "+q.key {
+			t.Errorf("%s: answered %q, at first %q, ran %d times", where, a.body, first.body, w.ran(q))
+		}
+		if first.status == http.StatusServiceUnavailable {
+			total.retried++
+		}
+	case a.status == http.StatusServiceUnavailable:
+		total.refused++
+		t.Errorf("%s: refused though the store and the servers are well", where)
+	case a.status == http.StatusConflict && strings.HasPrefix(a.state, "may-have-run"):
+		total.may++
+		rows, err := n.backend.List(ctx, record.Filter{State: record.MayHaveRun, Class: q.class, Most: 10000})
+		listed := false
+		for _, r := range rows {
+			listed = listed || r.Key == q.key
+		}
+		switch {
+		case err != nil || !listed:
+			t.Errorf("%s: it may have run and is not listed: %v", where, err)
+		case first.status == http.StatusOK || first.status == http.StatusServiceUnavailable:
+			t.Errorf("%s: what the client was told (%d) was not kept", where, first.status)
+		case row.Attempts == 0 && row.State != record.MayHaveRun:
+			t.Errorf("%s: nothing was sent, and it is said to may have run: %+v", where, row)
+		}
+	default:
+		t.Errorf("%s: asked again: %+v (ran %d, before %d, row %+v)", where, a, w.ran(q), before, row)
+	}
+}
--- a/internal/standin/shop/shop.go
+++ b/internal/standin/shop/shop.go
@@ -21,15 +21,38 @@
 type Shop struct {
 	Discovery string // its address
 
-	mu   sync.Mutex
-	runs map[string]int // executions by Req-Id
-	srvs []*http.Server
-	end  chan struct{}
-	wg   sync.WaitGroup
+	mu    sync.Mutex
+	runs  map[string]int // executions by Req-Id
+	srvs  []*http.Server
+	addrs []string
+	end   chan struct{}
+	wg    sync.WaitGroup
 }
 
 // New starts n servers and a discovery. Each request takes the servers work.
 func New(n int, work time.Duration) (*Shop, error) {
+	return NewWith(n, func(s *Shop, name string, w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Req-Id")
+		io.Copy(io.Discard, r.Body)
+		s.Ran(id)
+		time.Sleep(work)
+		fmt.Fprintf(w, "%s by %s", id, name)
+	})
+}
+
+// Ran counts an execution.
+func (s *Shop) Ran(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
+// Addrs are the servers' addresses.
+func (s *Shop) Addrs() []string { return s.addrs }
+
+// NewWith starts n servers that do with each request what serve says, which counts by
+// Ran what it carries out.
+func NewWith(n int, serve func(s *Shop, name string, w http.ResponseWriter, r *http.Request)) (*Shop, error) {
 	s := &Shop{runs: make(map[string]int), end: make(chan struct{})}
 	type endpoint struct {
 		Name    string  `json:"name"`
@@ -42,22 +65,17 @@
 	for i := range n {
 		name := fmt.Sprintf("activation-%d", i+1)
 		addr, err := s.serve(func(w http.ResponseWriter, r *http.Request) {
-			id := r.Header.Get("Req-Id")
-			if id == "" {
+			if r.Header.Get("Req-Id") == "" {
 				http.NotFound(w, r)
 				return
 			}
-			io.Copy(io.Discard, r.Body)
-			s.mu.Lock()
-			s.runs[id]++
-			s.mu.Unlock()
-			time.Sleep(work)
-			fmt.Fprintf(w, "%s by %s", id, name)
+			serve(s, name, w, r)
 		})
 		if err != nil {
 			s.Close()
 			return nil, err
 		}
+		s.addrs = append(s.addrs, addr)
 		list = append(list, endpoint{Name: name, Address: addr, Zone: "jakarta", Status: "up", Weight: 1})
 	}
 	line, err := json.Marshal(map[string]any{"index": 1, "snapshot": true, "endpoints": list})
