--- a/internal/record/keeper/commit.go
+++ b/internal/record/keeper/commit.go
@@ -110,6 +110,11 @@
 func (s *shard) run() {
 	c := s.c
 	for {
+		// Also with nothing to write: while the breaker is open, nothing is queued that
+		// could close it.
+		if !s.ready() {
+			return
+		}
 		batch, late := s.take()
 		for _, j := range late {
 			s.finish(j, fmt.Errorf("%w: it took too long", ErrAway))
@@ -125,10 +130,6 @@
 			}
 			continue
 		}
-		if !s.ready() {
-			s.back(batch)
-			return
-		}
 		s.write(batch)
 		select {
 		case <-c.end:
@@ -224,6 +225,9 @@
 	c.breaker.Failed(c.now(), err.Error(), rand.Float64())
 	if is, _, _ := c.breaker.Open(); is && !was {
 		slog.Warn("the store is away", "err", err)
+		for _, s := range c.shards {
+			s.kick()
+		}
 	}
 }
 
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -108,7 +108,7 @@
 	close(k.end)
 	k.c.close(ctx)
 	k.wg.Wait()
-	k.writeGaps()
+	k.WriteGaps()
 	return k.backend.Close()
 }
 
@@ -129,7 +129,10 @@
 	t := time.AfterFunc(wait, func() {
 		once.Do(func() {
 			k.count("waited in vain")
-			then(fmt.Errorf("%w: no word within %v", ErrAway, wait))
+			err := fmt.Errorf("%w: no word within %v", ErrAway, wait)
+			// Also while a call hangs: else each request would wait until that ends.
+			k.c.note(err, 0)
+			then(err)
 		})
 	})
 	j.done = func(err error) {
@@ -355,7 +358,7 @@
 		if k.away() {
 			continue
 		}
-		k.writeGaps()
+		k.WriteGaps()
 		for {
 			ctx, cancel := context.WithTimeout(context.Background(), k.cfg.Statement)
 			n, err := k.backend.Sweep(ctx, k.cfg.Keep, sweepMost)
@@ -382,7 +385,7 @@
 	return open
 }
 
-func (k *Keeper) writeGaps() {
+func (k *Keeper) WriteGaps() {
 	k.mu.Lock()
 	gaps := k.gaps
 	k.gaps = make(map[string]*record.Gap)
