--- a/cmd/martendrum/view.go
+++ b/cmd/martendrum/view.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -68,7 +69,7 @@
 				{"instance", i.Name}, {"host", i.Host}, {"labels", fmt.Sprint(i.Labels)}, {"listen", i.Listen}, {"desired", i.Desired},
 				{"state", i.State + " for " + ago(i.Since)}, {"reason", i.Reason}, {"release", i.Release}, {"running", i.Running}, {"previous", i.Previous},
 				{"generation", fmt.Sprintf("%d, of the process %d", i.Generation, i.Process)}, {"pid", fmt.Sprint(i.PID)}, {"launched", ago(i.Launched) + " ago"},
-				{"restarts", fmt.Sprint(i.Restarts)}, {"last exit", i.LastExit}, {"operation", i.Operation}, {"held by", i.Holder},
+				{"restarts", fmt.Sprint(i.Restarts)}, {"last exit", i.LastExit}, {"record", i.Record}, {"operation", i.Operation}, {"held by", i.Holder},
 			} {
 				fmt.Fprintf(w, "%s\t%s\n", l[0], l[1])
 			}
@@ -192,6 +193,9 @@
 				if i.Operation != "" {
 					note = "operation " + i.Operation + " " + note
 				}
+				if strings.Contains(i.Record, "; breaker=") && !strings.Contains(i.Record, "; breaker=closed") {
+					note += " its store of record is away"
+				}
 				rel := short(i.Release)
 				if i.Running != "" && i.Running != i.Release {
 					rel = short(i.Running) + " -> " + rel
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -40,7 +40,7 @@
 	Start(s proc.Spec) (*Process, error)
 	Adopt(ctx context.Context, pid int, ticks uint64) (*Process, error)
 	Find(prefix string) map[string]proc.Found
-	Health(ctx context.Context, addr string, most time.Duration) (sum string, err error)
+	Health(ctx context.Context, addr string, most time.Duration) (proc.Healthy, error)
 	Boot() string
 }
 
@@ -69,7 +69,7 @@
 }
 func (Processes) Find(prefix string) map[string]proc.Found { return proc.Find(prefix) }
 func (Processes) Boot() string                             { return proc.Boot() }
-func (Processes) Health(ctx context.Context, addr string, most time.Duration) (string, error) {
+func (Processes) Health(ctx context.Context, addr string, most time.Duration) (proc.Healthy, error) {
 	return proc.Health(ctx, addr, most)
 }
 
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -54,6 +54,7 @@
 type InstanceConfig struct {
 	Name   string            `toml:"name"`
 	Config string            `toml:"config"` // the sidecar's configuration, JSON, as BALANCER_CONFIG names it
+	Record string            `toml:"record"` // its store of record's file; "": none
 	Labels map[string]string `toml:"labels"`
 	Stop   bool              `toml:"stopped"` // at first; later the record tells
 
@@ -88,8 +89,10 @@
 		}
 	}
 	for n := range c.Instances {
-		if p := &c.Instances[n].Config; *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
+		for _, p := range []*string{&c.Instances[n].Config, &c.Instances[n].Record} {
+			if *p != "" && !filepath.IsAbs(*p) {
+				*p = filepath.Join(dir, *p)
+			}
 		}
 	}
 	if err := c.check(); err != nil {
@@ -151,6 +154,11 @@
 		if err != nil {
 			return fmt.Errorf("instance %s: config: %w", i.Name, err)
 		}
+		if i.Record != "" {
+			if _, err := os.Stat(i.Record); err != nil {
+				return fmt.Errorf("instance %s: record: %w", i.Name, err)
+			}
+		}
 		var base struct{ Listen string }
 		if err := json.Unmarshal(data, &base); err != nil {
 			return fmt.Errorf("instance %s: config %s: %w", i.Name, i.Config, err)
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -40,13 +40,14 @@
 	cfg  InstanceConfig
 	wake chan struct{}
 
-	row   store.Instance
-	life  *life.Life
-	proc  *Process
-	step  *api.Step // under way, nil for none
-	dirty bool      // the record may lack its row or steps
-	gone  int64     // generation of a process that ended on its own, the latest
-	sum   string    // of the configuration that the process says it runs
+	row    store.Instance
+	life   *life.Life
+	proc   *Process
+	step   *api.Step // under way, nil for none
+	dirty  bool      // the record may lack its row or steps
+	gone   int64     // generation of a process that ended on its own, the latest
+	sum    string    // of the configuration that the process says it runs
+	record string    // how it says that its store of record does
 
 	wantSum string    // of the configuration last written for it
 	hupAt   time.Time // of the step's SIGHUP
@@ -189,7 +190,7 @@
 		a.told(i, nil)
 		return kinds
 	}
-	i.proc, i.sum = p, ""
+	i.proc, i.sum, i.record = p, "", ""
 	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
 	kinds := i.life.Launched(now)
 	a.told(i, nil)
@@ -204,7 +205,8 @@
 	if err := a.configure(i, row.Release, random()); err != nil {
 		return nil, err
 	}
-	env := append(os.Environ(), "BALANCER_NAME="+row.Name, "BALANCER_LISTEN="+i.cfg.listen, "BALANCER_CONFIG="+a.configPath(row.Name))
+	env := append(os.Environ(), "BALANCER_NAME="+row.Name, "BALANCER_LISTEN="+i.cfg.listen, "BALANCER_CONFIG="+a.configPath(row.Name),
+		"MARTENDRUM_RECORD="+i.cfg.Record) // also where it has none: not the agent's own
 	return a.machine.Start(proc.Spec{
 		Launch: row.Launch, Path: a.releases.Path(row.Release, release.Sidecar), Dir: a.cfg.StateDir, Env: env, Log: a.logPath(row.Name),
 	})
@@ -235,7 +237,7 @@
 
 // health makes a health call and takes what it tells.
 func (a *Agent) health(i *instance, p *Process) {
-	sum, err := a.machine.Health(a.ctx, i.cfg.listen, healthMost)
+	says, err := a.machine.Health(a.ctx, i.cfg.listen, healthMost)
 	why := ""
 	if err != nil {
 		why = err.Error()
@@ -253,7 +255,7 @@
 	before := i.life.Phase()
 	i.life.Health(time.Now(), err == nil, why)
 	if err == nil {
-		i.sum = sum
+		i.sum, i.record = says.ConfigSum, says.Record
 	}
 	if i.life.Phase() != before {
 		a.bump()
@@ -273,7 +275,7 @@
 		i.gone = i.row.Process
 		slog.Warn("sidecar ended on its own", "instance", i.cfg.Name, "pid", p.PID, "how", how)
 	}
-	i.proc, i.sum = nil, ""
+	i.proc, i.sum, i.record = nil, "", ""
 	i.row.Launch, i.row.PID, i.row.Process, i.row.Running, i.row.LastExit = "", 0, 0, "", how
 	kinds := i.life.Exited(now, how)
 	a.told(i, nil)
@@ -401,6 +403,7 @@
 		Release: i.row.Release, Running: i.row.Running, Previous: i.row.Previous,
 		Generation: i.row.Generation, Process: i.row.Process, PID: i.row.PID,
 		Launched: i.row.Launched, Since: i.life.Since(), Restarts: i.row.Restarts, LastExit: i.row.LastExit,
+		Record: i.record,
 	}
 	if l := a.leases.ByInstance[i.cfg.Name]; l.Live(time.Now()) {
 		out.Holder = l.Holder
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -148,8 +148,9 @@
 	Since      time.Time `msgpack:"since" json:"since"` // of State
 	Restarts   int64     `msgpack:"restarts" json:"restarts"`
 	LastExit   string    `msgpack:"last_exit" json:"last_exit,omitempty"`
-	Operation  string    `msgpack:"operation" json:"operation,omitempty"` // open on it
-	Holder     string    `msgpack:"holder" json:"holder,omitempty"`       // of a live lease
+	Record     string    `msgpack:"record,omitempty" json:"record,omitempty"` // how its store of record does, by its own word
+	Operation  string    `msgpack:"operation" json:"operation,omitempty"`     // open on it
+	Holder     string    `msgpack:"holder" json:"holder,omitempty"`           // of a live lease
 }
 
 type ListOut struct {
--- a/internal/record/sqlite/sqlite.go
+++ b/internal/record/sqlite/sqlite.go
@@ -134,12 +134,14 @@
 }
 
 func (s *Store) migrate(ctx context.Context, to int) error {
-	var ok string
-	if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
-		if err == nil {
-			err = errors.New(ok)
+	if s.cfg.Owner { // others may look into what is left of a damaged file
+		var ok string
+		if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
+			if err == nil {
+				err = errors.New(ok)
+			}
+			return damaged(err)
 		}
-		return damaged(err)
 	}
 	var have int
 	if err := s.db.QueryRowContext(ctx, "PRAGMA user_version").Scan(&have); err != nil {
--- a/internal/standin/simhost/simhost.go
+++ b/internal/standin/simhost/simhost.go
@@ -121,18 +121,18 @@
 }
 
 // Health implements agent.Machine.
-func (h *Host) Health(_ context.Context, addr string, _ time.Duration) (string, error) {
+func (h *Host) Health(_ context.Context, addr string, _ time.Duration) (proc.Healthy, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range h.procs {
 		if p.addr == addr && !ended(p) {
 			if time.Now().Before(p.ready) {
-				return "", errors.New("health: answered 503")
+				return proc.Healthy{}, errors.New("health: answered 503")
 			}
-			return "", nil
+			return proc.Healthy{}, nil
 		}
 	}
-	return "", errors.New("connection refused")
+	return proc.Healthy{}, errors.New("connection refused")
 }
 
 // Boot implements agent.Machine.
