--- a/cmd/martendrum/record.go
+++ b/cmd/martendrum/record.go
@@ -78,7 +78,8 @@
 func recordCommand(g *global) *cobra.Command {
 	r := &recording{global: g}
 	root := &cobra.Command{
-		Use: "record", GroupID: "view", Short: "Look into a store of record, and settle what may have run",
+		Use: "record", GroupID: "view", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+		Short: "Look into a store of record, and settle what may have run",
 		Long: `Look into the store of record of a sidecar (SQLite) or of many (PostgreSQL), as the
 sidecar's own file (--config) names it. A SQLite file may be looked into and settled in
 while its sidecar runs.
--- /dev/null
+++ b/internal/record/e2e/program_test.go
@@ -0,0 +1,169 @@
+package e2e
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack/internal/fleet/proc"
+	"chalkrack/internal/standin/shop"
+)
+
+const recordFile = `store = "sqlite"
+[wait]
+share = 0.5
+[[class]]
+name = "id-register"
+key = "header:Idempotency-Key"
+away = "pass"
+[[class]]
+name = "activate"
+key = "json:/sim/iccid"
+`
+
+// The programs as operators build them: the sidecar is killed with a request under way,
+// its successor does not send it again, staff settles it, and the key goes through.
+func TestPrograms(t *testing.T) {
+	dir := t.TempDir()
+	sidecar, tool := filepath.Join(dir, "fawnrock-record"), filepath.Join(dir, "martendrum")
+	for _, args := range [][]string{{"build", "-tags", "record", "-o", sidecar, "chalkrack/cmd/fawnrock"}, {"build", "-o", tool, "chalkrack/cmd/martendrum"}} {
+		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+			t.Fatalf("%v: %v\n%s", args, err, out)
+		}
+	}
+	hold := make(chan struct{})
+	w := &world{runs: make(map[string]int), act: func(hit int) act {
+		if hit == 1 {
+			return act{hold: hold}
+		}
+		return act{}
+	}}
+	s, err := shop.NewWith(2, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	defer close(hold)
+	config, listen, err := s.Config(dir, "n1", 60001)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "record.toml")
+	os.WriteFile(file, []byte(recordFile), 0o600)
+	run := func(env ...string) (*exec.Cmd, *bytes.Buffer) {
+		c := exec.Command(sidecar)
+		c.Env = append(append(os.Environ(), "BALANCER_CONFIG="+config, "MARTENDRUM_RECORD="+file), env...)
+		var out bytes.Buffer
+		c.Stderr = &out
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Process.Kill() })
+		return c, &out
+	}
+	ready := func() proc.Healthy {
+		t.Helper()
+		for deadline := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+			h, err := proc.Health(t.Context(), listen, time.Second)
+			if err == nil {
+				return h
+			}
+			if time.Now().After(deadline) {
+				t.Fatal(err)
+			}
+		}
+	}
+	first, _ := run()
+	if h := ready(); !strings.HasPrefix(h.Record, "sqlite; breaker=closed; queued=0") {
+		t.Errorf("%+v", h)
+	}
+	q := request{class: "activate", key: "896210"}
+	done := make(chan answer, 1)
+	go func() {
+		a, _ := ask(listen, q, nil)
+		done <- a
+	}()
+	for deadline := time.Now().Add(patience); w.ran(q) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no server got it")
+		}
+	}
+	command := func(code int, says string, args ...string) {
+		t.Helper()
+		out, err := exec.Command(tool, append([]string{"record", "--config", file}, args...)...).CombinedOutput()
+		got := 0
+		if e, ok := errors.AsType[*exec.ExitError](err); ok {
+			got = e.ExitCode()
+		}
+		if got != code || !strings.Contains(string(out), says) {
+			t.Errorf("record %v: exit %d, %s; want %d and %q", args, got, out, code, says)
+		}
+	}
+	command(0, "in-flight", "look", "activate", "896210")
+	command(1, "only what may have run", "settle", "activate", "896210", "--ran")
+	command(3, fmt.Sprint("locked by process ", first.Process.Pid), "compact")
+	first.Process.Kill()
+	first.Wait()
+	if a := <-done; a.status != 0 {
+		t.Errorf("%+v", a)
+	}
+	second, log := run()
+	ready()
+	if a, err := ask(listen, q, nil); err != nil || a.status != http.StatusConflict || !strings.HasPrefix(a.state, "may-have-run") {
+		t.Errorf("%+v %v", a, err)
+	}
+	command(0, "896210", "list", "--state", "may-have-run")
+	command(0, `"state": "may-have-run"`, "list", "--json", "--class", "activate")
+	command(2, "--state x", "list", "--state", "x")
+	command(1, "may-have-run   1", "stats")
+	command(2, "ran never-ran", "settle", "activate", "896210")
+	command(0, "nothing was changed", "settle", "activate", "896210", "--never-ran", "--dry-run")
+	command(0, "settled by sari", "settle", "activate", "896210", "--never-ran", "--who", "sari", "--note", "asked the registry")
+	if a, err := ask(listen, q, nil); err != nil || a.status != http.StatusOK {
+		t.Errorf("%+v %v", a, err)
+	}
+	command(0, "done: activate 896210", "look", "activate", "896210")
+	command(1, "no key", "look", "activate", "other")
+	command(0, `"answer"`, "export")
+	command(0, "no damage", "check")
+	command(0, `"answered": 1`, "stats", "--json")
+	command(2, "unknown command", "explode")
+	second.Process.Signal(os.Interrupt)
+	if err := second.Wait(); err != nil {
+		t.Errorf("%v %s", err, log)
+	}
+	command(0, "", "compact")
+
+	// What can't be used is said at start, with what to do.
+	db := filepath.Join(dir, "record.db")
+	data, _ := os.ReadFile(db)
+	os.WriteFile(db, bytes.Repeat([]byte("noise"), 5000), 0o600)
+	third, out := run()
+	if err := third.Wait(); err == nil || !strings.Contains(out.String(), db) || !strings.Contains(out.String(), "move them aside") {
+		t.Errorf("%v %s", err, out)
+	}
+	command(3, db, "list")
+	os.WriteFile(db, data, 0o600)
+	command(0, "896210", "list")
+	for text, want := range map[string]string{
+		"store = \"oracle\"":                        "store: \"oracle\"",
+		recordFile + "colour = 1":                   "record.toml:11: unknown key",
+		recordFile + "away = \"pass\"":              "class activate: away: its requests must not run twice",
+		strings.Replace(recordFile, "id-r", "r", 1): "the settings have no class of that name",
+		strings.Replace(recordFile, "json:", "", 1): "class activate: key",
+		strings.Replace(recordFile, "0.5", "5", 1):  "wait.share",
+	} {
+		os.WriteFile(file, []byte(text), 0o600)
+		c, out := run()
+		if err := c.Wait(); err == nil || !strings.Contains(out.String(), want) {
+			t.Errorf("%v %s; want it to say %q", err, out, want)
+		}
+	}
+}
