The agent's record on PostgreSQL too, by configuration, behind the same tests

Need: agents without a lasting disk of their own, and fleets that keep records in one place.

Change: internal/fleet/store/postgres keeps each agent's record under its name, fenced by an epoch that the next to open it raises; a COMMIT of unknown outcome is resolved by asking which change was the last. internal/pg holds what both users of PostgreSQL share: bounded connections, TLS, password file, schema versions, errors. agent.toml has a table [record].

--- a/cmd/martendrum/run.go
+++ b/cmd/martendrum/run.go
@@ -24,15 +24,10 @@
 	"chalkrack/internal/fleet/agent"
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/pki"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/sqlite"
+	"chalkrack/internal/fleet/store/open"
 	"chalkrack/internal/standin/shop"
 )
 
-func openRecord(cfg *agent.Config) func(string) (store.Store, error) {
-	return func(path string) (store.Store, error) { return sqlite.Open(path, int64(cfg.Limits.Record)) }
-}
-
 func agentCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use: "agent", GroupID: "run", Short: "Look after the sidecars of this host", Args: cobra.NoArgs,
@@ -52,7 +47,7 @@
 		}
 		// Little lives on: memory matters more than the collector's work.
 		debug.SetGCPercent(50)
-		a, err := agent.New(cfg, agent.Processes{}, openRecord(cfg))
+		a, err := agent.New(cfg, agent.Processes{}, open.Record(cfg))
 		if err != nil {
 			return &exitError{exitSome, err}
 		}
@@ -151,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(cfg, agent.Processes{}, openRecord(cfg))
+	a, err := agent.New(cfg, agent.Processes{}, open.Record(cfg))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -30,6 +30,14 @@
 		Cert string `toml:"cert"`
 		Key  string `toml:"key"`
 	} `toml:"tls"`
+	Record struct {
+		Store        string         `toml:"store"`
+		URL          string         `toml:"url"`
+		PasswordFile string         `toml:"password_file"`
+		CA           string         `toml:"ca"`
+		Statement    units.Duration `toml:"statement"`
+		Connect      units.Duration `toml:"connect"`
+	} `toml:"record"`
 	Sidecar struct {
 		Binary  string `toml:"binary"`
 		Overlay string `toml:"overlay"`
@@ -61,6 +69,12 @@
 	listen string
 }
 
+// Where an agent's record may be kept.
+const (
+	SQLite   = "sqlite" // a file in state_dir
+	Postgres = "postgres"
+)
+
 // MostInstances is how many sidecars one agent looks after.
 const MostInstances = 256
 
@@ -76,6 +90,7 @@
 	l.Log, l.Record = 8<<20, 64<<20
 	l.Operations, l.Audit, l.Releases = 100, 10000, 3
 	c.Listen.PlainRole = api.View
+	c.Record.Store, c.Record.Statement, c.Record.Connect = SQLite, units.Duration(2*time.Second), units.Duration(2*time.Second)
 	if err := units.Load(path, c); err != nil {
 		return nil, err
 	}
@@ -83,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, p := range []*string{&c.StateDir, &c.Listen.Unix, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.Sidecar.Binary, &c.Sidecar.Overlay} {
+	for _, p := range []*string{&c.StateDir, &c.Listen.Unix, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.Sidecar.Binary, &c.Sidecar.Overlay, &c.Record.PasswordFile, &c.Record.CA} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(dir, *p)
 		}
@@ -108,6 +123,14 @@
 		return fmt.Errorf("name: %q; want letters, digits, '.', '_' or '-', 63 at most", c.Name)
 	case c.StateDir == "":
 		return fmt.Errorf("state_dir is missing: a folder that outlives restarts")
+	case c.Record.Store != SQLite && c.Record.Store != Postgres:
+		return fmt.Errorf("record.store: %q; want %q or %q", c.Record.Store, SQLite, Postgres)
+	case c.Record.Store == Postgres && c.Record.URL == "":
+		return fmt.Errorf("record.url is missing, as in \"postgres://user@host/database\"")
+	case c.Record.Store == SQLite && (c.Record.URL != "" || c.Record.PasswordFile != "" || c.Record.CA != ""):
+		return fmt.Errorf("record: url, password_file and ca go with store = %q", Postgres)
+	case c.Record.Statement <= 0 || c.Record.Connect <= 0:
+		return fmt.Errorf("record.statement and record.connect must be above 0")
 	case c.Sidecar.Binary == "":
 		return fmt.Errorf("sidecar.binary is missing: the program that instances begin with")
 	case c.Listen.Unix == "" && c.Listen.TLS == "" && c.Listen.Plain == "":
--- a/internal/fleet/e2e/fleet_test.go
+++ b/internal/fleet/e2e/fleet_test.go
@@ -22,6 +22,7 @@
 	"chalkrack/internal/fleet/release"
 	"chalkrack/internal/fleet/rollout"
 	"chalkrack/internal/fleet/store"
+	"chalkrack/internal/standin/pgserver"
 )
 
 // release makes a release of the sidecar with an overlay and sends it to all agents.
@@ -149,10 +150,20 @@
 // state agree, and each instance was changed once.
 func TestAgentKilledAtEveryWrite(t *testing.T) {
 	t.Parallel()
-	for _, after := range []string{"", "1"} {
-		t.Run("after="+after, func(t *testing.T) {
+	for _, c := range [][2]string{{"sqlite", ""}, {"sqlite", "1"}, {"postgres", ""}, {"postgres", "1"}} {
+		after := c[1]
+		t.Run(c[0]+" after="+after, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, 1, 2)
+			record := ""
+			if c[0] == "postgres" {
+				s, err := pgserver.Start(pgserver.Config{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { s.Close() })
+				record = fmt.Sprintf("[record]\nstore = \"postgres\"\nurl = %q\n", s.URL())
+			}
+			w := newWorldOn(t, 1, 2, record)
 			h := w.hosts[0]
 			died := true
 			for at := 1; died; at++ {
--- a/internal/fleet/e2e/main_test.go
+++ b/internal/fleet/e2e/main_test.go
@@ -27,6 +27,7 @@
 	"chalkrack/internal/fleet/proc"
 	"chalkrack/internal/fleet/rollout"
 	"chalkrack/internal/fleet/store"
+	"chalkrack/internal/fleet/store/open"
 	"chalkrack/internal/fleet/store/sqlite"
 	"chalkrack/internal/fleet/units"
 	"chalkrack/internal/standin/shop"
@@ -81,7 +82,7 @@
 		return err
 	}
 	a, err := agent.New(cfg, agent.Processes{}, func(p string) (store.Store, error) {
-		s, err := sqlite.Open(p, int64(cfg.Limits.Record))
+		s, err := open.Record(cfg)(p)
 		return &mortal{Store: s, at: int64(at), after: after}, err
 	})
 	if err != nil {
@@ -154,6 +155,12 @@
 
 // newWorld lays out hosts with so many sidecars each; no agent runs yet.
 func newWorld(t testing.TB, hosts, each int) *world {
+	t.Helper()
+	return newWorldOn(t, hosts, each, "")
+}
+
+// newWorldOn has agents whose files hold a [record] table.
+func newWorldOn(t testing.TB, hosts, each int, record string) *world {
 	t.Helper()
 	w := &world{t: t, dir: t.TempDir(), prefix: fmt.Sprintf("e2e%08x", rand.Uint32()), bin: programs(t)}
 	var err error
@@ -170,6 +177,7 @@
 		}
 		var c strings.Builder
 		fmt.Fprintf(&c, "name = %q\nstate_dir = \"s\"\n[listen]\nunix = \"a\"\n[sidecar]\nbinary = %q\n", x.name, filepath.Join(w.bin, "fawnrock"))
+		c.WriteString(record)
 		c.WriteString("[limits]\nhealth_each = \"200ms\"\nbackoff_min = \"200ms\"\nbackoff_max = \"1s\"\ncrash_most = 20\n")
 		for i := range each {
 			name := fmt.Sprintf("h%d-i%d", h, i)
--- a/internal/fleet/store/sqlite/sqlite_test.go
+++ b/internal/fleet/store/sqlite/sqlite_test.go
@@ -5,64 +5,32 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"reflect"
 	"strings"
 	"testing"
-	"time"
 
 	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
 	"chalkrack/internal/fleet/store"
+	"chalkrack/internal/fleet/store/storetest"
 )
 
 const room = 8 << 20
 
 var ctx = context.Background()
 
-func full() *store.Change {
-	at := time.Unix(1789000000, 5)
-	return &store.Change{
-		Instances: []store.Instance{{Name: "n1", Desired: api.Running, Generation: 3, Release: "r2", Previous: "r1", Launch: "x", Process: 3,
-			Running: "r2", PID: 77, Ticks: 1 << 40, Boot: "b", Launched: at, Restarts: 2, LastExit: "exit status 1"}},
-		Operations: []store.Operation{{Operation: api.Operation{ID: "op1", Action: api.ActUpgrade, Targets: []api.Target{{Host: "h", Instance: "n1"}},
-			Created: at.UTC(), Soak: time.Second}, State: api.OpOpened}},
-		Steps:  []api.Step{{Op: "op1", Instance: "n1", Kind: api.Change, Status: api.StepRunning, Generation: 3, Started: at.UTC()}},
-		Leases: []lease.Lease{{Instance: "n1", Op: "op1", Holder: "sari", Token: 9, Granted: at, Expires: at.Add(time.Minute)}},
-		Audit:  []api.AuditEntry{{At: at, Who: "sari", What: "op.open", Target: "op1", Result: "ok"}},
-	}
-}
-
 func TestWhatIsWrittenIsRead(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a record?#%.db")
-	s, err := Open(path, room)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := full()
-	for range 2 { // again does no harm
-		if err := s.Commit(ctx, c); err != nil {
+	storetest.Run(t, func() store.Store {
+		s, err := Open(path, room)
+		if err != nil {
 			t.Fatal(err)
 		}
-	}
-	s.Close()
-	if s, err = Open(path, room); err != nil {
+		return s
+	})
+	s, err := Open(path, room)
+	if err != nil {
 		t.Fatal(err)
 	}
 	defer s.Close()
-	got, err := s.Load(ctx)
-	want := &store.Snapshot{Instances: c.Instances, Operations: c.Operations, Steps: c.Steps, Leases: c.Leases}
-	if err != nil || !reflect.DeepEqual(got, want) {
-		t.Errorf("got  %+v %v\nwant %+v", got, err, want)
-	}
-	if err := s.Commit(ctx, &store.Change{DropOperations: []string{"op1"}, DropInstances: []string{"n1"}, AuditKeep: 1}); err != nil {
-		t.Fatal(err)
-	}
-	if got, _ := s.Load(ctx); !reflect.DeepEqual(got, &store.Snapshot{}) {
-		t.Errorf("after the drop: %+v", got)
-	}
-	if a, err := s.Audit(ctx, 10); err != nil || len(a) != 1 {
-		t.Error(a, err)
-	}
 	var mode, sync string
 	s.db.QueryRow("PRAGMA journal_mode").Scan(&mode)
 	s.db.QueryRow("PRAGMA synchronous").Scan(&sync)
@@ -101,7 +69,7 @@
 				len(got.Leases) != 1 || got.Leases[0].Token != 3 || len(got.Steps) != 1 || got.Operations[0].ID != "op") {
 				t.Errorf("%+v", got)
 			}
-			if err := s.Commit(ctx, full()); err != nil {
+			if err := s.Commit(ctx, storetest.Full()); err != nil {
 				t.Error(err)
 			}
 		})
@@ -137,7 +105,7 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	if err := s.Commit(ctx, full()); err != nil {
+	if err := s.Commit(ctx, storetest.Full()); err != nil {
 		t.Fatal(err)
 	}
 	long := strings.Repeat("x", 10000)
@@ -154,7 +122,7 @@
 	if err := s.Commit(ctx, &store.Change{AuditKeep: 1}); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Commit(ctx, full()); err != nil {
+	if err := s.Commit(ctx, storetest.Full()); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -165,7 +165,7 @@
 	}
 	id, _ := record.Field(x.Request.Head, "Req-Id") // the front saw to it
 	e := &entry{k: k, class: class, key: key, lease: left + k.cfg.Lease,
-		token: fmt.Sprintf("%s-%d", k.owner, k.tokens.Add(1)), body: record.Fingerprint(x.Request.Head, x.Tenant, x.Request.Body), request: id}
+		token: fmt.Sprintf("%s-%d", k.owner, k.tokens.Add(1)), body: record.Fingerprint(x.Request.Head, x.Tenant, x.Request.Body), request: clean(id)}
 	op := e.op(record.Claim)
 	release := func() {
 		if op.Result == record.Granted && !class.Pass {
@@ -190,6 +190,11 @@
 	}, release)
 }
 
+// clean makes a text one that each database takes.
+func clean(s string) string {
+	return strings.ReplaceAll(strings.ToValidUTF8(s, "?"), "\x00", "?")
+}
+
 func printable(r rune) rune {
 	if r < ' ' || r > '~' {
 		return '?'
@@ -262,7 +267,7 @@
 	k.counts["gaps"]++
 	g := k.gaps[e.class.Name]
 	if g == nil {
-		g = &record.Gap{Owner: k.owner, Class: e.class.Name, From: now, Cause: cause.Error()}
+		g = &record.Gap{Owner: k.owner, Class: e.class.Name, From: now, Cause: clean(cause.Error())}
 		k.gaps[e.class.Name] = g
 	}
 	g.Until = now
@@ -279,7 +284,7 @@
 		return
 	}
 	op := e.op(record.Send)
-	op.Attempt, op.Server = n, server
+	op.Attempt, op.Server = n, clean(server)
 	e.k.ask(op, e.class.Wait, false, func(err error) {
 		switch {
 		case err == nil && op.Result == record.Granted:
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -7,28 +7,21 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
-	"github.com/jackc/pgx/v5/pgxpool"
 
+	"chalkrack/internal/pg"
 	"chalkrack/internal/record"
 )
 
-// migrations bring a database from version n to n+1, each a list of statements. They
-// are never changed once released.
-var migrations = [][]string{
+var schema = pg.Schema{Name: "martendrum_schema", Lock: 0x6d6172746e, Migrations: [][]string{
 	{`CREATE TABLE martendrum_record (
 		class TEXT NOT NULL, key TEXT NOT NULL, state TEXT NOT NULL, body BYTEA NOT NULL, owner TEXT NOT NULL, token TEXT NOT NULL,
 		request TEXT NOT NULL, attempts BIGINT NOT NULL, servers TEXT NOT NULL, began BIGINT NOT NULL, changed BIGINT NOT NULL,
@@ -38,103 +31,43 @@
 	{`CREATE TABLE martendrum_gaps (owner TEXT NOT NULL, class TEXT NOT NULL, since BIGINT NOT NULL, until BIGINT NOT NULL,
 		requests BIGINT NOT NULL, cause TEXT NOT NULL, PRIMARY KEY (owner, class, since))`,
 		`CREATE INDEX martendrum_gaps_until ON martendrum_gaps (until)`},
-}
+}}
 
 // Version is the schema's that this build reads and writes.
-var Version = len(migrations)
+var Version = len(schema.Migrations)
 
 const (
-	// schemaLock is the advisory lock under which the schema is brought up to date.
-	schemaLock = 0x6d6172746e
-	gapsMost   = 1000
+	gapsMost = 1000
 	// raceMost is how often a transaction is made anew that another one overtook.
 	raceMost = 8
 	// clock is the database's time in microseconds since 1970.
 	clock = "CAST(date_part('epoch', clock_timestamp()) * 1000000 AS bigint)"
-	// startMost bounds bringing the schema up to date.
-	startMost = 20 * time.Second
 )
 
 // Config says which database, and how it is used.
-type Config struct {
-	// URL is a connection string of PostgreSQL's, without a password.
-	URL          string
-	PasswordFile string // "": none; read anew for each connection
-	CA           string // PEM file; "": as the URL says
-	Connections  int    // at once, at most
-	Statement    time.Duration
-	Connect      time.Duration
-}
+type Config = pg.Config
 
 // Store is a record in a database.
 type Store struct {
-	cfg  Config
-	pool *pgxpool.Pool
-	name string
-
-	mu    sync.Mutex
-	known bool // the schema is this build's
-
+	db      *pg.DB
 	columns []string
 	insert  string
 	update  string
 }
 
 // Open returns the Store. It does not need the database: a sidecar starts without it.
-// A database of a newer schema, or one that can be reached and not used, is an error
-// of Ready.
+// A database of a newer schema, or one that can be reached and not used, is an error of
+// the first call.
 func Open(cfg Config) (*Store, error) {
-	pc, err := pgxpool.ParseConfig(cfg.URL)
+	db, err := pg.Open(cfg, schema)
 	if err != nil {
-		return nil, fmt.Errorf("record: postgres.url: %w", err)
-	}
-	if pc.ConnConfig.Password != "" && cfg.PasswordFile != "" {
-		return nil, errors.New("record: postgres.url holds a password and password_file is set: keep the file")
-	}
-	c := pc.ConnConfig
-	c.ConnectTimeout = cfg.Connect
-	c.RuntimeParams["statement_timeout"] = strconv.FormatInt(cfg.Statement.Milliseconds(), 10)
-	c.RuntimeParams["application_name"] = "martendrum"
-	if cfg.CA != "" {
-		if err := trust(c, cfg.CA); err != nil {
-			return nil, err
-		}
+		return nil, fmt.Errorf("record: %w", err)
 	}
-	pc.MaxConns, pc.MinConns = int32(cfg.Connections), 0
-	pc.MaxConnIdleTime = 5 * time.Minute
-	if cfg.PasswordFile != "" {
-		pc.BeforeConnect = func(_ context.Context, c *pgx.ConnConfig) error {
-			b, err := os.ReadFile(cfg.PasswordFile)
-			if err != nil {
-				return fmt.Errorf("password_file: %w", err)
-			}
-			c.Password = strings.TrimRight(string(b), "\r\n")
-			return nil
-		}
-	}
-	s := &Store{cfg: cfg, name: fmt.Sprintf("record %s:%d/%s", c.Host, c.Port, c.Database), columns: strings.Split(record.Columns, ", ")}
+	s := &Store{db: db, columns: strings.Split(record.Columns, ", ")}
 	s.statements()
-	if s.pool, err = pgxpool.NewWithConfig(context.Background(), pc); err != nil {
-		return nil, fmt.Errorf("%s: %w", s.name, err)
-	}
 	return s, nil
 }
 
-// trust makes connections verify the server by the CA in a file, its name too.
-func trust(c *pgx.ConnConfig, file string) error {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return fmt.Errorf("record: postgres.ca: %w", err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return fmt.Errorf("record: postgres.ca: %s holds no certificate in PEM form", file)
-	}
-	c.TLSConfig = &tls.Config{RootCAs: roots, ServerName: c.Host, MinVersion: tls.VersionTLS12}
-	c.Fallbacks = nil // never without TLS
-	return nil
-}
-
 // types of the columns that are not text.
 var types = map[string]string{"body": "bytea", "header": "bytea", "answer": "bytea", "cut": "boolean", "attempts": "bigint", "began": "bigint",
 	"changed": "bigint", "expires": "bigint", "status": "bigint", "version": "bigint"}
@@ -160,86 +93,27 @@
 
 // Close closes the connections.
 func (s *Store) Close() error {
-	s.pool.Close()
+	s.db.Close()
 	return nil
 }
 
-// sqlState is an error's SQLSTATE, "" if it is none of the database's.
-func sqlState(err error) string {
-	if e, ok := errors.AsType[*pgconn.PgError](err); ok {
-		return e.Code
-	}
-	return ""
-}
-
-// explain names the database and says what an operator can do about an error.
-func (s *Store) explain(err error) error {
-	if err == nil {
-		return nil
-	}
-	switch sqlState(err) {
-	case "53100", "53200":
-		err = fmt.Errorf("%w: the server has no room: %w", record.ErrFull, err)
-	case "25006":
-		err = fmt.Errorf("%w: it is a standby or read-only by its settings; name the primary: %w", record.ErrReadOnly, err)
-	case "28P01", "28000":
-		err = fmt.Errorf("%w: the server does not let this user in; see password_file: %w", record.ErrUnusable, err)
-	case "53300":
-		err = fmt.Errorf("the server has no connection left; lower connections or raise its max_connections: %w", err)
-	case "42501":
-		err = fmt.Errorf("%w: this user may not; it needs to read and write the tables martendrum_*, and at first to create them: %w", record.ErrUnusable, err)
-	}
-	return fmt.Errorf("%s: %w", s.name, err)
-}
+// explain says what an operator can do, in the terms of record.Backend.
+func (s *Store) explain(err error) error { return inTerms(s.db.Explain(err)) }
 
-// Ready brings the schema up to date, or says why the database can't be used.
-func (s *Store) Ready(ctx context.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.known {
-		return nil
+func inTerms(err error) error {
+	for from, to := range map[error]error{pg.ErrFull: record.ErrFull, pg.ErrReadOnly: record.ErrReadOnly, pg.ErrUnusable: record.ErrUnusable} {
+		if errors.Is(err, from) {
+			return fmt.Errorf("record: %w: %w", to, err)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, startMost)
-	defer cancel()
-	if err := s.migrate(ctx, Version); err != nil {
-		return s.explain(err)
+	if err != nil {
+		err = fmt.Errorf("record: %w", err)
 	}
-	s.known = true
-	return nil
+	return err
 }
 
-func (s *Store) migrate(ctx context.Context, to int) error {
-	return pgx.BeginFunc(ctx, s.pool, func(tx pgx.Tx) error {
-		do := func(q string, args ...any) error {
-			_, err := tx.Exec(ctx, q, args...)
-			return err
-		}
-		// Sidecars that start together wait here for the first of them.
-		if err := do("SELECT pg_advisory_xact_lock($1::bigint)", int64(schemaLock)); err != nil {
-			return err
-		}
-		if err := do("CREATE TABLE IF NOT EXISTS martendrum_schema (version BIGINT NOT NULL)"); err != nil {
-			return err
-		}
-		var have int64
-		if err := tx.QueryRow(ctx, "SELECT CAST(coalesce(max(version), 0) AS bigint) FROM martendrum_schema").Scan(&have); err != nil {
-			return err
-		}
-		if have > int64(Version) {
-			return fmt.Errorf("%w: its schema is version %d and this build knows up to %d: run the newer build that wrote it", record.ErrUnusable, have, Version)
-		}
-		for n := int(have); n < to; n++ {
-			for _, q := range migrations[n] {
-				if err := do(q); err != nil {
-					return fmt.Errorf("to schema version %d: %w", n+1, err)
-				}
-			}
-			if err := do("INSERT INTO martendrum_schema (version) VALUES ($1::bigint)", int64(n+1)); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+func (s *Store) ready(ctx context.Context) error {
+	return inTerms(s.db.Ready(ctx))
 }
 
 // errRaced says that another transaction changed a row between read and write.
@@ -248,14 +122,7 @@
 // again says whether a transaction that ended with err is to be made anew: it was
 // overtaken and surely undone, or its outcome is in doubt, which reading resolves.
 func again(err error, committing bool) bool {
-	switch sqlState(err) {
-	case "40001", "40P01", "55P03":
-		return true
-	case "":
-		return errors.Is(err, errRaced) || committing
-	}
-	// The server may be going down with the commit done or not.
-	return committing && strings.HasPrefix(sqlState(err), "57P")
+	return errors.Is(err, errRaced) || pg.Undone(err) || committing && pg.InDoubt(err)
 }
 
 // Apply implements record.Backend.
@@ -268,7 +135,7 @@
 			err = s.explain(err)
 		}
 	}()
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return err
 	}
 	for n := 0; ; n++ {
@@ -305,7 +172,7 @@
 		}
 	}
 	slices.SortFunc(keys, func(a, b id) int { return strings.Compare(a.class+"\x00"+a.key, b.class+"\x00"+b.key) })
-	tx, err := s.pool.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.ReadCommitted})
+	tx, err := s.db.Pool.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.ReadCommitted})
 	if err != nil {
 		return false, err
 	}
@@ -365,10 +232,10 @@
 
 // Get implements record.Backend.
 func (s *Store) Get(ctx context.Context, class, key string) (row record.Row, err error) {
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return row, err
 	}
-	err = s.pool.QueryRow(ctx, "SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text", class, key).Scan(row.Fields()...)
+	err = s.db.Pool.QueryRow(ctx, "SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text", class, key).Scan(row.Fields()...)
 	if errors.Is(err, pgx.ErrNoRows) {
 		return record.Row{}, nil
 	}
@@ -377,10 +244,10 @@
 
 // rows reads all rows of a query.
 func rows[T any](ctx context.Context, s *Store, scan func(*T) []any, q string, args ...any) (out []T, err error) {
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return nil, err
 	}
-	r, err := s.pool.Query(ctx, q, args...)
+	r, err := s.db.Pool.Query(ctx, q, args...)
 	if err != nil {
 		return nil, s.explain(err)
 	}
@@ -400,14 +267,14 @@
 
 // Sweep implements record.Backend.
 func (s *Store) Sweep(ctx context.Context, keep record.Keep, most int) (int, error) {
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return 0, err
 	}
 	var now int64
-	if err := s.pool.QueryRow(ctx, "SELECT "+clock).Scan(&now); err != nil {
+	if err := s.db.Pool.QueryRow(ctx, "SELECT "+clock).Scan(&now); err != nil {
 		return 0, s.explain(err)
 	}
-	lapsed, err := s.pool.Exec(ctx, `UPDATE martendrum_record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
+	lapsed, err := s.db.Pool.Exec(ctx, `UPDATE martendrum_record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
 		changed = $1::bigint, version = version + 1 WHERE state = 'in-flight' AND expires <= $1::bigint AND (class, key) IN
 		(SELECT class, key FROM martendrum_record WHERE state = 'in-flight' AND expires <= $1::bigint ORDER BY class, key LIMIT $2::bigint)`, now, int64(most))
 	if err != nil {
@@ -419,7 +286,7 @@
 		if kept <= 0 || n >= most {
 			continue
 		}
-		gone, err := s.pool.Exec(ctx, `DELETE FROM martendrum_record WHERE state = $1::text AND changed < $2::bigint AND (class, key) IN
+		gone, err := s.db.Pool.Exec(ctx, `DELETE FROM martendrum_record WHERE state = $1::text AND changed < $2::bigint AND (class, key) IN
 			(SELECT class, key FROM martendrum_record WHERE state = $1::text AND changed < $2::bigint ORDER BY class, key LIMIT $3::bigint)`,
 			string(state), now-kept.Microseconds(), int64(most-n))
 		if err != nil {
@@ -432,15 +299,15 @@
 
 // Gap implements record.Backend.
 func (s *Store) Gap(ctx context.Context, g record.Gap) error {
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return err
 	}
-	if _, err := s.pool.Exec(ctx, `INSERT INTO martendrum_gaps (owner, class, since, until, requests, cause)
+	if _, err := s.db.Pool.Exec(ctx, `INSERT INTO martendrum_gaps (owner, class, since, until, requests, cause)
 		VALUES ($1::text, $2::text, $3::bigint, $4::bigint, $5::bigint, $6::text) ON CONFLICT (owner, class, since) DO NOTHING`,
 		g.Owner, g.Class, g.From, g.Until, g.Requests, g.Cause); err != nil {
 		return s.explain(err)
 	}
-	_, err := s.pool.Exec(ctx, "DELETE FROM martendrum_gaps WHERE until <= (SELECT until FROM martendrum_gaps ORDER BY until DESC LIMIT 1 OFFSET $1::bigint)", int64(gapsMost))
+	_, err := s.db.Pool.Exec(ctx, "DELETE FROM martendrum_gaps WHERE until <= (SELECT until FROM martendrum_gaps ORDER BY until DESC LIMIT 1 OFFSET $1::bigint)", int64(gapsMost))
 	return s.explain(err)
 }
 
@@ -479,25 +346,15 @@
 
 // Compact implements record.Backend.
 func (s *Store) Compact(ctx context.Context) error {
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		return err
 	}
-	_, err := s.pool.Exec(ctx, "VACUUM martendrum_record")
+	_, err := s.db.Pool.Exec(ctx, "VACUUM martendrum_record")
 	return s.explain(err)
 }
 
 // Ping implements record.Backend. It brings the schema up to date where that is due,
 // and asks whether the server takes writes.
 func (s *Store) Ping(ctx context.Context) error {
-	if err := s.Ready(ctx); err != nil {
-		return err
-	}
-	var readOnly string
-	if err := s.pool.QueryRow(ctx, "SELECT current_setting('transaction_read_only')").Scan(&readOnly); err != nil {
-		return s.explain(err)
-	}
-	if readOnly == "on" {
-		return s.explain(record.ErrReadOnly)
-	}
-	return nil
+	return inTerms(s.db.Writable(ctx))
 }
--- a/internal/record/postgres/postgres_test.go
+++ b/internal/record/postgres/postgres_test.go
@@ -86,7 +86,7 @@
 	for from := range Version {
 		srv := serve(t, pgserver.Config{})
 		old := mustOpen(t, config(srv.URL()))
-		if err := old.migrate(ctx, from); err != nil {
+		if err := old.db.Migrate(ctx, from); err != nil {
 			t.Fatal(err)
 		}
 		s := mustOpen(t, config(srv.URL()))
@@ -97,11 +97,11 @@
 	}
 	srv := serve(t, pgserver.Config{})
 	s := mustOpen(t, config(srv.URL()))
-	if err := s.Ready(ctx); err != nil {
+	if err := s.ready(ctx); err != nil {
 		t.Fatal(err)
 	}
-	s.pool.Exec(ctx, "INSERT INTO martendrum_schema (version) VALUES ($1::bigint)", int64(99))
-	if err := mustOpen(t, config(srv.URL())).Ready(ctx); err == nil || !strings.Contains(err.Error(), "newer build") {
+	s.db.Pool.Exec(ctx, "INSERT INTO martendrum_schema (version) VALUES ($1::bigint)", int64(99))
+	if err := mustOpen(t, config(srv.URL())).ready(ctx); err == nil || !strings.Contains(err.Error(), "newer build") {
 		t.Error(err)
 	}
 }
