--- a/internal/record/e2e/bench_test.go
+++ b/internal/record/e2e/bench_test.go
@@ -40,11 +40,12 @@
 
 // BenchmarkStore is id-register requests, each with a key of its own, through one
 // sidecar before three servers that answer at once: as fast as 64 clients go
-// (closed), and at a pace of 300 and 2,000 a second. All run in one process.
+// (closed), and at a pace of 300 and 2,000 a second. All run in one process. Where the
+// store is swept, every 10 ms, each row is dropped right after its answer.
 //
 //	go test ./internal/record/e2e -run '^$' -bench Store -benchtime 10s
 func BenchmarkStore(b *testing.B) {
-	for _, store := range []string{"off", "sqlite", "postgres"} {
+	for _, store := range []string{"off", "sqlite", "sqlite-swept", "postgres"} {
 		for _, rate := range []int{0, 300, 2000} {
 			name := fmt.Sprintf("%s/%d", store, rate)
 			if rate == 0 {
@@ -66,7 +67,8 @@
 	defer servers.Close()
 	p := &plan{Servers: servers.Addrs(), Wait: 200 * time.Millisecond}
 	switch store {
-	case "sqlite":
+	case "sqlite", "sqlite-swept":
+		p.Sweep = store == "sqlite-swept"
 		p.SQLite = filepath.Join(b.TempDir(), "record.db")
 	case "postgres":
 		pg, err := pgserver.Start(pgserver.Config{})
--- a/internal/record/e2e/main_test.go
+++ b/internal/record/e2e/main_test.go
@@ -61,6 +61,7 @@
 	Lease time.Duration // 0: 5 s
 	Most  int           // bytes of an answer that are kept; 0: 64 KiB
 	Aim   string        // of the classes, in µs; "": 20 s
+	Sweep bool          // what is answered is dropped at once, without an end
 
 	wrap func(record.Backend) record.Backend
 }
@@ -135,6 +136,10 @@
 
 func (n *node) record(p *plan, points func(string)) (err error) {
 	keep := record.Keep{Answered: time.Hour, NeverRan: time.Hour, Unsettled: time.Hour}
+	each := time.Hour
+	if p.Sweep {
+		keep.Answered, each = time.Millisecond, 10*time.Millisecond
+	}
 	writers := 1
 	if p.SQLite != "" {
 		n.backend, err = sqlite.Open(context.Background(), sqlite.Config{Path: p.SQLite, Most: 64 << 20, Keep: keep, Owner: true})
@@ -153,7 +158,7 @@
 	}
 	wait := or(p.Wait, 10*time.Second)
 	n.keeper = keeper.New(keeper.Config{Name: "e2e", Writers: writers, Batch: 64, Queue: 1000, QueueBytes: 4 << 20, Statement: 10 * time.Second,
-		EndFor: time.Minute, Lease: or(p.Lease, 5*time.Second), AnswerMost: or(p.Most, 64<<10), Keep: keep, SweepEach: time.Hour,
+		EndFor: time.Minute, Lease: or(p.Lease, 5*time.Second), AnswerMost: or(p.Most, 64<<10), Keep: keep, SweepEach: each,
 		BreakAfter: 3, PauseLeast: 20 * time.Millisecond, PauseMost: 100 * time.Millisecond,
 		Classes: []keeper.Class{{Name: "id-register", Rule: rule("header:Idempotency-Key"), Pass: true, Wait: wait},
 			{Name: "activate", Rule: rule("json:/sim/iccid"), Wait: wait}, {Name: "report", Rule: rule("request-id"), Wait: wait}}}, n.backend)
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -126,29 +126,27 @@
 }
 
 // Apply implements record.Backend.
-func (s *Store) Apply(ctx context.Context, ops []*record.Op) (err error) {
-	defer func() {
-		if err != nil {
-			for _, op := range ops {
-				op.Result = record.None
-			}
-			err = s.explain(err)
-		}
-	}()
+func (s *Store) Apply(ctx context.Context, ops []*record.Op) error {
 	if err := s.ready(ctx); err != nil {
 		return err
 	}
 	for n := 0; ; n++ {
 		committing, err := s.apply(ctx, ops)
-		if err == nil || n >= raceMost || !again(err, committing) {
-			return err
+		if err == nil {
+			return nil
+		}
+		for _, op := range ops {
+			op.Result = record.None
+		}
+		if n >= raceMost || !again(err, committing) {
+			return s.explain(err)
 		}
 		t := time.NewTimer(time.Duration(rand.Int64N(int64(time.Millisecond) << min(n, 5))))
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return err
+			return s.explain(err)
 		}
 	}
 }
--- a/internal/standin/pgserver/server.go
+++ b/internal/standin/pgserver/server.go
@@ -112,6 +112,11 @@
 	if s.db, err = sql.Open("sqlite", "file:"+(&url.URL{Path: filepath.Join(s.dir, "data.db")}).EscapedPath()+"?"+q.Encode()); err != nil {
 		return nil, fmt.Errorf("pgserver: %w", err)
 	}
+	// The first connection makes the file: two at once would be in each other's way.
+	if err := s.db.Ping(); err != nil {
+		s.db.Close()
+		return nil, fmt.Errorf("pgserver: %w", err)
+	}
 	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		s.db.Close()
 		return nil, fmt.Errorf("pgserver: %w", err)
