--- a/internal/record/e2e/main_test.go
+++ b/internal/record/e2e/main_test.go
@@ -5,6 +5,8 @@
 import (
 	"bufio"
 	"context"
+	"database/sql"
+	sqldriver "database/sql/driver"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +20,8 @@
 	"testing"
 	"time"
 
+	driver "modernc.org/sqlite"
+
 	"chalkrack"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/front"
@@ -154,6 +158,11 @@
 		n.backend = p.wrap(n.backend)
 	}
 	if points != nil {
+		if p.SQLite != "" {
+			if err := within(p.SQLite, points); err != nil {
+				return err
+			}
+		}
 		n.backend = &pointed{n.backend, points}
 	}
 	wait := or(p.Wait, 10*time.Second)
@@ -179,6 +188,30 @@
 	}
 }
 
+// inside is told of each row that SQLite has written, in the midst of its transaction.
+var inside atomic.Pointer[func(string)]
+
+func init() {
+	driver.MustRegisterScalarFunction("crash_point", 0, func(*driver.FunctionContext, []sqldriver.Value) (sqldriver.Value, error) {
+		if at := inside.Load(); at != nil {
+			(*at)("a row is written, its transaction is not")
+		}
+		return int64(0), nil
+	})
+}
+
+// within puts the points into a file, as a trigger.
+func within(path string, points func(string)) error {
+	inside.Store(&points)
+	db, err := sql.Open("sqlite", path)
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	_, err = db.Exec("CREATE TRIGGER IF NOT EXISTS crash AFTER INSERT ON record BEGIN SELECT crash_point(); END")
+	return err
+}
+
 // pointed names the points before and after each transaction.
 type pointed struct {
 	record.Backend
--- a/internal/record/e2e/program_test.go
+++ b/internal/record/e2e/program_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chalkrack/internal/fleet/proc"
+	"chalkrack/internal/standin/pgserver"
 	"chalkrack/internal/standin/shop"
 )
 
@@ -28,16 +29,106 @@
 key = "json:/sim/iccid"
 `
 
-// The programs as operators build them: the sidecar is killed with a request under way,
-// its successor does not send it again, staff settles it, and the key goes through.
-func TestPrograms(t *testing.T) {
-	dir := t.TempDir()
-	sidecar, tool := filepath.Join(dir, "fawnrock-record"), filepath.Join(dir, "martendrum")
+// build builds the programs as operators do.
+func build(t *testing.T, dir string) (sidecar, tool string) {
+	t.Helper()
+	sidecar, tool = filepath.Join(dir, "fawnrock-record"), filepath.Join(dir, "martendrum")
 	for _, args := range [][]string{{"build", "-tags", "record", "-o", sidecar, "chalkrack/cmd/fawnrock"}, {"build", "-o", tool, "chalkrack/cmd/martendrum"}} {
 		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 			t.Fatalf("%v: %v\n%s", args, err, out)
 		}
 	}
+	return sidecar, tool
+}
+
+// Two sidecars and the commands on one database: a repeat is answered at the other one,
+// a start does not need the database, and one that it may not use is said at start.
+func TestProgramsOnPostgres(t *testing.T) {
+	dir := t.TempDir()
+	sidecar, tool := build(t, dir)
+	w := &world{runs: make(map[string]int)}
+	s, err := shop.NewWith(2, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	pg, err := pgserver.Start(pgserver.Config{User: "kasir", Password: "rahasia"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pg.Close()
+	os.WriteFile(filepath.Join(dir, "password"), []byte("rahasia\n"), 0o600)
+	file := filepath.Join(dir, "record.toml")
+	os.WriteFile(file, []byte(strings.Replace(recordFile, `store = "sqlite"`,
+		fmt.Sprintf("store = \"postgres\"\n[postgres]\nurl = %q\npassword_file = \"password\"", pg.URL()), 1)), 0o600)
+	run := func(n int) (*exec.Cmd, *bytes.Buffer, string) {
+		config, listen, err := s.Config(dir, fmt.Sprint("n", n), 60010+n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := exec.Command(sidecar)
+		c.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "MARTENDRUM_RECORD="+file)
+		out := new(bytes.Buffer)
+		c.Stderr = out
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Process.Kill() })
+		return c, out, listen
+	}
+	say := func(listen, want string) {
+		t.Helper()
+		for deadline := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+			h, err := proc.Health(t.Context(), listen, time.Second)
+			if err == nil && strings.Contains(h.Record, want) {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%+v %v; want %q", h, err, want)
+			}
+		}
+	}
+	q := request{class: "activate", key: "896211"}
+	pg.SetRefuse(true)
+	_, _, first := run(1)
+	say(first, "postgres; ")
+	if a, err := ask(first, q, nil); err != nil || a.status != http.StatusServiceUnavailable || w.ran(q) > 0 {
+		t.Errorf("%+v %v", a, err)
+	}
+	pg.SetRefuse(false)
+	_, _, second := run(2)
+	say(second, "breaker=closed")
+	say(first, "breaker=closed")
+	for deadline := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		a, err := ask(first, q, nil)
+		if err == nil && a.status == http.StatusOK {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%+v %v", a, err)
+		}
+	}
+	if a, err := ask(second, q, nil); err != nil || a.body != "done: activate 896211" || w.ran(q) != 1 {
+		t.Errorf("%+v %v, ran %d times", a, err, w.ran(q))
+	}
+	for args, says := range map[string]string{"look activate 896211": "done: activate 896211", "list": "896211", "stats": "answered       1", "check": "no damage", "compact": "", "export": "896211"} {
+		out, err := exec.Command(tool, append([]string{"record", "--config", file}, strings.Fields(args)...)...).CombinedOutput()
+		if err != nil || !strings.Contains(string(out), says) {
+			t.Errorf("%s: %v %s", args, err, out)
+		}
+	}
+	os.WriteFile(filepath.Join(dir, "password"), []byte("wrong\n"), 0o600)
+	third, out, _ := run(3)
+	if err := third.Wait(); err == nil || !strings.Contains(out.String(), "password_file") {
+		t.Errorf("%v %s", err, out)
+	}
+}
+
+// The programs as operators build them: the sidecar is killed with a request under way,
+// its successor does not send it again, staff settles it, and the key goes through.
+func TestPrograms(t *testing.T) {
+	dir := t.TempDir()
+	sidecar, tool := build(t, dir)
 	hold := make(chan struct{})
 	w := &world{runs: make(map[string]int), act: func(hit int) act {
 		if hit == 1 {
