--- a/internal/record/e2e/away_test.go
+++ b/internal/record/e2e/away_test.go
@@ -25,8 +25,8 @@
 	hold    func(ops []*record.Op) bool
 	open    chan struct{}
 	held    chan struct{} // one value for each that waits
-	calls   int // of Apply
-	refusal error // instead
+	calls   int           // of Apply
+	refusal error         // instead
 }
 
 func newGate(b record.Backend) *gate {
