Never hold an answer for its record past the client's time; rows of the agent's record once

Need: an answer that comes just before its client's time is up waited for its record as long as the class allows, which could be past that time. Two stores wrote and read the same rows in code of their own.

Change: the end of a request is told how long its client still waits; a wait cut short by that is not held against the store. internal/fleet/store has what is written and read of each row, internal/pg the transaction, for both stores.

Measured: a client with 0.4 s before a store that holds the end is answered, on both databases; the tests of the record and of both agents' stores pass under the race detector.

--- a/internal/fleet/store/postgres/postgres.go
+++ b/internal/fleet/store/postgres/postgres.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -18,7 +17,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
 	"chalkrack/internal/fleet/store"
 	"chalkrack/internal/pg"
 )
@@ -83,46 +81,34 @@
 	return nil
 }
 
-func unix(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
+// numbers are the columns that are; the others are texts.
+var numbers = map[string]bool{"generation": true, "process": true, "pid": true, "ticks": true, "launched": true, "restarts": true, "closed": true,
+	"token": true, "granted": true, "expires": true}
 
-func fromUnix(n int64) time.Time {
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n)
-}
-
-// upsert is a statement that writes a whole row: columns with a star are numbers, the
-// first keys of them are the primary key.
-func upsert(table string, keys int, columns ...string) string {
-	var names, marks, sets []string
-	for n, c := range columns {
-		name, number := strings.CutSuffix(c, "*")
+// upsert is a statement that writes a whole row of an agent's: the first keys columns
+// after the agent's name are the primary key.
+func upsert(table string, keys int, columns string) string {
+	names := strings.Split("agent, "+columns, ", ")
+	var marks, sets []string
+	for n, name := range names {
 		kind := "text"
-		if number {
+		if numbers[name] {
 			kind = "bigint"
 		}
-		names = append(names, name)
 		marks = append(marks, fmt.Sprintf("$%d::%s", n+1, kind))
-		if n >= keys {
+		if n > keys {
 			sets = append(sets, fmt.Sprintf("%s = excluded.%s", name, name))
 		}
 	}
 	return fmt.Sprintf("INSERT INTO %s (%s) VALUES (%s) ON CONFLICT (%s) DO UPDATE SET %s", table, strings.Join(names, ", "), strings.Join(marks, ", "),
-		strings.Join(names[:keys], ", "), strings.Join(sets, ", "))
+		strings.Join(names[:keys+1], ", "), strings.Join(sets, ", "))
 }
 
 var (
-	putInstance = upsert("martendrum_instances", 2, "agent", "name", "desired", "generation*", "release", "previous", "launch", "process*", "running",
-		"pid*", "ticks*", "boot", "launched*", "restarts*", "last_exit")
-	putOperation = upsert("martendrum_operations", 2, "agent", "id", "body", "state", "result", "closed*")
-	putStep      = upsert("martendrum_steps", 4, "agent", "op", "instance", "kind", "status", "body")
-	putLease     = upsert("martendrum_leases", 2, "agent", "instance", "op", "holder", "token*", "granted*", "expires*")
+	putInstance  = upsert("martendrum_instances", 1, store.InstanceColumns)
+	putOperation = upsert("martendrum_operations", 1, store.OperationColumns)
+	putStep      = upsert("martendrum_steps", 3, store.StepColumns)
+	putLease     = upsert("martendrum_leases", 1, store.LeaseColumns)
 )
 
 // Commit implements store.Store.
@@ -145,30 +131,30 @@
 func (s *Store) commit(ctx context.Context, c *store.Change, id string) (committing bool, err error) {
 	batch := &pgx.Batch{}
 	put := func(q string, args ...any) { batch.Queue(q, append([]any{s.agent}, args...)...) }
-	body := func(v any) string {
-		b, e := json.Marshal(v)
+	row := func(q string, args []any, e error) {
 		if err == nil {
 			err = e
 		}
-		return string(b)
+		put(q, args...)
 	}
 	for _, i := range c.Instances {
-		put(putInstance, i.Name, i.Desired, i.Generation, i.Release, i.Previous, i.Launch, i.Process, i.Running, int64(i.PID), int64(i.Ticks), i.Boot,
-			unix(i.Launched), i.Restarts, i.LastExit)
+		row(putInstance, i.Values(), nil)
 	}
 	for _, o := range c.Operations {
-		put(putOperation, o.ID, body(o.Operation), o.State, o.Result, unix(o.Closed))
+		args, e := o.Values()
+		row(putOperation, args, e)
 	}
 	for _, x := range c.Steps {
-		put(putStep, x.Op, x.Instance, x.Kind, x.Status, body(x))
+		args, e := store.StepValues(&x)
+		row(putStep, args, e)
 	}
 	for _, l := range c.Leases {
-		put(putLease, l.Instance, l.Op, l.Holder, l.Token, unix(l.Granted), unix(l.Expires))
+		row(putLease, store.LeaseValues(&l), nil)
 	}
 	for _, a := range c.Audit {
-		put(`INSERT INTO martendrum_audit (agent, n, at, who, what, target, result) VALUES ($1::text,
+		row(`INSERT INTO martendrum_audit (agent, n, `+store.AuditColumns+`) VALUES ($1::text,
 			(SELECT coalesce(max(n), 0) + 1 FROM martendrum_audit WHERE agent = $1::text), $2::bigint, $3::text, $4::text, $5::text, $6::text)`,
-			unix(a.At), a.Who, a.What, a.Target, a.Result)
+			store.AuditValues(&a), nil)
 	}
 	for _, id := range c.DropOperations {
 		put("DELETE FROM martendrum_steps WHERE agent = $1::text AND op = $2::text", id)
@@ -186,36 +172,30 @@
 	if err != nil {
 		return false, err
 	}
-	tx, err := s.db.Pool.Begin(ctx)
-	if err != nil {
-		return false, err
-	}
-	defer func() {
-		if err != nil {
-			back, cancel := context.WithTimeout(context.Background(), time.Second)
-			tx.Rollback(back)
-			cancel()
+	done := false
+	committing, err = s.db.Tx(ctx, func(tx pgx.Tx) error {
+		var epoch int64
+		var last string
+		if err := tx.QueryRow(ctx, "SELECT epoch, last FROM martendrum_agents WHERE agent = $1::text FOR UPDATE", s.agent).Scan(&epoch, &last); err != nil {
+			return err
 		}
-	}()
-	var epoch int64
-	var last string
-	if err := tx.QueryRow(ctx, "SELECT epoch, last FROM martendrum_agents WHERE agent = $1::text FOR UPDATE", s.agent).Scan(&epoch, &last); err != nil {
-		return false, err
-	}
-	switch {
-	case epoch != s.epoch:
-		return false, ErrTaken
-	case last == id: // an earlier try took effect
-		return false, tx.Rollback(ctx)
-	}
-	if err := tx.SendBatch(ctx, batch).Close(); err != nil {
-		return false, err
+		switch {
+		case epoch != s.epoch:
+			return ErrTaken
+		case last == id: // an earlier try took effect
+			done = true
+			return nil
+		}
+		return tx.SendBatch(ctx, batch).Close()
+	})
+	if done { // whatever became of a transaction that only read
+		return false, nil
 	}
-	return true, tx.Commit(ctx)
+	return committing, err
 }
 
 // read reads all rows of a query about the agent, of which scan takes each.
-func (s *Store) read(ctx context.Context, q string, scan func(pgx.Row) error, args ...any) error {
+func (s *Store) read(ctx context.Context, q string, scan func(store.Row) error, args ...any) error {
 	rows, err := s.db.Pool.Query(ctx, q, append([]any{s.agent}, args...)...)
 	if err != nil {
 		return err
@@ -232,64 +212,26 @@
 // Load implements store.Store.
 func (s *Store) Load(ctx context.Context) (*store.Snapshot, error) {
 	out := &store.Snapshot{}
-	err := s.read(ctx, `SELECT name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit
-		FROM martendrum_instances WHERE agent = $1::text ORDER BY name`, func(r pgx.Row) error {
-		var i store.Instance
-		var launched, ticks int64
-		err := r.Scan(&i.Name, &i.Desired, &i.Generation, &i.Release, &i.Previous, &i.Launch, &i.Process, &i.Running, &i.PID, &ticks, &i.Boot, &launched, &i.Restarts, &i.LastExit)
-		i.Launched, i.Ticks = fromUnix(launched), uint64(ticks)
-		out.Instances = append(out.Instances, i)
-		return err
-	})
-	if err == nil {
-		err = s.read(ctx, "SELECT body, state, result, closed FROM martendrum_operations WHERE agent = $1::text ORDER BY closed, id", func(r pgx.Row) error {
-			var o store.Operation
-			var body string
-			var closed int64
-			if err := r.Scan(&body, &o.State, &o.Result, &closed); err != nil {
-				return err
-			}
-			o.Closed = fromUnix(closed)
-			err := json.Unmarshal([]byte(body), &o.Operation)
-			out.Operations = append(out.Operations, o)
-			return err
-		})
-	}
-	if err == nil {
-		err = s.read(ctx, "SELECT body FROM martendrum_steps WHERE agent = $1::text ORDER BY op, instance, kind", func(r pgx.Row) error {
-			var body string
-			var x api.Step
-			if err := r.Scan(&body); err != nil {
-				return err
-			}
-			err := json.Unmarshal([]byte(body), &x)
-			out.Steps = append(out.Steps, x)
-			return err
-		})
-	}
-	if err == nil {
-		err = s.read(ctx, "SELECT instance, op, holder, token, granted, expires FROM martendrum_leases WHERE agent = $1::text ORDER BY instance", func(r pgx.Row) error {
-			var l lease.Lease
-			var granted, expires int64
-			err := r.Scan(&l.Instance, &l.Op, &l.Holder, &l.Token, &granted, &expires)
-			l.Granted, l.Expires = fromUnix(granted), fromUnix(expires)
-			out.Leases = append(out.Leases, l)
-			return err
-		})
-	}
-	if err != nil {
-		return nil, fmt.Errorf("record: %w", s.db.Explain(err))
+	for _, q := range []struct {
+		columns, table, order string
+		scan                  func(store.Row) error
+	}{
+		{store.InstanceColumns, "martendrum_instances", "name", out.ReadInstance},
+		{store.OperationColumns, "martendrum_operations", "closed, id", out.ReadOperation},
+		{store.StepColumns, "martendrum_steps", "op, instance, kind", out.ReadStep},
+		{store.LeaseColumns, "martendrum_leases", "instance", out.ReadLease},
+	} {
+		if err := s.read(ctx, "SELECT "+q.columns+" FROM "+q.table+" WHERE agent = $1::text ORDER BY "+q.order, q.scan); err != nil {
+			return nil, fmt.Errorf("record: %w", s.db.Explain(err))
+		}
 	}
 	return out, nil
 }
 
 // Audit implements store.Store.
 func (s *Store) Audit(ctx context.Context, most int) (out []api.AuditEntry, err error) {
-	err = s.read(ctx, "SELECT at, who, what, target, result FROM martendrum_audit WHERE agent = $1::text ORDER BY n DESC LIMIT $2::bigint", func(r pgx.Row) error {
-		var a api.AuditEntry
-		var at int64
-		err := r.Scan(&at, &a.Who, &a.What, &a.Target, &a.Result)
-		a.At = fromUnix(at)
+	err = s.read(ctx, "SELECT "+store.AuditColumns+" FROM martendrum_audit WHERE agent = $1::text ORDER BY n DESC LIMIT $2::bigint", func(r store.Row) error {
+		a, err := store.ReadAudit(r)
 		out = append(out, a)
 		return err
 	}, int64(most))
--- /dev/null
+++ b/internal/fleet/store/rows.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"encoding/json"
+	"time"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/lease"
+)
+
+// Row is one that a database returns, of either driver.
+type Row interface {
+	Scan(to ...any) error
+}
+
+// The columns of each table, in the order in which they are written and read.
+const (
+	InstanceColumns = "name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit"
+	// Of operations and steps the body holds the whole; the others are for those who
+	// look into the database.
+	OperationColumns = "id, body, state, result, closed"
+	StepColumns      = "op, instance, kind, status, body"
+	LeaseColumns     = "instance, op, holder, token, granted, expires"
+	AuditColumns     = "at, who, what, target, result"
+)
+
+func unix(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromUnix(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// Values returns what is written of i.
+func (i *Instance) Values() []any {
+	return []any{i.Name, i.Desired, i.Generation, i.Release, i.Previous, i.Launch, i.Process, i.Running, int64(i.PID), int64(i.Ticks), i.Boot,
+		unix(i.Launched), i.Restarts, i.LastExit}
+}
+
+// ReadInstance adds a row to the snapshot.
+func (s *Snapshot) ReadInstance(r Row) error {
+	var i Instance
+	var launched, ticks int64
+	err := r.Scan(&i.Name, &i.Desired, &i.Generation, &i.Release, &i.Previous, &i.Launch, &i.Process, &i.Running, &i.PID, &ticks, &i.Boot,
+		&launched, &i.Restarts, &i.LastExit)
+	i.Launched, i.Ticks = fromUnix(launched), uint64(ticks)
+	s.Instances = append(s.Instances, i)
+	return err
+}
+
+// Values returns what is written of o.
+func (o *Operation) Values() ([]any, error) {
+	body, err := json.Marshal(o.Operation)
+	return []any{o.ID, string(body), o.State, o.Result, unix(o.Closed)}, err
+}
+
+// ReadOperation adds a row to the snapshot.
+func (s *Snapshot) ReadOperation(r Row) error {
+	var o Operation
+	var id, body string
+	var closed int64
+	err := r.Scan(&id, &body, &o.State, &o.Result, &closed)
+	if err == nil {
+		o.Closed = fromUnix(closed)
+		err = json.Unmarshal([]byte(body), &o.Operation)
+	}
+	s.Operations = append(s.Operations, o)
+	return err
+}
+
+// StepValues returns what is written of x.
+func StepValues(x *api.Step) ([]any, error) {
+	body, err := json.Marshal(x)
+	return []any{x.Op, x.Instance, x.Kind, x.Status, string(body)}, err
+}
+
+// ReadStep adds a row to the snapshot.
+func (s *Snapshot) ReadStep(r Row) error {
+	var op, instance, kind, status, body string
+	var x api.Step
+	err := r.Scan(&op, &instance, &kind, &status, &body)
+	if err == nil {
+		err = json.Unmarshal([]byte(body), &x)
+	}
+	s.Steps = append(s.Steps, x)
+	return err
+}
+
+// LeaseValues returns what is written of l.
+func LeaseValues(l *lease.Lease) []any {
+	return []any{l.Instance, l.Op, l.Holder, l.Token, unix(l.Granted), unix(l.Expires)}
+}
+
+// ReadLease adds a row to the snapshot.
+func (s *Snapshot) ReadLease(r Row) error {
+	var l lease.Lease
+	var granted, expires int64
+	err := r.Scan(&l.Instance, &l.Op, &l.Holder, &l.Token, &granted, &expires)
+	l.Granted, l.Expires = fromUnix(granted), fromUnix(expires)
+	s.Leases = append(s.Leases, l)
+	return err
+}
+
+// AuditValues returns what is written of a.
+func AuditValues(a *api.AuditEntry) []any {
+	return []any{unix(a.At), a.Who, a.What, a.Target, a.Result}
+}
+
+// ReadAudit reads an entry.
+func ReadAudit(r Row) (a api.AuditEntry, err error) {
+	var at int64
+	err = r.Scan(&at, &a.Who, &a.What, &a.Target, &a.Result)
+	a.At = fromUnix(at)
+	return a, err
+}
--- a/internal/fleet/store/sqlite/sqlite.go
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -6,15 +6,14 @@
 import (
 	"context"
 	"database/sql"
-	"encoding/json"
 	"fmt"
 	"net/url"
+	"strings"
 	"time"
 
 	_ "modernc.org/sqlite" // the driver
 
 	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
 	"chalkrack/internal/fleet/store"
 )
 
@@ -115,20 +114,6 @@
 // Close closes the file.
 func (s *Store) Close() error { return s.db.Close() }
 
-func unix(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
-
-func fromUnix(n int64) time.Time {
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n)
-}
-
 // Commit implements store.Store.
 func (s *Store) Commit(ctx context.Context, c *store.Change) error {
 	tx, err := s.db.BeginTx(ctx, nil)
@@ -141,29 +126,28 @@
 			_, err = tx.ExecContext(ctx, q, args...)
 		}
 	}
-	body := func(v any) string {
-		b, e := json.Marshal(v)
+	row := func(table, columns string, args []any, e error) {
 		if err == nil {
 			err = e
 		}
-		return string(b)
+		put("INSERT OR REPLACE INTO "+table+" ("+columns+") VALUES (?"+strings.Repeat(",?", len(args)-1)+")", args...)
 	}
 	for _, i := range c.Instances {
-		put(`INSERT OR REPLACE INTO instances (name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit)
-			VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)`, i.Name, i.Desired, i.Generation, i.Release, i.Previous, i.Launch, i.Process, i.Running,
-			i.PID, int64(i.Ticks), i.Boot, unix(i.Launched), i.Restarts, i.LastExit)
+		row("instances", store.InstanceColumns, i.Values(), nil)
 	}
 	for _, o := range c.Operations {
-		put(`INSERT OR REPLACE INTO operations (id, body, state, result, closed) VALUES (?,?,?,?,?)`, o.ID, body(o.Operation), o.State, o.Result, unix(o.Closed))
+		args, e := o.Values()
+		row("operations", store.OperationColumns, args, e)
 	}
 	for _, x := range c.Steps {
-		put(`INSERT OR REPLACE INTO steps (op, instance, kind, status, body) VALUES (?,?,?,?,?)`, x.Op, x.Instance, x.Kind, x.Status, body(x))
+		args, e := store.StepValues(&x)
+		row("steps", store.StepColumns, args, e)
 	}
 	for _, l := range c.Leases {
-		put(`INSERT OR REPLACE INTO leases (instance, op, holder, token, granted, expires) VALUES (?,?,?,?,?,?)`, l.Instance, l.Op, l.Holder, l.Token, unix(l.Granted), unix(l.Expires))
+		row("leases", store.LeaseColumns, store.LeaseValues(&l), nil)
 	}
 	for _, a := range c.Audit {
-		put(`INSERT INTO audit (at, who, what, target, result) VALUES (?,?,?,?,?)`, unix(a.At), a.Who, a.What, a.Target, a.Result)
+		row("audit", store.AuditColumns, store.AuditValues(&a), nil)
 	}
 	for _, id := range c.DropOperations {
 		put(`DELETE FROM steps WHERE op = ?`, id)
@@ -186,7 +170,7 @@
 }
 
 // query reads rows, of which scan takes each.
-func (s *Store) query(ctx context.Context, q string, scan func(*sql.Rows) error, args ...any) error {
+func (s *Store) query(ctx context.Context, q string, scan func(store.Row) error, args ...any) error {
 	rows, err := s.db.QueryContext(ctx, q, args...)
 	if err != nil {
 		return err
@@ -203,64 +187,26 @@
 // Load implements store.Store.
 func (s *Store) Load(ctx context.Context) (*store.Snapshot, error) {
 	out := &store.Snapshot{}
-	err := s.query(ctx, `SELECT name, desired, generation, release, previous, launch, process, running, pid, ticks, boot, launched, restarts, last_exit
-		FROM instances ORDER BY name`, func(r *sql.Rows) error {
-		var i store.Instance
-		var launched, ticks int64
-		err := r.Scan(&i.Name, &i.Desired, &i.Generation, &i.Release, &i.Previous, &i.Launch, &i.Process, &i.Running, &i.PID, &ticks,
-			&i.Boot, &launched, &i.Restarts, &i.LastExit)
-		i.Launched, i.Ticks = fromUnix(launched), uint64(ticks)
-		out.Instances = append(out.Instances, i)
-		return err
-	})
-	if err == nil {
-		err = s.query(ctx, `SELECT body, state, result, closed FROM operations ORDER BY closed, id`, func(r *sql.Rows) error {
-			var o store.Operation
-			var body string
-			var closed int64
-			if err := r.Scan(&body, &o.State, &o.Result, &closed); err != nil {
-				return err
-			}
-			o.Closed = fromUnix(closed)
-			out.Operations = append(out.Operations, o)
-			return json.Unmarshal([]byte(body), &out.Operations[len(out.Operations)-1].Operation)
-		})
-	}
-	if err == nil {
-		err = s.query(ctx, `SELECT body FROM steps ORDER BY op, instance, kind`, func(r *sql.Rows) error {
-			var body string
-			var x api.Step
-			if err := r.Scan(&body); err != nil {
-				return err
-			}
-			err := json.Unmarshal([]byte(body), &x)
-			out.Steps = append(out.Steps, x)
-			return err
-		})
-	}
-	if err == nil {
-		err = s.query(ctx, `SELECT instance, op, holder, token, granted, expires FROM leases ORDER BY instance`, func(r *sql.Rows) error {
-			var l lease.Lease
-			var granted, expires int64
-			err := r.Scan(&l.Instance, &l.Op, &l.Holder, &l.Token, &granted, &expires)
-			l.Granted, l.Expires = fromUnix(granted), fromUnix(expires)
-			out.Leases = append(out.Leases, l)
-			return err
-		})
-	}
-	if err != nil {
-		return nil, fmt.Errorf("record %s: %w", s.path, err)
+	for _, q := range []struct {
+		text string
+		scan func(store.Row) error
+	}{
+		{"SELECT " + store.InstanceColumns + " FROM instances ORDER BY name", out.ReadInstance},
+		{"SELECT " + store.OperationColumns + " FROM operations ORDER BY closed, id", out.ReadOperation},
+		{"SELECT " + store.StepColumns + " FROM steps ORDER BY op, instance, kind", out.ReadStep},
+		{"SELECT " + store.LeaseColumns + " FROM leases ORDER BY instance", out.ReadLease},
+	} {
+		if err := s.query(ctx, q.text, q.scan); err != nil {
+			return nil, fmt.Errorf("record %s: %w", s.path, err)
+		}
 	}
 	return out, nil
 }
 
 // Audit implements store.Store.
 func (s *Store) Audit(ctx context.Context, most int) (out []api.AuditEntry, err error) {
-	err = s.query(ctx, `SELECT at, who, what, target, result FROM audit ORDER BY n DESC LIMIT ?`, func(r *sql.Rows) error {
-		var a api.AuditEntry
-		var at int64
-		err := r.Scan(&at, &a.Who, &a.What, &a.Target, &a.Result)
-		a.At = fromUnix(at)
+	err = s.query(ctx, "SELECT "+store.AuditColumns+" FROM audit ORDER BY n DESC LIMIT ?", func(r store.Row) error {
+		a, err := store.ReadAudit(r)
 		out = append(out, a)
 		return err
 	}, most)
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -196,6 +196,24 @@
 	})
 }
 
+// Tx makes one transaction; committing says that an error is that of its COMMIT.
+func (db *DB) Tx(ctx context.Context, do func(pgx.Tx) error) (committing bool, err error) {
+	tx, err := db.Pool.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.ReadCommitted})
+	if err != nil {
+		return false, err
+	}
+	if err = do(tx); err == nil {
+		committing, err = true, tx.Commit(ctx)
+	}
+	if err != nil {
+		// Also when ctx is over: a connection left in a transaction is closed.
+		back, cancel := context.WithTimeout(context.Background(), time.Second)
+		tx.Rollback(back)
+		cancel()
+	}
+	return committing, err
+}
+
 // Undone says that a transaction which ended with err was overtaken by another one and
 // surely has no effect.
 func Undone(err error) bool {
--- a/internal/record/e2e/away_test.go
+++ b/internal/record/e2e/away_test.go
@@ -273,6 +273,17 @@
 					t.Errorf("%q, at first %q; ran %d times", b.body, a.body, s.w.ran(q))
 				}
 			})
+			t.Run("the client's time is over first", func(t *testing.T) {
+				// The store may be waited for much longer than the client waits.
+				s := stage(t, store, plan{Wait: 10 * time.Minute})
+				s.gate.set(of(record.End), nil)
+				q := request{class: "activate", key: "k", deadline: 400 * time.Millisecond}
+				if a, err := ask(s.addr, q, nil); err != nil || a.status == 0 {
+					t.Error(a, err)
+				}
+				s.gate.set(nil, nil)
+				s.row(t, q, func(r record.Row) bool { return r.State == record.Answered || r.State == record.NeverRan })
+			})
 			t.Run("back before the answer", func(t *testing.T) {
 				s := stage(t, store, plan{})
 				q := request{class: "activate", key: "k"}
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -119,8 +119,9 @@
 }
 
 // ask submits op and calls then once: with the store's word or, when wait is over,
-// with ErrAway. late gets a word that comes after that; it may be nil.
-func (k *Keeper) ask(op *record.Op, wait time.Duration, keep bool, then func(error), late func()) {
+// with ErrAway; the store is to blame only if wait is all of its class's, most. late
+// gets a word that comes after that; it may be nil.
+func (k *Keeper) ask(op *record.Op, most, wait time.Duration, keep bool, then func(error), late func()) {
 	j := &job{op: op, keep: keep, size: len(op.Answer) + len(op.Header), until: time.Now().Add(wait)}
 	if keep {
 		j.until = time.Now().Add(k.cfg.EndFor)
@@ -131,7 +132,9 @@
 			k.count("waited in vain")
 			err := fmt.Errorf("%w: no word within %v", ErrAway, wait)
 			// Also while a call hangs: else each request would wait until that ends.
-			k.c.note(err, 0)
+			if wait >= most {
+				k.c.note(err, 0)
+			}
 			then(err)
 		})
 	})
@@ -169,10 +172,10 @@
 	op := e.op(record.Claim)
 	release := func() {
 		if op.Result == record.Granted && !class.Pass {
-			k.ask(e.endOp(record.NeverRan), class.Wait, true, func(error) {}, nil) // its client was turned away meanwhile
+			k.ask(e.endOp(record.NeverRan), class.Wait, class.Wait, true, func(error) {}, nil) // its client was turned away meanwhile
 		}
 	}
-	k.ask(op, min(class.Wait, left/4), false, func(err error) {
+	k.ask(op, class.Wait, min(class.Wait, left/4), false, func(err error) {
 		switch {
 		case err == nil:
 			then(k.verdict(e, op))
@@ -285,7 +288,7 @@
 	}
 	op := e.op(record.Send)
 	op.Attempt, op.Server = n, clean(server)
-	e.k.ask(op, e.class.Wait, false, func(err error) {
+	e.k.ask(op, e.class.Wait, e.class.Wait, false, func(err error) {
 		switch {
 		case err == nil && op.Result == record.Granted:
 			then(true)
@@ -308,7 +311,7 @@
 }
 
 // End implements sidecar.Entry.
-func (e *entry) End(end sidecar.End, ans *upstream.Answer, then func()) {
+func (e *entry) End(end sidecar.End, ans *upstream.Answer, left time.Duration, then func()) {
 	op := e.endOp(map[sidecar.End]record.State{sidecar.Served: record.Answered, sidecar.NeverRan: record.NeverRan, sidecar.MayHaveRun: record.MayHaveRun}[end])
 	if ans != nil {
 		op.Status, op.Header = http.StatusOK, formHeader(ans.Header)
@@ -318,7 +321,7 @@
 			op.Cut = true
 		}
 	}
-	e.k.ask(op, e.class.Wait, true, func(error) { then() }, nil)
+	e.k.ask(op, e.class.Wait, max(0, min(e.class.Wait, left)), true, func(error) { then() }, nil)
 }
 
 // Fields of an answer that are kept: those that say what its body is.
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -170,62 +170,52 @@
 		}
 	}
 	slices.SortFunc(keys, func(a, b id) int { return strings.Compare(a.class+"\x00"+a.key, b.class+"\x00"+b.key) })
-	tx, err := s.db.Pool.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.ReadCommitted})
-	if err != nil {
-		return false, err
-	}
-	defer func() {
-		if err != nil {
-			// Also when ctx is over: a connection left in a transaction is closed.
-			back, cancel := context.WithTimeout(context.Background(), time.Second)
-			tx.Rollback(back)
-			cancel()
+	return s.db.Tx(ctx, func(tx pgx.Tx) error {
+		var now int64
+		read := &pgx.Batch{}
+		for _, k := range keys {
+			e := rows[k]
+			read.Queue("SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text FOR UPDATE", k.class, k.key).QueryRow(func(r pgx.Row) error {
+				err := r.Scan(e.row.Fields()...)
+				if errors.Is(err, pgx.ErrNoRows) {
+					e.row, err = record.Row{}, nil
+				}
+				e.had = e.row.Version
+				return err
+			})
 		}
-	}()
-	var now int64
-	read := &pgx.Batch{}
-	for _, k := range keys {
-		e := rows[k]
-		read.Queue("SELECT "+record.Columns+" FROM martendrum_record WHERE class = $1::text AND key = $2::text FOR UPDATE", k.class, k.key).QueryRow(func(r pgx.Row) error {
-			err := r.Scan(e.row.Fields()...)
-			if errors.Is(err, pgx.ErrNoRows) {
-				e.row, err = record.Row{}, nil
-			}
-			e.had = e.row.Version
+		// Read last, when the locks are had: waiting for them takes time.
+		read.Queue("SELECT " + clock).QueryRow(func(r pgx.Row) error { return r.Scan(&now) })
+		if err := tx.SendBatch(ctx, read).Close(); err != nil {
 			return err
-		})
-	}
-	// Read last, when the locks are had: waiting for them takes time.
-	read.Queue("SELECT " + clock).QueryRow(func(r pgx.Row) error { return r.Scan(&now) })
-	if err := tx.SendBatch(ctx, read).Close(); err != nil {
-		return false, err
-	}
-	for _, op := range ops {
-		e := rows[id{op.Class, op.Key}]
-		e.keep = record.Apply(&e.row, now, op) || e.keep
-	}
-	write := &pgx.Batch{}
-	one := func(t pgconn.CommandTag) error {
-		if t.RowsAffected() != 1 {
-			return errRaced
 		}
-		return nil
-	}
-	for _, k := range keys {
-		switch e := rows[k]; {
-		case !e.keep:
-		case e.had == 0:
-			write.Queue(s.insert, e.row.Values()...).Exec(one)
-		default:
-			write.Queue(s.update, append(e.row.Values(), e.had)...).Exec(one)
+		for _, op := range ops {
+			e := rows[id{op.Class, op.Key}]
+			e.keep = record.Apply(&e.row, now, op) || e.keep
 		}
-	}
-	if write.Len() > 0 {
-		if err := tx.SendBatch(ctx, write).Close(); err != nil {
-			return false, err
+		write := &pgx.Batch{}
+		one := func(t pgconn.CommandTag) error {
+			if t.RowsAffected() != 1 {
+				return errRaced
+			}
+			return nil
 		}
-	}
-	return true, tx.Commit(ctx)
+		for _, k := range keys {
+			switch e := rows[k]; {
+			case !e.keep:
+			case e.had == 0:
+				write.Queue(s.insert, e.row.Values()...).Exec(one)
+			default:
+				write.Queue(s.update, append(e.row.Values(), e.had)...).Exec(one)
+			}
+		}
+		if write.Len() > 0 {
+			if err := tx.SendBatch(ctx, write).Close(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
 
 // Get implements record.Backend.
--- a/internal/sidecar/recorder.go
+++ b/internal/sidecar/recorder.go
@@ -30,8 +30,9 @@
 	// byte may go.
 	Sending(n int, server string, then func(ok bool))
 	// End says what the request came to; ans is set for Served. It may be called
-	// again when more is known. then is when the client may be told.
-	End(e End, ans *upstream.Answer, then func())
+	// again when more is known. then is when the client may be told, which is within
+	// left: its time is over then.
+	End(e End, ans *upstream.Answer, left time.Duration, then func())
 }
 
 // End is what a request came to.
@@ -53,7 +54,7 @@
 		switch {
 		case q.x == nil: // its client has left, or its time is up
 			if v.Entry != nil {
-				h.actions = append(h.actions, func() { v.Entry.End(NeverRan, nil, func() {}) })
+				h.actions = append(h.actions, func() { v.Entry.End(NeverRan, nil, 0, func() {}) })
 			}
 			return
 		case v.Answer != nil:
@@ -103,10 +104,11 @@
 		}
 	default:
 		q.told = e
+		left := q.deadline - h.now()
 		entry := q.entry
 		if act == nil {
 			act = func() {}
 		}
-		h.actions = append(h.actions, func() { entry.End(e, ans, act) })
+		h.actions = append(h.actions, func() { entry.End(e, ans, left, act) })
 	}
 }
