An op that the store never takes does not keep others from their record

Need: an end that the store refuses each time made every batch that held it fail, and with it the claims of others; at SIGTERM a hung call could keep the process for a second more.

Change: what failed by itself goes alone, after a pause that doubles, and between others, until the store was away and came back; all calls end when the sidecar does.

--- a/internal/record/e2e/away_test.go
+++ b/internal/record/e2e/away_test.go
@@ -218,12 +218,38 @@
 							t.Errorf("%s ran %d times", q.key, s.w.ran(q))
 						}
 					}
-					s.keeper.WriteGaps()
+					s.keeper.WriteGaps(context.Background())
 					if gaps, err := s.backend.Gaps(context.Background(), 10); err != nil || len(gaps) != 1 || gaps[0].Requests != 6 || gaps[0].Class != "id-register" {
 						t.Error(gaps, err)
 					}
 				})
 			}
+			t.Run("one that it never takes", func(t *testing.T) {
+				s := stage(t, store, plan{Wait: short})
+				s.gate.set(func(ops []*record.Op) bool {
+					for _, op := range ops {
+						if op.Kind == record.End && op.Key == "poison" {
+							return true
+						}
+					}
+					return false
+				}, errors.New("injected"))
+				s.expect(t, request{class: "activate", key: "poison"}, http.StatusOK)
+				deadline := time.Now().Add(patience)
+				for n := 0; n < 5; {
+					q := request{class: "activate", key: fmt.Sprint(n)}
+					a, err := ask(s.addr, q, nil)
+					if err != nil || time.Now().After(deadline) {
+						t.Fatal(a, err)
+					}
+					if a.status == http.StatusOK {
+						s.row(t, q, is(record.Answered))
+						n++
+					}
+				}
+				s.gate.set(nil, nil)
+				s.row(t, request{class: "activate", key: "poison"}, is(record.Answered))
+			})
 			t.Run("open breaker", func(t *testing.T) {
 				s := stage(t, store, plan{Wait: patience})
 				s.gate.set(all, errors.New("injected"))
--- a/internal/record/keeper/commit.go
+++ b/internal/record/keeper/commit.go
@@ -17,6 +17,9 @@
 // for it already.
 var ErrAway = errors.New("the store is away")
 
+// idleMost is how long a worker waits with nothing to do, at most.
+const idleMost = time.Minute
+
 // job is one op that waits to be written.
 type job struct {
 	op    *record.Op
@@ -24,6 +27,12 @@
 	keep  bool      // tried again after an error until then
 	size  int       // bytes of the answer it holds
 	done  func(error)
+
+	// One that failed by itself goes alone from then on, after a pause, and between
+	// others: it may be what the store never takes.
+	alone bool
+	after time.Time
+	tries int
 }
 
 // committer brings ops to the backend, those that wait together in one transaction.
@@ -35,6 +44,8 @@
 	seed    maphash.Seed
 	start   time.Time
 	end     chan struct{}
+	ctx     context.Context // of all calls but the last; over when the committer is closed
+	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
 	mu      sync.Mutex
@@ -53,11 +64,13 @@
 
 	queue []*job // guarded by the committer's lock
 	solo  int    // so many ops go one by one, after a batch that failed
+	turn  bool   // one that goes alone went last
 }
 
 func newCommitter(cfg *Config, b record.Backend) *committer {
 	c := &committer{cfg: cfg, backend: b, seed: maphash.MakeSeed(), start: time.Now(), end: make(chan struct{}),
 		breaker: record.NewBreaker(cfg.BreakAfter, cfg.PauseLeast, cfg.PauseMost)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for range max(1, cfg.Writers) {
 		s := &shard{c: c, wake: make(chan struct{}, 1)}
 		c.shards = append(c.shards, s)
@@ -115,7 +128,7 @@
 		if !s.ready() {
 			return
 		}
-		batch, late := s.take()
+		batch, late, wait := s.take()
 		for _, j := range late {
 			s.finish(j, fmt.Errorf("%w: it took too long", ErrAway))
 		}
@@ -123,11 +136,18 @@
 			if len(late) > 0 {
 				continue
 			}
+			if wait == 0 {
+				wait = idleMost
+			}
+			t := time.NewTimer(wait)
 			select {
 			case <-s.wake:
+			case <-t.C:
 			case <-c.end:
+				t.Stop()
 				return
 			}
+			t.Stop()
 			continue
 		}
 		s.write(batch)
@@ -140,8 +160,9 @@
 }
 
 // take removes the next batch from the queue, and what is late. One key may be in a
-// batch more than once: ops are carried out in their order.
-func (s *shard) take() (batch, late []*job) {
+// batch more than once: ops are carried out in their order. wait, where above 0, is when
+// one that goes alone is due.
+func (s *shard) take() (batch, late []*job, wait time.Duration) {
 	c := s.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,19 +171,36 @@
 		most, s.solo = 1, s.solo-1
 	}
 	now := time.Now()
-	n := 0
-	for ; n < len(s.queue) && len(batch) < most; n++ {
-		if j := s.queue[n]; now.After(j.until) {
+	var alone *job
+	left := s.queue[:0]
+	for _, j := range s.queue {
+		switch {
+		case now.After(j.until):
 			late = append(late, j)
 			if j.keep {
 				c.lost++
 			}
-		} else {
+		case j.alone && alone == nil && !s.turn && !now.Before(j.after):
+			alone = j
+		case j.alone:
+			if d := max(j.after.Sub(now), time.Millisecond); wait == 0 || d < wait {
+				wait = d
+			}
+			left = append(left, j)
+		case len(batch) < most:
 			batch = append(batch, j)
+		default:
+			left = append(left, j)
 		}
 	}
-	s.queue = append(s.queue[:0], s.queue[n:]...)
-	return batch, late
+	clear(s.queue[len(left):])
+	s.queue = left
+	s.turn = alone != nil
+	if alone != nil {
+		s.queue = append(batch[:len(batch):len(batch)], s.queue...)
+		batch = []*job{alone}
+	}
+	return batch, late, wait
 }
 
 // back puts jobs at the head of the queue.
@@ -172,6 +210,26 @@
 	s.c.mu.Unlock()
 }
 
+// single puts a job that failed by itself back, to go alone. What overtakes it may be of
+// its key, which is still in flight to it.
+func (s *shard) single(j *job) {
+	s.c.mu.Lock()
+	j.after = time.Now().Add(min(s.c.cfg.PauseLeast<<min(j.tries, 10), s.c.cfg.PauseMost))
+	j.alone = true
+	j.tries++
+	s.queue = append(s.queue, j)
+	s.c.mu.Unlock()
+}
+
+// rejoin lets those that go alone go with others again: the store was away.
+func (s *shard) rejoin() {
+	s.c.mu.Lock()
+	for _, j := range s.queue {
+		j.alone = false
+	}
+	s.c.mu.Unlock()
+}
+
 // ready waits, while the breaker is open, until a try is due and the store gives a
 // sign of life; false when the committer is closed.
 func (s *shard) ready() bool {
@@ -186,12 +244,15 @@
 			return true
 		}
 		if try {
-			ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Statement)
+			ctx, cancel := context.WithTimeout(c.ctx, c.cfg.Statement)
 			err := c.backend.Ping(ctx)
 			cancel()
 			c.note(err, 0)
 			if err == nil {
 				slog.Info("the store is back")
+				for _, s := range c.shards {
+					s.rejoin()
+				}
 				return true
 			}
 			continue
@@ -237,11 +298,13 @@
 	for n, j := range batch {
 		ops[n] = j.op
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Statement)
+	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.Statement)
 	began := time.Now()
 	err := c.backend.Apply(ctx, ops)
 	cancel()
-	c.note(err, time.Since(began))
+	if !batch[0].alone || err == nil {
+		c.note(err, time.Since(began))
+	}
 	if err == nil {
 		c.mu.Lock()
 		c.batches++
@@ -259,25 +322,20 @@
 			again = append(again, j)
 		}
 	}
-	// In their order: what is kept goes back before others learn that they failed and
-	// ask for something after it.
-	s.back(again)
-	if len(batch) > 1 {
+	switch {
+	case len(batch) > 1:
+		// In their order, and before others learn that they failed and ask for something
+		// after them; one by one, for one of them may be what the store does not take.
+		s.back(again)
 		s.solo = len(again)
+	case len(again) == 1:
+		s.single(again[0])
 	}
 	for _, j := range batch {
 		if !j.keep {
 			s.finish(j, err)
 		}
 	}
-	if len(again) == len(batch) { // else a full store would be asked without a pause
-		t := time.NewTimer(c.cfg.PauseLeast)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-c.end:
-		}
-	}
 }
 
 func (s *shard) finish(j *job, err error) {
@@ -308,6 +366,7 @@
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
+	c.cancel()
 	close(c.end)
 	c.wg.Wait()
 	c.mu.Lock()
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -108,7 +108,7 @@
 	close(k.end)
 	k.c.close(ctx)
 	k.wg.Wait()
-	k.WriteGaps()
+	k.WriteGaps(ctx)
 	return k.backend.Close()
 }
 
@@ -129,10 +129,10 @@
 	var once sync.Once
 	t := time.AfterFunc(wait, func() {
 		once.Do(func() {
-			k.count("waited in vain")
 			err := fmt.Errorf("%w: no word within %v", ErrAway, wait)
 			// Also while a call hangs: else each request would wait until that ends.
 			if wait >= most {
+				k.count("waited in vain")
 				k.c.note(err, 0)
 			}
 			then(err)
@@ -366,9 +366,9 @@
 		if k.away() {
 			continue
 		}
-		k.WriteGaps()
+		k.WriteGaps(k.c.ctx)
 		for {
-			ctx, cancel := context.WithTimeout(context.Background(), k.cfg.Statement)
+			ctx, cancel := context.WithTimeout(k.c.ctx, k.cfg.Statement)
 			n, err := k.backend.Sweep(ctx, k.cfg.Keep, sweepMost)
 			cancel()
 			if err != nil {
@@ -393,13 +393,13 @@
 	return open
 }
 
-func (k *Keeper) WriteGaps() {
+func (k *Keeper) WriteGaps(within context.Context) {
 	k.mu.Lock()
 	gaps := k.gaps
 	k.gaps = make(map[string]*record.Gap)
 	k.mu.Unlock()
 	for class, g := range gaps {
-		ctx, cancel := context.WithTimeout(context.Background(), k.cfg.Statement)
+		ctx, cancel := context.WithTimeout(within, k.cfg.Statement)
 		err := k.backend.Gap(ctx, *g)
 		cancel()
 		if err == nil {
