Test that inspect and list show a store of record that is away

Need: that operators see it was built and not shown.

Change: an end-to-end test with the agent, the recording build and the PostgreSQL stand-in.

--- a/internal/fleet/e2e/fleet_test.go
+++ b/internal/fleet/e2e/fleet_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -782,6 +783,60 @@
 	}
 }
 
+// An instance with a store of record: inspect shows how it does, list marks one that is
+// away. The sidecar starts without its database.
+func TestRecordIsShown(t *testing.T) {
+	t.Parallel()
+	pg, err := pgserver.Start(pgserver.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { pg.Close() })
+	w := newWorld(t, 1, 1)
+	h := w.hosts[0]
+	sidecar := filepath.Join(w.dir, "fawnrock-record")
+	if out, err := exec.Command("go", "build", "-tags", "record", "-o", sidecar, "chalkrack/cmd/fawnrock").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	file := filepath.Join(w.dir, "record.toml")
+	os.WriteFile(file, fmt.Appendf(nil, "store = \"postgres\"\n[postgres]\nurl = %q\n[[class]]\nname = \"activate\"\nkey = \"header:Order\"\n", pg.URL()), 0o600)
+	b, err := os.ReadFile(h.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(b), filepath.Join(w.bin, "fawnrock"), sidecar, 1) + fmt.Sprintf("record = %q\n", file)
+	os.WriteFile(h.config, []byte(text), 0o600)
+	pg.SetRefuse(true)
+	w.startAll()
+	says := func(command, want string) {
+		t.Helper()
+		eventually(t, command+" that says "+want, func() bool {
+			out, _, _ := w.command(strings.Fields(command)...)
+			return strings.Contains(out, want)
+		})
+	}
+	says("inspect h0-i0", "postgres; breaker=")
+	eventually(t, "an open breaker", func() bool {
+		req, err := http.NewRequest("POST", "http://"+h.listen["h0-i0"]+"/activate/1", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header["Req-Id"], req.Header["Order"] = []string{fmt.Sprint(rand.Uint64())}, []string{fmt.Sprint(rand.Uint64())}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("answered %s without its record", resp.Status)
+		}
+		out, _, _ := w.command("list")
+		return strings.Contains(out, "its store of record is away")
+	})
+	pg.SetRefuse(false)
+	says("inspect h0-i0", "postgres; breaker=closed")
+}
+
 // dev runs as the first command on a checkout, and ends cleanly.
 func TestDev(t *testing.T) {
 	t.Parallel()
