A fenced request is sent by no further attempt, in classes that pass without a store too

Need: a request of a class with away = "pass" whose claim another sidecar had taken over was kept from its first attempt only; the next one went out without asking.

Change: fenced and unreachable are told apart; fenced keeps each attempt back.

Measured: the test, now with both kinds of class, saw two sends with the code before and sees one; three times under the race detector.

--- a/internal/record/e2e/away_test.go
+++ b/internal/record/e2e/away_test.go
@@ -534,24 +534,8 @@
 		}
 	})
 	t.Run("the owner stalls before its send", func(t *testing.T) {
-		a, b := pair(t)
-		q := request{class: "activate", key: "k"}
-		a.gate.set(of(record.Send), nil)
-		got := make(chan answer, 1)
-		go func() {
-			x, _ := ask(a.addr, q, nil)
-			got <- x
-		}()
-		<-a.gate.held
-		b.pg.SetSkew(time.Hour)
-		first := b.expect(t, q, http.StatusOK)
-		a.gate.set(nil, nil)
-		// Fenced: it is not sent, and what it is told is no answer.
-		if x := <-got; x.status != http.StatusServiceUnavailable && x.status != http.StatusBadGateway {
-			t.Errorf("%+v", x)
-		}
-		if x := b.expect(t, q, http.StatusOK); x.body != first.body || b.w.ran(q) != 1 {
-			t.Errorf("%+v; ran %d times", x, b.w.ran(q))
+		for _, class := range []string{"activate", "id-register"} {
+			stalls(t, class, pair)
 		}
 	})
 	t.Run("its time is over while it is in flight", func(t *testing.T) {
@@ -587,3 +571,28 @@
 	t.Cleanup(s.Close)
 	return s.Addrs()[0]
 }
+
+func stalls(t *testing.T, class string, pair func(*testing.T) (a, b *scene)) {
+	a, b := pair(t)
+	q := request{class: class, key: "k"}
+	a.gate.set(of(record.Send), nil)
+	got := make(chan answer, 1)
+	go func() {
+		x, _ := ask(a.addr, q, nil)
+		got <- x
+	}()
+	<-a.gate.held
+	b.pg.SetSkew(time.Hour)
+	first := b.expect(t, q, http.StatusOK)
+	a.gate.set(nil, nil)
+	// Fenced: it is not sent, by no attempt, and what its client is told is no answer.
+	if x := <-got; x.status != http.StatusServiceUnavailable && x.status != http.StatusBadGateway {
+		t.Errorf("%+v", x)
+	}
+	b.w.mu.Lock()
+	hits := b.w.hits
+	b.w.mu.Unlock()
+	if x := b.expect(t, q, http.StatusOK); x.body != first.body || b.w.ran(q) != 1 || hits != 1 {
+		t.Errorf("%s: %+v; ran %d times, %d sent", class, x, b.w.ran(q), hits)
+	}
+}
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -241,6 +241,7 @@
 
 	mu     sync.Mutex
 	broken bool // the store failed it: it is asked no more about attempts
+	fenced bool // the claim is another's: nothing may go
 	gapped bool
 }
 
@@ -280,10 +281,10 @@
 // Sending implements sidecar.Entry.
 func (e *entry) Sending(n int, server string, then func(ok bool)) {
 	e.mu.Lock()
-	broken := e.broken
+	broken, fenced := e.broken, e.fenced
 	e.mu.Unlock()
-	if broken {
-		then(e.class.Pass)
+	if broken || fenced {
+		then(e.class.Pass && !fenced)
 		return
 	}
 	op := e.op(record.Send)
@@ -295,7 +296,7 @@
 		case err == nil:
 			e.k.count("fenced")
 			e.mu.Lock()
-			e.broken = true
+			e.fenced = true
 			e.mu.Unlock()
 			then(false) // others may go on with the key: not this one, whatever its class
 		case e.class.Pass:
