One piece of code for SQLite files, for paths beside a file, and for the record's SQL rules

Need: the sidecar's record had written again how the agent's opens, checks, migrates and reads a SQLite file; three configurations made paths absolute each in a loop of its own; what lapses and what a row can't be stood in SQL two and three times; the recording build worked its configuration out twice at start; two methods and a parameter had no user.

--- a/cmd/fawnrock/record.go
+++ b/cmd/fawnrock/record.go
@@ -19,15 +19,27 @@
 // no reason not to start; one that can't be used is.
 const recordAsk = time.Second
 
-// recordConfig is the operator's file.
-type recordConfig = conf.Config
+// recordConfig is the operator's file, and what it means for this sidecar.
+type recordConfig struct {
+	*conf.Config
+	keeper keeper.Config
+}
+
+// Sockets is how many descriptors the store takes at most.
+func (c *recordConfig) Sockets() int {
+	if c == nil {
+		return 0
+	}
+	return c.Config.Sockets()
+}
 
 func loadRecord(path string, set *settings.Settings, sockets int) (*recordConfig, error) {
 	c, err := conf.Load(path)
-	if err == nil {
-		_, err = c.Keeper(set, sockets)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	k, err := c.Keeper(set, sockets)
+	return &recordConfig{c, k}, err
 }
 
 // openRecord opens the store of record; nil if there is none.
@@ -35,10 +47,6 @@
 	if c.record == nil {
 		return nil, nil
 	}
-	kc, err := c.record.Keeper(c.settings, 0) // its sockets were checked
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	b, err := c.record.Open(ctx, true)
@@ -54,5 +62,5 @@
 	case err != nil:
 		slog.Warn("the store of record is away at the start", "err", err)
 	}
-	return keeper.New(kc, b), nil
+	return keeper.New(c.record.keeper, b), nil
 }
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"regexp"
 	"time"
 
@@ -94,21 +93,12 @@
 	if err := units.Load(path, c); err != nil {
 		return nil, err
 	}
-	dir, err := filepath.Abs(filepath.Dir(path))
-	if err != nil {
-		return nil, err
-	}
-	for _, p := range []*string{&c.StateDir, &c.Listen.Unix, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.Sidecar.Binary, &c.Sidecar.Overlay, &c.Record.PasswordFile, &c.Record.CA} {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
-		}
-	}
+	paths := []*string{&c.StateDir, &c.Listen.Unix, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.Sidecar.Binary, &c.Sidecar.Overlay, &c.Record.PasswordFile, &c.Record.CA}
 	for n := range c.Instances {
-		for _, p := range []*string{&c.Instances[n].Config, &c.Instances[n].Record} {
-			if *p != "" && !filepath.IsAbs(*p) {
-				*p = filepath.Join(dir, *p)
-			}
-		}
+		paths = append(paths, &c.Instances[n].Config, &c.Instances[n].Record)
+	}
+	if err := units.Beside(path, paths...); err != nil {
+		return nil, err
 	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"path"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -40,15 +39,9 @@
 	if err := units.Load(file, v); err != nil {
 		return nil, err
 	}
-	dir, err := filepath.Abs(filepath.Dir(file))
-	if err != nil {
+	if err := units.Beside(file, &v.TLS.CA, &v.TLS.Cert, &v.TLS.Key); err != nil {
 		return nil, err
 	}
-	for _, p := range []*string{&v.TLS.CA, &v.TLS.Cert, &v.TLS.Key} {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
-		}
-	}
 	if v.Timeout <= 0 {
 		return nil, fmt.Errorf("%s: timeout must be above 0", file)
 	}
@@ -68,9 +61,10 @@
 			if rest == "" {
 				return nil, fmt.Errorf("%s: host %s: address %q names no path", file, h.Name, h.Address)
 			}
-			if !filepath.IsAbs(rest) {
-				h.Address = "unix:" + filepath.Join(dir, rest)
+			if err := units.Beside(file, &rest); err != nil {
+				return nil, err
 			}
+			h.Address = "unix:" + rest
 		case "tls", "tcp":
 			if _, _, err := net.SplitHostPort(rest); err != nil {
 				return nil, fmt.Errorf("%s: host %s: address: %w", file, h.Name, err)
--- a/internal/fleet/store/sqlite/sqlite.go
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -7,14 +7,12 @@
 	"context"
 	"database/sql"
 	"fmt"
-	"net/url"
 	"strings"
 	"time"
 
-	_ "modernc.org/sqlite" // the driver
-
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/store"
+	"chalkrack/internal/sqlitefile"
 )
 
 // migrations bring a file from version n to n+1. They are never changed once
@@ -58,11 +56,8 @@
 }
 
 func open(path string, most int64, version int) (*Store, error) {
-	q := url.Values{"_pragma": {
-		"busy_timeout(2000)", "journal_mode(WAL)", "synchronous(FULL)", "foreign_keys(ON)", "cache_size(-256)",
-		"wal_autocheckpoint(256)", "journal_size_limit(1048576)", fmt.Sprintf("max_page_count(%d)", max(most/pageSize, 64)),
-	}, "_txlock": {"immediate"}}
-	db, err := sql.Open("sqlite", "file:"+(&url.URL{Path: path}).EscapedPath()+"?"+q.Encode())
+	db, err := sqlitefile.Open(path, "busy_timeout(2000)", "journal_mode(WAL)", "synchronous(FULL)", "foreign_keys(ON)", "cache_size(-256)",
+		"wal_autocheckpoint(256)", "journal_size_limit(1048576)", fmt.Sprintf("max_page_count(%d)", max(most/pageSize, 64)))
 	if err != nil {
 		return nil, fmt.Errorf("record %s: %w", path, err)
 	}
@@ -78,37 +73,10 @@
 func (s *Store) migrate(to int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	var ok string
-	if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
-		if err == nil {
-			err = fmt.Errorf("%s", ok)
-		}
+	if err := sqlitefile.Sound(ctx, s.db); err != nil {
 		return fmt.Errorf("it can't be read (%w): if it is damaged, move it and its -wal and -shm files aside; the agent then finds its sidecars by their environment and begins a new record", err)
 	}
-	tx, err := s.db.BeginTx(ctx, nil)
-	if err != nil {
-		return fmt.Errorf("it can't be written: %w", err)
-	}
-	defer tx.Rollback()
-	var have int
-	if err := tx.QueryRowContext(ctx, "PRAGMA user_version").Scan(&have); err != nil {
-		return err
-	}
-	if have > Version {
-		return fmt.Errorf("its schema is version %d and this build knows up to %d: run the newer build that wrote it", have, Version)
-	}
-	if have >= to {
-		return nil
-	}
-	for n := have; n < to; n++ {
-		if _, err := tx.ExecContext(ctx, migrations[n]); err != nil {
-			return fmt.Errorf("to schema version %d: %w", n+1, err)
-		}
-	}
-	if _, err := tx.ExecContext(ctx, fmt.Sprintf("PRAGMA user_version = %d", to)); err != nil {
-		return err
-	}
-	return tx.Commit()
+	return sqlitefile.Migrate(ctx, s.db, migrations, to)
 }
 
 // Close closes the file.
@@ -169,21 +137,6 @@
 	return nil
 }
 
-// query reads rows, of which scan takes each.
-func (s *Store) query(ctx context.Context, q string, scan func(store.Row) error, args ...any) error {
-	rows, err := s.db.QueryContext(ctx, q, args...)
-	if err != nil {
-		return err
-	}
-	defer rows.Close()
-	for rows.Next() {
-		if err := scan(rows); err != nil {
-			return err
-		}
-	}
-	return rows.Err()
-}
-
 // Load implements store.Store.
 func (s *Store) Load(ctx context.Context) (*store.Snapshot, error) {
 	out := &store.Snapshot{}
@@ -196,7 +149,7 @@
 		{"SELECT " + store.StepColumns + " FROM steps ORDER BY op, instance, kind", out.ReadStep},
 		{"SELECT " + store.LeaseColumns + " FROM leases ORDER BY instance", out.ReadLease},
 	} {
-		if err := s.query(ctx, q.text, q.scan); err != nil {
+		if err := sqlitefile.Each(ctx, s.db, q.text, func(r *sql.Rows) error { return q.scan(r) }); err != nil {
 			return nil, fmt.Errorf("record %s: %w", s.path, err)
 		}
 	}
@@ -205,7 +158,7 @@
 
 // Audit implements store.Store.
 func (s *Store) Audit(ctx context.Context, most int) (out []api.AuditEntry, err error) {
-	err = s.query(ctx, "SELECT "+store.AuditColumns+" FROM audit ORDER BY n DESC LIMIT ?", func(r store.Row) error {
+	err = sqlitefile.Each(ctx, s.db, "SELECT "+store.AuditColumns+" FROM audit ORDER BY n DESC LIMIT ?", func(r *sql.Rows) error {
 		a, err := store.ReadAudit(r)
 		out = append(out, a)
 		return err
--- a/internal/fleet/units/units.go
+++ b/internal/fleet/units/units.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -42,6 +43,20 @@
 	return fmt.Errorf("%q is no size; write it with its unit, as in \"64KiB\" or \"4MiB\"", b)
 }
 
+// Beside makes relative paths that stand in a file relative to its folder.
+func Beside(file string, paths ...*string) error {
+	dir, err := filepath.Abs(filepath.Dir(file))
+	if err != nil {
+		return err
+	}
+	for _, p := range paths {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	return nil
+}
+
 // Load reads a file into v.
 func Load(path string, v any) error {
 	data, err := os.ReadFile(path)
--- a/internal/record/conf/conf.go
+++ b/internal/record/conf/conf.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"time"
 
 	"chalkrack"
@@ -85,15 +84,9 @@
 	if err := units.Load(path, c); err != nil {
 		return nil, err
 	}
-	dir, err := filepath.Abs(filepath.Dir(path))
-	if err != nil {
+	if err := units.Beside(path, &c.SQLite.Path, &c.Postgres.PasswordFile, &c.Postgres.CA); err != nil {
 		return nil, err
 	}
-	for _, p := range []*string{&c.SQLite.Path, &c.Postgres.PasswordFile, &c.Postgres.CA} {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
-		}
-	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -155,14 +148,14 @@
 }
 
 // Keeper checks the file against a deployment's settings and says how the store is
-// used. sockets bounds the store's connections, 0 for no bound.
+// used. sockets bounds the store's connections.
 func (c *Config) Keeper(set *settings.Settings, sockets int) (keeper.Config, error) {
 	out := keeper.Config{Name: c.Store, Writers: 1, Batch: c.Queue.Batch, Queue: c.Queue.Ops, QueueBytes: int(c.Queue.Bytes),
 		Statement: time.Duration(c.Wait.Statement), EndFor: time.Duration(c.Wait.EndFor), Lease: time.Duration(c.Wait.Lease),
 		AnswerMost: int(c.Keep.Answer), Keep: c.Keeping(), SweepEach: time.Duration(c.Keep.SweepEach),
 		BreakAfter: c.Breaker.After, PauseLeast: time.Duration(c.Breaker.Least), PauseMost: time.Duration(c.Breaker.Most)}
 	if c.Store == "postgres" {
-		if out.Writers = c.Postgres.Connections; sockets > 0 && out.Writers > sockets {
+		if out.Writers = c.Postgres.Connections; out.Writers > sockets {
 			return out, fmt.Errorf("%s: postgres.connections: %d; the sidecar's limits.sockets leave %d", c.path, out.Writers, sockets)
 		}
 	}
@@ -183,10 +176,7 @@
 
 // Sockets is how many descriptors the store takes of a sidecar at most.
 func (c *Config) Sockets() int {
-	switch {
-	case c == nil:
-		return 0
-	case c.Store == "postgres":
+	if c.Store == "postgres" {
 		return c.Postgres.Connections
 	}
 	return 6 // the file, its log, its index and its lock, twice for a reader
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -100,9 +100,6 @@
 	return k
 }
 
-// Owner names this run of the sidecar in the record.
-func (k *Keeper) Owner() string { return k.owner }
-
 // Close writes what waits, as long as ctx allows, and closes the store.
 func (k *Keeper) Close(ctx context.Context) error {
 	close(k.end)
@@ -311,9 +308,12 @@
 	}, nil)
 }
 
+// states are what the sidecar's ends are to the record.
+var states = map[sidecar.End]record.State{sidecar.Served: record.Answered, sidecar.NeverRan: record.NeverRan, sidecar.MayHaveRun: record.MayHaveRun}
+
 // End implements sidecar.Entry.
 func (e *entry) End(end sidecar.End, ans *upstream.Answer, left time.Duration, then func()) {
-	op := e.endOp(map[sidecar.End]record.State{sidecar.Served: record.Answered, sidecar.NeverRan: record.NeverRan, sidecar.MayHaveRun: record.MayHaveRun}[end])
+	op := e.endOp(states[end])
 	if ans != nil {
 		op.Status, op.Header = http.StatusOK, formHeader(ans.Header)
 		if len(ans.Body) <= e.k.cfg.AnswerMost {
@@ -394,6 +394,7 @@
 	return open
 }
 
+// WriteGaps notes in the store which requests went on without it.
 func (k *Keeper) WriteGaps(within context.Context) {
 	k.mu.Lock()
 	gaps := k.gaps
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -262,8 +262,7 @@
 	if err := s.db.Pool.QueryRow(ctx, "SELECT "+clock).Scan(&now); err != nil {
 		return 0, s.explain(err)
 	}
-	lapsed, err := s.db.Pool.Exec(ctx, `UPDATE martendrum_record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
-		changed = $1::bigint, version = version + 1 WHERE state = 'in-flight' AND expires <= $1::bigint AND (class, key) IN
+	lapsed, err := s.db.Pool.Exec(ctx, `UPDATE martendrum_record SET `+record.Lapsed+`, changed = $1::bigint WHERE state = 'in-flight' AND expires <= $1::bigint AND (class, key) IN
 		(SELECT class, key FROM martendrum_record WHERE state = 'in-flight' AND expires <= $1::bigint ORDER BY class, key LIMIT $2::bigint)`, now, int64(most))
 	if err != nil {
 		return 0, s.explain(err)
@@ -324,8 +323,7 @@
 // Check implements record.Backend.
 func (s *Store) Check(ctx context.Context) (found []string, err error) {
 	bad, err := rows(ctx, s, (*record.Row).Fields, "SELECT "+strings.Replace(record.Columns, "answer,", "CAST('' AS bytea),", 1)+` FROM martendrum_record
-		WHERE state NOT IN ('in-flight', 'answered', 'never-ran', 'may-have-run') OR length(body) <> 32 OR token = ''
-		OR state = 'answered' AND status = 0 AND settled = '' ORDER BY class, key LIMIT 20`)
+		WHERE `+record.Impossible+` ORDER BY class, key LIMIT 20`)
 	for _, r := range bad {
 		found = append(found, fmt.Sprintf("row %s %q: state %q, fingerprint of %d bytes, status %d", r.Class, r.Key, r.State, len(r.Body), r.Status))
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -150,6 +150,14 @@
 	r.Version++
 }
 
+// What the databases do to many rows at once, in SQL.
+const (
+	// Lapsed is what Lapse sets, but for the time.
+	Lapsed = "state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END, version = version + 1"
+	// Impossible holds for rows that no Op makes.
+	Impossible = "(state NOT IN ('in-flight', 'answered', 'never-ran', 'may-have-run') OR length(body) <> 32 OR token = '' OR state = 'answered' AND status = 0 AND settled = '')"
+)
+
 // Apply carries op out on its key's row, which is the zero Row if there is none.
 // It changes row and sets op.Result and op.Row; changed says whether row must be
 // written.
--- a/internal/record/sqlite/sqlite.go
+++ b/internal/record/sqlite/sqlite.go
@@ -9,7 +9,6 @@
 	"database/sql"
 	"errors"
 	"fmt"
-	"net/url"
 	"os"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	lib "modernc.org/sqlite/lib"
 
 	"chalkrack/internal/record"
+	"chalkrack/internal/sqlitefile"
 )
 
 // migrations bring a file from version n to n+1. They are never changed once
@@ -97,9 +97,8 @@
 	} else if _, err := os.Stat(cfg.Path); err != nil {
 		return nil, fmt.Errorf("there is no such file; a sidecar makes it at its first start: %w", err)
 	}
-	q := url.Values{"_pragma": {"busy_timeout(3000)", "auto_vacuum(2)", "journal_mode(WAL)", "synchronous(FULL)",
-		fmt.Sprintf("max_page_count(%d)", s.most), "journal_size_limit(4194304)", "cache_size(-1024)"}, "_txlock": {"immediate"}}
-	if s.db, err = sql.Open("sqlite", "file:"+(&url.URL{Path: cfg.Path}).EscapedPath()+"?"+q.Encode()); err != nil {
+	if s.db, err = sqlitefile.Open(cfg.Path, "busy_timeout(3000)", "auto_vacuum(2)", "journal_mode(WAL)", "synchronous(FULL)",
+		fmt.Sprintf("max_page_count(%d)", s.most), "journal_size_limit(4194304)", "cache_size(-1024)"); err != nil {
 		return nil, err
 	}
 	s.db.SetMaxOpenConns(2) // one writes, one reads
@@ -134,42 +133,21 @@
 }
 
 func (s *Store) migrate(ctx context.Context, to int) error {
-	if s.cfg.Owner { // others may look into what is left of a damaged file
-		var ok string
-		if err := s.db.QueryRowContext(ctx, "PRAGMA quick_check(1)").Scan(&ok); err != nil || ok != "ok" {
-			if err == nil {
-				err = errors.New(ok)
-			}
+	if s.cfg.Owner {
+		if err := sqlitefile.Sound(ctx, s.db); err != nil {
 			return damaged(err)
 		}
+		return explain(sqlitefile.Migrate(ctx, s.db, migrations, to))
 	}
+	// Others may look into what is left of a damaged file, and leave the schema alone.
 	var have int
 	if err := s.db.QueryRowContext(ctx, "PRAGMA user_version").Scan(&have); err != nil {
 		return damaged(err)
 	}
-	if have > Version {
-		return fmt.Errorf("its schema is version %d and this build knows up to %d: run the newer build that wrote it", have, Version)
-	}
-	if have >= to {
-		return nil
-	}
-	if !s.cfg.Owner {
+	if have < to {
 		return fmt.Errorf("its schema is version %d, this build's %d: start the sidecar first, which brings it up to date", have, Version)
 	}
-	tx, err := s.db.BeginTx(ctx, nil)
-	if err != nil {
-		return explain(err)
-	}
-	defer tx.Rollback()
-	for n := have; n < to; n++ {
-		if _, err := tx.ExecContext(ctx, migrations[n]); err != nil {
-			return fmt.Errorf("to schema version %d: %w", n+1, explain(err))
-		}
-	}
-	if _, err := tx.ExecContext(ctx, fmt.Sprintf("PRAGMA user_version = %d", to)); err != nil {
-		return explain(err)
-	}
-	return explain(tx.Commit())
+	return sqlitefile.TooNew(have, Version)
 }
 
 func damaged(err error) error {
@@ -204,8 +182,7 @@
 	// here of all.
 	now := s.clock.At(wall)
 	return s.write(ctx, func(tx *sql.Tx) error {
-		if _, err := tx.ExecContext(ctx, `UPDATE record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
-			changed = ?, version = version + 1 WHERE state = 'in-flight'`, now); err != nil {
+		if _, err := tx.ExecContext(ctx, `UPDATE record SET `+record.Lapsed+`, changed = ? WHERE state = 'in-flight'`, now); err != nil {
 			return err
 		}
 		return s.save(ctx, tx, now)
@@ -316,21 +293,19 @@
 
 // List implements record.Backend.
 func (s *Store) List(ctx context.Context, f record.Filter) (out []record.Row, err error) {
-	rows, err := s.db.QueryContext(ctx, `SELECT `+strings.Replace(record.Columns, "answer,", "x'' AS answer,", 1)+` FROM record
+	err = s.each(ctx, `SELECT `+strings.Replace(record.Columns, "answer,", "x'' AS answer,", 1)+` FROM record
 		WHERE (?1 = '' OR state = ?1) AND (?2 = '' OR class = ?2) AND changed >= ?3 AND (class, key) > (?4, ?5)
-		ORDER BY class, key LIMIT ?6`, string(f.State), f.Class, f.ChangedSince, f.AfterClass, f.AfterKey, f.Most)
-	if err != nil {
-		return nil, explain(err)
-	}
-	defer rows.Close()
-	for rows.Next() {
+		ORDER BY class, key LIMIT ?6`, func(rows *sql.Rows) error {
 		var r record.Row
-		if err := rows.Scan(r.Fields()...); err != nil {
-			return out, explain(err)
-		}
+		err := rows.Scan(r.Fields()...)
 		out = append(out, r)
-	}
-	return out, explain(rows.Err())
+		return err
+	}, string(f.State), f.Class, f.ChangedSince, f.AfterClass, f.AfterKey, f.Most)
+	return out, err
+}
+
+func (s *Store) each(ctx context.Context, q string, scan func(*sql.Rows) error, args ...any) error {
+	return explain(sqlitefile.Each(ctx, s.db, q, scan, args...))
 }
 
 // Sweep implements record.Backend.
@@ -338,8 +313,7 @@
 	err = s.write(ctx, func(tx *sql.Tx) error {
 		n = 0
 		now := s.clock.At(time.Now())
-		lapsed, err := tx.ExecContext(ctx, `UPDATE record SET state = CASE WHEN attempts = 0 THEN 'never-ran' ELSE 'may-have-run' END,
-			changed = ?1, version = version + 1 WHERE (class, key) IN
+		lapsed, err := tx.ExecContext(ctx, `UPDATE record SET `+record.Lapsed+`, changed = ?1 WHERE (class, key) IN
 			(SELECT class, key FROM record WHERE state = 'in-flight' AND expires <= ?1 LIMIT ?2)`, now, most)
 		if err != nil {
 			return err
@@ -364,14 +338,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows, err := s.db.QueryContext(ctx, fmt.Sprintf("PRAGMA incremental_vacuum(%d)", sweepPages))
-	if err != nil {
-		return n, explain(err)
-	}
-	for rows.Next() {
-	}
-	rows.Close()
-	return n, explain(rows.Err())
+	return n, s.each(ctx, fmt.Sprintf("PRAGMA incremental_vacuum(%d)", sweepPages), func(*sql.Rows) error { return nil })
 }
 
 func affected(r sql.Result) int {
@@ -393,19 +360,13 @@
 
 // Gaps implements record.Backend.
 func (s *Store) Gaps(ctx context.Context, most int) (out []record.Gap, err error) {
-	rows, err := s.db.QueryContext(ctx, "SELECT owner, class, since, until, requests, cause FROM gaps ORDER BY n DESC LIMIT ?", most)
-	if err != nil {
-		return nil, explain(err)
-	}
-	defer rows.Close()
-	for rows.Next() {
+	err = s.each(ctx, "SELECT owner, class, since, until, requests, cause FROM gaps ORDER BY n DESC LIMIT ?", func(rows *sql.Rows) error {
 		var g record.Gap
-		if err := rows.Scan(&g.Owner, &g.Class, &g.From, &g.Until, &g.Requests, &g.Cause); err != nil {
-			return out, err
-		}
+		err := rows.Scan(&g.Owner, &g.Class, &g.From, &g.Until, &g.Requests, &g.Cause)
 		out = append(out, g)
-	}
-	return out, explain(rows.Err())
+		return err
+	}, most)
+	return out, err
 }
 
 // Stats implements record.Backend.
@@ -415,20 +376,13 @@
 		return st, explain(err)
 	}
 	st.Bytes *= pageSize
-	rows, err := s.db.QueryContext(ctx, "SELECT state, count(*) FROM record GROUP BY state")
-	if err != nil {
-		return st, explain(err)
-	}
-	defer rows.Close()
-	for rows.Next() {
+	return st, s.each(ctx, "SELECT state, count(*) FROM record GROUP BY state", func(rows *sql.Rows) error {
 		var state record.State
 		var n int64
-		if err := rows.Scan(&state, &n); err != nil {
-			return st, err
-		}
+		err := rows.Scan(&state, &n)
 		st.Rows[state] = n
-	}
-	return st, explain(rows.Err())
+		return err
+	})
 }
 
 // Check implements record.Backend.
@@ -436,8 +390,7 @@
 	for _, q := range []string{"PRAGMA integrity_check(20)",
 		`SELECT 'row ' || class || ' ' || quote(key) || ': ' || CASE WHEN state NOT IN ('in-flight','answered','never-ran','may-have-run') THEN 'unknown state ' || quote(state)
 			WHEN length(body) <> 32 THEN 'fingerprint of ' || length(body) || ' bytes' WHEN token = '' THEN 'no token' ELSE 'answered without a status' END
-		FROM record WHERE state NOT IN ('in-flight','answered','never-ran','may-have-run') OR length(body) <> 32 OR token = ''
-			OR state = 'answered' AND status = 0 AND settled = '' LIMIT 20`} {
+		FROM record WHERE ` + record.Impossible + ` LIMIT 20`} {
 		rows, err := s.db.QueryContext(ctx, q)
 		if err != nil {
 			return found, explain(err)
--- a/internal/standin/pgserver/server.go
+++ b/internal/standin/pgserver/server.go
@@ -15,7 +15,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/url"
 	"os"
 	"path/filepath"
 	"sync"
@@ -24,7 +23,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
-	_ "modernc.org/sqlite" // the engine
+
+	"chalkrack/internal/sqlitefile"
 )
 
 // Config says what the server is. The zero Config lets the user "app" in without a
@@ -101,15 +101,14 @@
 		}
 	}
 	if cfg.Password != "" {
-		if s.scram, err = credentials(cfg.User, cfg.Password); err != nil {
+		if s.scram, err = credentials(cfg.Password); err != nil {
 			return nil, fmt.Errorf("pgserver: %w", err)
 		}
 	}
 	if err := functions(); err != nil {
 		return nil, fmt.Errorf("pgserver: %w", err)
 	}
-	q := url.Values{"_pragma": {"busy_timeout(20000)", "journal_mode(WAL)", "synchronous(NORMAL)"}}
-	if s.db, err = sql.Open("sqlite", "file:"+(&url.URL{Path: filepath.Join(s.dir, "data.db")}).EscapedPath()+"?"+q.Encode()); err != nil {
+	if s.db, err = sqlitefile.Open(filepath.Join(s.dir, "data.db"), "busy_timeout(20000)", "journal_mode(WAL)", "synchronous(NORMAL)"); err != nil {
 		return nil, fmt.Errorf("pgserver: %w", err)
 	}
 	// The first connection makes the file: two at once would be in each other's way.
@@ -127,7 +126,7 @@
 }
 
 // credentials makes what SCRAM-SHA-256 (RFC 7677) keeps of a password.
-func credentials(user, password string) (*scram.Server, error) {
+func credentials(password string) (*scram.Server, error) {
 	// PostgreSQL takes the name from its start-up message and lets the one in SCRAM be
 	// empty; see the manual, "SASL Authentication".
 	client, err := scram.SHA256.NewClient("", password, "")
@@ -200,9 +199,6 @@
 	return len(s.open)
 }
 
-// Events is how many events there were.
-func (s *Server) Events() int64 { return s.events.Load() }
-
 // Close ends the server and its connections.
 func (s *Server) Close() error {
 	close(s.end)
