Fuzz targets of both body framings, against a reading by the letter of RFC 9112

Need: framings were only tested by listed cases; net/http reads them, so it can't also be what they are compared with. Change: framingtest reads chunked bodies strictly and leniently by itself. What the strict grammar takes must arrive; nothing may arrive that even the lenient reading would read otherwise.

--- /dev/null
+++ b/internal/framing/framingtest/dechunk.go
@@ -0,0 +1,100 @@
+// Package framingtest reads bodies by the letter of RFC 9112, apart from the library
+// that the sidecar reads them with, so that fuzz targets of both sides can compare.
+// It is for tests only, and knows nothing of heads.
+package framingtest
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// sizeMost is how many digits of a chunk's size the strict reading takes: as many as 64
+// bits need. Longer ones may be refused (RFC 9112, section 7.1, on numerals too large).
+const sizeMost = 16
+
+// Dechunk reads a chunked body. strict keeps to the grammar: each line ends with CRLF,
+// a size is hex digits alone or before an extension. Otherwise a line may end with a
+// bare LF and a size may have blanks behind it, as recipients are allowed to take it.
+// rest is what follows the body.
+func Dechunk(b []byte, strict bool) (body, rest []byte, ok bool) {
+	for {
+		line, after, ok := cutLine(b, strict)
+		if !ok {
+			return nil, nil, false
+		}
+		size, ext, extended := strings.Cut(line, ";")
+		if !strict {
+			size = strings.TrimRight(size, " \t")
+		} else if len(size) > sizeMost || extended && (ext == "" || !plain(ext)) {
+			return nil, nil, false
+		}
+		n, err := strconv.ParseUint(size, 16, 31)
+		if err != nil || strings.HasPrefix(size, "+") {
+			return nil, nil, false
+		}
+		if n == 0 {
+			rest, ok := trailers(after, strict)
+			return body, rest, ok
+		}
+		if uint64(len(after)) < n {
+			return nil, nil, false
+		}
+		body = append(body, after[:n]...)
+		if b, ok = bytes.CutPrefix(after[n:], []byte("\r\n")); !ok {
+			return nil, nil, false
+		}
+	}
+}
+
+// trailers reads off the fields behind the last chunk and their empty line.
+func trailers(b []byte, strict bool) (rest []byte, ok bool) {
+	for {
+		line, after, ok := cutLine(b, strict)
+		if !ok {
+			return nil, false
+		}
+		if line == "" {
+			return after, true
+		}
+		name, _, field := strings.Cut(line, ":")
+		if strict && (!field || !token(name) || !plain(line)) {
+			return nil, false
+		}
+		b = after
+	}
+}
+
+// cutLine cuts a line off, without its end.
+func cutLine(b []byte, strict bool) (line string, rest []byte, ok bool) {
+	before, rest, ok := bytes.Cut(b, []byte("\n"))
+	if !ok {
+		return "", nil, false
+	}
+	line, crlf := strings.CutSuffix(string(before), "\r")
+	if strict && !crlf {
+		return "", nil, false
+	}
+	return line, rest, true
+}
+
+// plain says that s is visible ASCII and blanks.
+func plain(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// token says that s is a name of RFC 9110, section 5.6.2, written in letters, digits
+// and hyphens alone.
+func token(s string) bool {
+	for _, c := range []byte(s) {
+		if c != '-' && (c < '0' || c > '9') && (c|0x20 < 'a' || c|0x20 > 'z') {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/internal/front/fuzz_test.go
@@ -0,0 +1,165 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"chalkrack/internal/framing/framingtest"
+	"chalkrack/internal/upstream"
+)
+
+// FuzzRequestBody sends a body, chunked or of a stated length, in pieces, and compares
+// what arrives with what RFC 9112 makes of the same bytes: what the strict grammar takes
+// whole arrives, and nothing arrives that even a lenient reader would read otherwise.
+func FuzzRequestBody(f *testing.F) {
+	for _, seed := range []string{
+		"0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n", "3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n", "3 \r\nabc\r\n0\r\n\r\n",
+		"3\nabc\r\n0\n\n", "3\r\nabcd\r\n0\r\n\r\n", "zz\r\n", "-1\r\n\r\n", "3\r\nabc\r\n0\r\n\r\nGET /look HTTP/1.1\r\n\r\n",
+		"ffffffffffffffff\r\na", "0x3\r\nabc\r\n0\r\n\r\n", "+3\r\nabc\r\n0\r\n\r\n", "00000003\r\nabc\r\n0\r\n\r\n",
+		"3;\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\nX y\r\n\r\n", "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n",
+	} {
+		f.Add([]byte(seed), -1, 1)
+		f.Add([]byte(seed), 3, 2)
+		f.Add([]byte(seed), len(seed), 7)
+	}
+	f.Fuzz(func(t *testing.T, body []byte, length, piece int) {
+		if len(body) > 4<<10 || piece < 1 || length > 8<<10 {
+			t.Skip()
+		}
+		h := &handler{arrived: make(chan *Exchange, 4), gone: make(chan *Exchange, 4)}
+		s := New(Config{MostConns: 100, MostBody: 1 << 20}, h)
+		here, there := net.Pipe()
+		s.add(here)
+		head := "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n"
+		if length < 0 {
+			head += "Transfer-Encoding: chunked\r\n\r\n"
+		} else {
+			head += "Content-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+		}
+		there.SetDeadline(time.Now().Add(patience))
+		go func() {
+			text := append([]byte(head), body...)
+			for len(text) > 0 {
+				n, err := there.Write(text[:min(piece, len(text))])
+				if text = text[n:]; err != nil {
+					return // it was turned away
+				}
+			}
+			there.Close()
+		}()
+		answers := make(chan struct{})
+		go func() { // read off, or a rejection would block
+			defer close(answers)
+			io.Copy(io.Discard, there)
+		}()
+		var strict, lenient, rest []byte
+		var mustArrive, mayArrive bool
+		if length < 0 {
+			strict, rest, mustArrive = framingtest.Dechunk(body, true)
+			mustArrive = mustArrive && len(rest) == 0
+			lenient, _, mayArrive = framingtest.Dechunk(body, false)
+		} else if mayArrive = length <= len(body); mayArrive {
+			mustArrive, strict, lenient = length == len(body), body[:length], body[:length]
+		}
+		<-answers
+		for until := time.Now().Add(patience); s.Conns() > 0; time.Sleep(50 * time.Microsecond) {
+			if time.Now().After(until) {
+				t.Fatal("the connection did not end")
+			}
+		}
+		var x *Exchange
+		select {
+		case x = <-h.arrived:
+		default:
+		}
+		switch {
+		case x == nil && mustArrive:
+			t.Errorf("%q did not arrive", body)
+		case x != nil && !mayArrive:
+			t.Errorf("%q arrived as %q", body, x.Request.Body)
+		case x != nil && !bytes.Equal(x.Request.Body, lenient):
+			t.Errorf("%q arrived as %q, want %q", body, x.Request.Body, lenient)
+		case x != nil && mustArrive && !bytes.Equal(strict, lenient):
+			t.Errorf("the two readings of %q differ: %q, %q", body, strict, lenient)
+		case len(h.arrived) > 0:
+			t.Error("a second request arrived")
+		}
+		if x != nil {
+			x.Release()
+		}
+		if held, _ := s.Held(); held != 0 {
+			t.Errorf("%d bytes are held after the end", held)
+		}
+	})
+}
+
+// FuzzPassedAnswer passes an answer on from pieces, chunked where its length is not
+// told, and compares what a client reads with what went in.
+func FuzzPassedAnswer(f *testing.F) {
+	f.Add([]byte("abc"), 1, true, false)
+	f.Add([]byte("0\r\n\r\n"), 2, false, true)
+	f.Add([]byte{}, 1, false, false)
+	f.Fuzz(func(t *testing.T, body []byte, piece int, told, breaks bool) {
+		if len(body) > 64<<10 || piece < 1 {
+			t.Skip()
+		}
+		h := &handler{arrived: make(chan *Exchange, 1), gone: make(chan *Exchange, 4)}
+		s := New(Config{MostConns: 100, MostBody: 1 << 20}, h)
+		here, there := net.Pipe()
+		defer there.Close()
+		s.add(here)
+		there.SetDeadline(time.Now().Add(patience))
+		go io.WriteString(there, look("1"))
+		x := <-h.arrived
+		first := min(len(body), piece)
+		ans := &upstream.Answer{Header: http.Header{}, Body: body[:first], Length: -1, Rest: &pieced{rest: body[first:], piece: piece, breaks: breaks}}
+		if told {
+			ans.Length = int64(len(body))
+		}
+		go func() {
+			x.Serve(ans)
+			x.Release()
+			if breaks {
+				there.Close()
+			}
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(there), nil)
+		if err != nil {
+			if !breaks {
+				t.Fatal(err)
+			}
+			return
+		}
+		got, err := io.ReadAll(resp.Body)
+		switch {
+		case breaks && err == nil && !(told && len(got) == len(body)):
+			t.Errorf("%q, broken off, passed for whole: %q", body, got)
+		case !breaks && (err != nil || !bytes.Equal(got, body)):
+			t.Errorf("%q came as %q, %v", body, got, err)
+		}
+	})
+}
+
+// pieced is the rest of an answer, which comes in pieces and may break off.
+type pieced struct {
+	rest   []byte
+	piece  int
+	breaks bool
+}
+
+func (p *pieced) Read(b []byte) (int, error) {
+	n := copy(b[:min(len(b), p.piece)], p.rest)
+	if p.rest = p.rest[n:]; n > 0 {
+		return n, nil
+	}
+	if p.breaks {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return 0, io.EOF
+}
