martendrum upgrade starts each new process beside the old one, which hands over

Need: upgrade stopped and started each instance, so its clients met a closed address; a failed release left nobody serving until it was rolled back. Change: where the serving process says that it hands over (a field in its health answers names the launch that answers), life launches the new generation beside it and asks the old one to end once the new one answers. A new one that ends, can't be started or is not ready in time leaves the old one serving; that is then what is wanted, in the record too, so a restart of the agent does not try again. An agent killed in between finds both processes by their environment. sidecar.hand_over = false in agent.toml turns it off. A new process whose operators' door is still the old one's opens it when that has gone. Not taken: a second process in the record's schema (the processes themselves tell), and asking the new release's program what it can (an older one would start to serve).

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -45,11 +47,16 @@
 	// process serves: its client is not about to use it.
 	quietFor  = 300 * time.Millisecond
 	sweepEach = 2 * time.Second
+	// doorEach is how often a new process looks whether the old one's door is closed.
+	doorEach = 100 * time.Millisecond
 	// healthSum tells in answers to the health call which file is in force: its
 	// SHA-256. An agent sees by it whether a reload was taken over.
 	healthSum = "Config-Sum"
 	// healthRecord tells how the store of record does, where there is one.
 	healthRecord = "Record"
+	// healthLaunch tells, where this process can hand over, which of two answers: the
+	// name that whoever started it gave it, or its process id.
+	healthLaunch = "Hands-Over"
 )
 
 // recorder is the store of record of a build that has one, see record.go.
@@ -278,17 +285,36 @@
 	figs.Gauge("share", `of="sockets"`, func() float64 { return float64(r.now().Sockets) })
 	figs.Gauge("share", `of="memory_mb"`, func() float64 { return float64(r.now().MemoryMB) })
 	if c.mgmt != "" {
+		ops := door.New(func() bool { return host.Ready() && !srv.Draining() }, figs.Write)
+		defer ops.Close()
 		ln, err := net.Listen("tcp", c.mgmt)
-		if err != nil {
+		switch {
+		case err == nil:
+			go ops.Serve(ln)
+		case errors.Is(err, syscall.EADDRINUSE) && began != nil && began.Shared():
+			slog.Info("the old process has the operators' door; it opens here when that has gone", "mgmt", c.mgmt)
+			gone := make(chan struct{})
+			defer close(gone)
+			go openLate(c.mgmt, ops, gone)
+		default:
 			return fmt.Errorf("mgmt: %w", err)
 		}
-		ops := door.New(func() bool { return host.Ready() && !srv.Draining() }, figs.Write)
-		go ops.Serve(ln)
-		defer ops.Close()
 	}
 	srv.SetHealth(healthSum, c.sum)
-	if rec != nil {
+	switch {
+	case rec != nil:
 		srv.SetHealthFunc(healthRecord, rec.Status)
+	case place != nil:
+		name := os.Getenv("MARTENDRUM_LAUNCH")
+		if name == "" {
+			name = strconv.Itoa(os.Getpid())
+		}
+		srv.SetHealthFunc(healthLaunch, func() string {
+			if !place.Locked() { // on its own
+				return ""
+			}
+			return name
+		})
 	}
 	var alone <-chan struct{}
 	var failed <-chan error
@@ -397,6 +423,23 @@
 	}
 }
 
+// openLate opens the operators' door once its address is free, unless gone is closed before.
+func openLate(addr string, ops *door.Door, gone <-chan struct{}) {
+	t := time.NewTicker(doorEach)
+	defer t.Stop()
+	for {
+		select {
+		case <-gone:
+			return
+		case <-t.C:
+		}
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ops.Serve(ln)
+			return
+		}
+	}
+}
+
 // gauges adds the figures that are asked of those who hold them.
 func gauges(f *figures.Set, host *sidecar.Host, srv *front.Server, pool *upstream.Pool, watcher *discovery.Watcher) {
 	f.Gauge("active", "", func() float64 { return float64(srv.Active()) })
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -95,6 +95,7 @@
 	names      []string // of inst, in the file's order
 	ops        map[string]*store.Operation
 	steps      map[stepKey]*api.Step
+	hands      map[string]bool // releases that said that they hand over
 	leases     lease.Table
 	change     int64
 	changed    chan struct{} // closed at the next change
@@ -107,6 +108,7 @@
 	a := &Agent{
 		cfg: cfg, machine: m, started: time.Now(),
 		inst: make(map[string]*instance), ops: make(map[string]*store.Operation), steps: make(map[stepKey]*api.Step),
+		hands:   make(map[string]bool),
 		changed: make(chan struct{}),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -144,6 +146,9 @@
 			return err
 		}
 	}
+	if err := os.MkdirAll(a.meetPath(), 0o700); err != nil {
+		return err
+	}
 	lock := filepath.Join(a.cfg.StateDir, "agent.lock")
 	if a.flock, err = os.OpenFile(lock, os.O_CREATE|os.O_RDWR, 0o640); err != nil {
 		return err
@@ -204,7 +209,9 @@
 		i := &instance{cfg: c, row: row, life: life.New(limits, now), wake: make(chan struct{}, 1)}
 		a.inst[c.Name] = i
 		a.names = append(a.names, c.Name)
-		if a.find(i, found, boot, now) {
+		launch := i.row.Launch
+		changed := a.find(i, found, boot, now)
+		if a.findOld(i, launch, found, boot, now) || changed {
 			begin.Instances = append(begin.Instances, i.row)
 		}
 	}
@@ -236,27 +243,67 @@
 // lost. What it runs stays, and is what is wanted, if that release is kept here.
 func (a *Agent) recover(row *store.Instance, found map[string]proc.Found, boot string) {
 	for launch, f := range found {
-		rest, ok := strings.CutPrefix(launch, a.cfg.Name+"/"+row.Name+"/")
-		if !ok {
-			continue
-		}
-		text, _, _ := strings.Cut(rest, "/")
-		generation, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || generation < 1 {
+		generation, ok := a.generation(launch, row.Name)
+		if !ok || generation < row.Process { // of two the later one; find looks after the other
 			continue
 		}
 		row.Desired, row.Generation = api.Running, generation
-		row.Launch, row.Process, row.PID, row.Ticks, row.Boot = launch, generation, f.PID, f.Ticks, boot
-		if hash := filepath.Base(filepath.Dir(f.Exe)); release.Valid(hash) {
-			row.Running = hash
-			if a.releases.Verify(hash) == nil {
-				row.Release = hash
-			}
+		runs(row, launch, generation, f, boot)
+		if row.Running != "" && a.releases.Verify(row.Running) == nil {
+			row.Release = row.Running
 		}
 		slog.Warn("an instance that no record names was found running", "instance", row.Name, "pid", f.PID, "generation", generation)
 	}
 }
 
+// generation is the generation in the name of a launch of that instance.
+func (a *Agent) generation(launch, name string) (generation int64, ok bool) {
+	rest, ok := strings.CutPrefix(launch, a.cfg.Name+"/"+name+"/")
+	text, _, _ := strings.Cut(rest, "/")
+	generation, err := strconv.ParseInt(text, 10, 64)
+	return generation, ok && err == nil && generation >= 1
+}
+
+// runs makes a process that was found the row's.
+func runs(row *store.Instance, launch string, generation int64, f proc.Found, boot string) {
+	row.Launch, row.Process, row.PID, row.Ticks, row.Boot, row.Running = launch, generation, f.PID, f.Ticks, boot, ""
+	if hash := filepath.Base(filepath.Dir(f.Exe)); release.Valid(hash) {
+		row.Running = hash
+	}
+}
+
+// findOld looks for a process that was being replaced when the agent ended: its launch
+// is not the row's any more. It is the instance's process again if the new one has not
+// come about. It says whether the row has changed.
+func (a *Agent) findOld(i *instance, launch string, found map[string]proc.Found, boot string, now time.Time) bool {
+	for other, f := range found {
+		generation, ok := a.generation(other, i.cfg.Name)
+		if !ok || other == launch {
+			continue
+		}
+		p, err := a.machine.Adopt(a.ctx, f.PID, f.Ticks)
+		if err != nil {
+			continue
+		}
+		slog.Info("a process that was being replaced was found", "instance", i.cfg.Name, "pid", f.PID, "launch", other)
+		old := i.row
+		runs(&old, other, generation, f, boot)
+		if i.proc != nil {
+			i.prev, i.prevRow = p, old
+			i.life.AdoptOld(generation)
+			return false
+		}
+		i.proc, i.row = p, old
+		i.life.Adopt(now, generation)
+		if i.gone != 0 {
+			i.life.AdoptFailed(i.gone, i.row.LastExit)
+			i.gone = 0
+		}
+		return true
+	}
+	return false
+}
+
 // find looks for the process that the record speaks of, and says whether the row
 // has changed.
 func (a *Agent) find(i *instance, found map[string]proc.Found, boot string, now time.Time) bool {
@@ -356,7 +403,7 @@
 		a.endAborted()
 		var used []string
 		for _, i := range a.inst {
-			used = append(used, i.row.Release, i.row.Previous, i.row.Running)
+			used = append(used, i.row.Release, i.row.Previous, i.row.Running, i.prevRow.Running)
 		}
 		for _, o := range a.ops {
 			if o.State != api.OpClosed {
@@ -518,6 +565,9 @@
 	return filepath.Join(a.cfg.StateDir, "logs", name+".log")
 }
 
+// meetPath is the folder in which an old process and a new one find each other.
+func (a *Agent) meetPath() string { return filepath.Join(a.cfg.StateDir, "meet") }
+
 func (a *Agent) configPath(name string) string {
 	return filepath.Join(a.cfg.StateDir, "instances", name+".json")
 }
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -40,6 +40,8 @@
 	Sidecar struct {
 		Binary  string `toml:"binary"`
 		Overlay string `toml:"overlay"`
+		// HandOver lets an upgrade start the new process beside the old one.
+		HandOver bool `toml:"hand_over"`
 	} `toml:"sidecar"`
 	Limits struct {
 		KillAfter   units.Duration `toml:"kill_after"`
@@ -88,7 +90,7 @@
 	l.CrashMost, l.CrashWithin = 5, units.Duration(time.Minute)
 	l.Log, l.Record = 8<<20, 64<<20
 	l.Operations, l.Audit, l.Releases = 100, 10000, 3
-	c.Listen.PlainRole = api.View
+	c.Listen.PlainRole, c.Sidecar.HandOver = api.View, true
 	c.Record.Store, c.Record.Statement, c.Record.Connect = SQLite, units.Duration(2*time.Second), units.Duration(2*time.Second)
 	if err := units.Load(path, c); err != nil {
 		return nil, err
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -48,6 +48,11 @@
 	gone   int64     // generation of a process that ended on its own, the latest
 	sum    string    // of the configuration that the process says it runs
 	record string    // how it says that its store of record does
+	hands  bool      // it says that it can hand over
+	late   string    // why a new process beside an old one is to be given up
+
+	prev    *Process       // the process being replaced, nil for none
+	prevRow store.Instance // the row as it told of prev
 
 	wantSum string    // of the configuration last written for it
 	hupAt   time.Time // of the step's SIGHUP
@@ -69,13 +74,18 @@
 	for first := true; ; first = false {
 		a.mu.Lock()
 		now := time.Now()
-		if first && i.gone != 0 && i.row.Desired == api.Running && i.gone == i.row.Generation {
+		if first && i.gone != 0 && i.proc == nil && i.row.Desired == api.Running && i.gone == i.row.Generation {
 			// It ended while nobody looked: a crash like another.
 			i.life.Want(now, true, i.row.Generation)
 			i.life.Adopt(now, i.gone)
 			i.life.Exited(now, i.row.LastExit)
 		}
+		i.life.Beside(a.beside(i))
 		kinds := i.life.Want(now, i.row.Desired == api.Running, i.row.Generation)
+		if i.late != "" {
+			kinds = append(kinds, i.life.GiveUp(now, i.late)...)
+			i.late = ""
+		}
 		if now.Before(i.retryAt) {
 			kinds = slices.DeleteFunc(kinds, func(k life.Kind) bool { return k == life.Launch }) // asked for again then
 		}
@@ -114,10 +124,16 @@
 			until(i.retryAt)
 		}
 		timer.Reset(wait)
-		var done <-chan struct{}
+		a.mu.Lock()
+		prev := i.prev
+		a.mu.Unlock()
+		var done, prevDone <-chan struct{}
 		if p != nil {
 			done = p.Done
 		}
+		if prev != nil {
+			prevDone = prev.Done
+		}
 		select {
 		case <-a.ctx.Done():
 			return
@@ -125,8 +141,10 @@
 			healthAt = time.Time{}
 		case <-timer.C:
 		case <-done:
-			a.exited(i, p)
+			a.act(i, a.exited(i, p))
 			healthAt = time.Time{}
+		case <-prevDone:
+			a.act(i, a.oldExited(i, prev))
 		}
 	}
 }
@@ -144,16 +162,39 @@
 			if k == life.Kill {
 				sig = syscall.SIGKILL
 			}
-			if err := i.proc.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
-				slog.Error("signal failed", "instance", i.cfg.Name, "signal", sig, "err", err)
-			}
-			a.mu.Lock()
-			a.bump()
-			a.mu.Unlock()
+			a.signal(i, i.proc, sig)
+		case life.TermOld:
+			a.signal(i, i.prev, syscall.SIGTERM)
+		case life.KillOld:
+			a.signal(i, i.prev, syscall.SIGKILL)
 		}
 	}
 }
 
+func (a *Agent) signal(i *instance, p *Process, sig syscall.Signal) {
+	if err := p.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		slog.Error("signal failed", "instance", i.cfg.Name, "signal", sig, "err", err)
+	}
+	a.mu.Lock()
+	a.bump()
+	a.mu.Unlock()
+}
+
+// beside says whether a new generation of i may start beside its process: for an
+// upgrade, where that one says that it hands over. Whether the new release does shows
+// when it is tried; a way back is only taken beside what serves where that is known.
+func (a *Agent) beside(i *instance) bool {
+	s := i.step
+	return a.cfg.Sidecar.HandOver && i.hands && i.cfg.Record == "" && s != nil &&
+		(s.Action == api.ActUpgrade && s.Kind == api.Change || (s.Action == api.ActUpgrade || s.Action == api.ActRollback) && a.hands[i.row.Release])
+}
+
+// old is a row's process, put into the row as it is now.
+func putBack(row *store.Instance, old store.Instance) {
+	row.Launch, row.Process, row.Running, row.PID, row.Ticks, row.Boot, row.Launched =
+		old.Launch, old.Process, old.Running, old.PID, old.Ticks, old.Boot, old.Launched
+}
+
 // launch starts a process of the wanted generation: it is written down first, and
 // carries a name by which it is found if what follows can't be.
 func (a *Agent) launch(i *instance) []life.Kind {
@@ -175,6 +216,9 @@
 		a.mu.Unlock()
 		return nil
 	}
+	if i.proc != nil { // beside it
+		i.prev, i.prevRow = i.proc, i.row
+	}
 	i.row = row
 	a.mu.Unlock()
 
@@ -185,12 +229,18 @@
 	now := time.Now()
 	if err != nil {
 		i.row.Launch, i.row.Process, i.row.Running = "", 0, ""
-		i.row.LastExit, i.gone = err.Error(), row.Generation
+		i.row.LastExit = err.Error()
+		if i.prev != nil {
+			putBack(&i.row, i.prevRow)
+			i.prev, i.prevRow = nil, store.Instance{}
+		} else {
+			i.gone = row.Generation
+		}
 		kinds := i.life.LaunchFailed(now, err.Error())
 		a.told(i, nil)
 		return kinds
 	}
-	i.proc, i.sum, i.record = p, "", ""
+	i.proc, i.sum, i.record, i.hands = p, "", "", false
 	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
 	kinds := i.life.Launched(now)
 	a.told(i, nil)
@@ -207,6 +257,9 @@
 	}
 	env := append(os.Environ(), "BALANCER_NAME="+row.Name, "BALANCER_LISTEN="+i.cfg.listen, "BALANCER_CONFIG="+a.configPath(row.Name),
 		"MARTENDRUM_RECORD="+i.cfg.Record) // also where it has none: not the agent's own
+	if a.cfg.Sidecar.HandOver {
+		env = append(env, "TMPDIR="+a.meetPath())
+	}
 	return a.machine.Start(proc.Spec{
 		Launch: row.Launch, Path: a.releases.Path(row.Release, release.Sidecar), Dir: a.cfg.StateDir, Env: env, Log: a.logPath(row.Name),
 	})
@@ -252,25 +305,38 @@
 	if i.proc != p || a.ctx.Err() != nil {
 		return
 	}
+	if err == nil && i.prev != nil && says.Launch != i.row.Launch {
+		return // the one being replaced: both take clients for a while
+	}
 	before := i.life.Phase()
 	i.life.Health(time.Now(), err == nil, why)
 	if err == nil {
-		i.sum, i.record = says.ConfigSum, says.Record
+		i.sum, i.record, i.hands = says.ConfigSum, says.Record, says.Launch != ""
+		a.hands[i.row.Running] = i.hands
 	}
 	if i.life.Phase() != before {
 		a.bump()
 	}
 }
 
-// exited takes a process's end.
-func (a *Agent) exited(i *instance, p *Process) {
+// exited takes a process's end, and returns what to do at once.
+func (a *Agent) exited(i *instance, p *Process) []life.Kind {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if i.proc != p {
-		a.mu.Unlock()
-		return
+		return nil
 	}
 	now := time.Now()
 	how := p.Exit()
+	if i.prev != nil {
+		slog.Warn("a new process ended while the one before it was there", "instance", i.cfg.Name, "pid", p.PID, "how", how)
+		putBack(&i.row, i.prevRow)
+		i.proc, i.prev, i.prevRow = i.prev, nil, store.Instance{}
+		i.row.LastExit, i.sum, i.hands = how, "", true
+		kinds := i.life.Exited(now, how)
+		a.told(i, nil)
+		return a.later(i, kinds)
+	}
 	if i.life.Phase() != life.Draining {
 		i.gone = i.row.Process
 		slog.Warn("sidecar ended on its own", "instance", i.cfg.Name, "pid", p.PID, "how", how)
@@ -279,10 +345,27 @@
 	i.row.Launch, i.row.PID, i.row.Process, i.row.Running, i.row.LastExit = "", 0, 0, "", how
 	kinds := i.life.Exited(now, how)
 	a.told(i, nil)
-	a.mu.Unlock()
-	if len(kinds) > 0 {
-		i.poke() // the next round asks again, with what is wanted by then
+	return a.later(i, kinds)
+}
+
+// oldExited takes the end of a process that was being replaced.
+func (a *Agent) oldExited(i *instance, p *Process) []life.Kind {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i.prev != p {
+		return nil
 	}
+	i.row.LastExit = p.Exit()
+	i.prev, i.prevRow = nil, store.Instance{}
+	kinds := i.life.OldExited(time.Now())
+	a.told(i, nil)
+	return a.later(i, kinds)
+}
+
+// later leaves launches to the next round, which asks with what is wanted by then.
+func (a *Agent) later(i *instance, kinds []life.Kind) []life.Kind {
+	i.poke()
+	return slices.DeleteFunc(kinds, func(k life.Kind) bool { return k == life.Launch })
 }
 
 // observe sees whether the step under way has come to its end.
@@ -314,7 +397,19 @@
 	if a.started.After(begun) {
 		begun = a.started // time that the agent was away is not the instance's
 	}
+	failed, how := l.Failed()
 	switch {
+	case l.Old() != 0 && l.Phase() == life.Ready: // the one before it still ends
+	case l.Old() != 0 && l.Phase() == life.Starting && now.Sub(later(i.row.Launched, a.started)) > s.Ready:
+		if i.late == "" {
+			i.late = fmt.Sprintf("not ready within %v: %s", s.Ready, l.Reason())
+			i.poke()
+		}
+	case l.Process() != 0 && l.Old() == 0 && failed == s.Generation && failed != l.Process():
+		// What serves is what is wanted now: a restart of the agent must not try again.
+		l.Keep()
+		i.row.Process, i.row.Release, i.row.Previous = i.row.Generation, s.From, s.Before
+		a.end(i, s, false, "the new process failed and the one before it serves on: "+how)
 	case l.Process() == s.Generation && l.Phase() == life.Ready:
 		if now.Sub(l.Since()) >= s.Soak {
 			a.end(i, s, true, "")
--- a/internal/fleet/life/life.go
+++ b/internal/fleet/life/life.go
@@ -6,6 +6,11 @@
 // What is wanted is a level, not a command: whether a process should run, and of
 // which generation. A process of another generation is drained and replaced. So
 // whoever lost its memory and knows both again goes on where it stood.
+//
+// Where sidecars hand over, a process of a new generation starts beside the one that
+// serves, which is asked to end only once the new one is ready. A new one that ends
+// before, or is given up, leaves the old one serving, and its generation is not tried
+// again: a further one must be wanted.
 package life
 
 import (
@@ -46,6 +51,9 @@
 	Launch Kind = "launch" // a process of the wanted generation
 	Term   Kind = "term"   // SIGTERM
 	Kill   Kind = "kill"   // SIGKILL
+	// Of the process that is being replaced:
+	TermOld Kind = "term-old"
+	KillOld Kind = "kill-old"
 )
 
 // Life is the state of an instance.
@@ -54,6 +62,7 @@
 
 	run        bool  // wanted
 	generation int64 // wanted
+	beside     bool  // a new generation starts beside the process
 
 	phase   Phase
 	since   time.Time
@@ -65,6 +74,13 @@
 	crashes []time.Time
 	fails   int // health calls failed in a row
 	streak  int // crashes in a row
+
+	old       int64 // generation of the process being replaced, 0: none
+	oldKillAt time.Time
+	oldTerm   bool // it was asked to end
+	oldKilled bool
+	failed    int64 // the latest generation that ended before it was ready, beside an old one
+	failure   string
 }
 
 // unreadyAfter is how many health calls in a row must fail before a sidecar that
@@ -82,9 +98,25 @@
 func (l *Life) Process() int64    { return l.process }
 func (l *Life) Generation() int64 { return l.generation }
 func (l *Life) Wanted() bool      { return l.run }
-func (l *Life) Settled() bool     { return l.process == 0 || l.process == l.generation && l.run }
+func (l *Life) Settled() bool {
+	return l.old == 0 && (l.process == 0 || l.process == l.generation && l.run)
+}
+
+// Old is the generation of the process being replaced, 0 for none.
+func (l *Life) Old() int64 { return l.old }
+
+// Failed is the latest generation that failed beside a process that serves on, and how.
+func (l *Life) Failed() (generation int64, how string) { return l.failed, l.failure }
+
+// Beside says whether a generation wanted from now on starts beside the process that
+// serves: both must be able to hand over.
+func (l *Life) Beside(can bool) { l.beside = can }
+
+// Next is when Tick is due at the latest; zero for no such time.
 func (l *Life) Next() (t time.Time) {
 	switch {
+	case l.oldTerm && !l.oldKilled:
+		return l.oldKillAt
 	case l.phase == Draining && !l.killed:
 		return l.killAt
 	case l.phase == Backoff:
@@ -106,6 +138,21 @@
 	l.enter(now, Starting, "found running")
 }
 
+// AdoptOld tells of a process of an earlier generation that was found running beside
+// the adopted one.
+func (l *Life) AdoptOld(generation int64) { l.old = generation }
+
+// AdoptFailed tells of a generation that ended beside the adopted process.
+func (l *Life) AdoptFailed(generation int64, how string) { l.failed, l.failure = generation, how }
+
+// Keep makes the process that serves on after a failure the wanted one: it counts as of
+// the wanted generation from now on.
+func (l *Life) Keep() {
+	if l.process != 0 && l.old == 0 && l.failed == l.generation {
+		l.process = l.generation
+	}
+}
+
 // Want sets what is wanted. A new generation forgets earlier crashes.
 func (l *Life) Want(now time.Time, run bool, generation int64) []Kind {
 	if generation != l.generation {
@@ -117,6 +164,9 @@
 
 // step brings what is nearer to what is wanted.
 func (l *Life) step(now time.Time) []Kind {
+	if l.old != 0 {
+		return l.replace(now)
+	}
 	if l.process != 0 {
 		if l.phase == Draining {
 			if !l.killed && !now.Before(l.killAt) {
@@ -126,12 +176,13 @@
 			}
 			return nil
 		}
-		if !l.run || l.process != l.generation {
-			l.killAt, l.killed = now.Add(l.cfg.KillAfter), false
-			l.enter(now, Draining, "")
-			return []Kind{Term}
+		switch {
+		case l.run && l.process == l.generation, l.run && l.failed == l.generation:
+			return nil
+		case l.run && l.beside && l.phase == Ready:
+			return []Kind{Launch}
 		}
-		return nil
+		return []Kind{l.term(now)}
 	}
 	switch {
 	case !l.run:
@@ -145,22 +196,79 @@
 	return []Kind{Launch}
 }
 
+// term asks the process to end.
+func (l *Life) term(now time.Time) Kind {
+	l.killAt, l.killed = now.Add(l.cfg.KillAfter), false
+	l.enter(now, Draining, "")
+	return Term
+}
+
+// replace is step while an old process is there beside the new one. One that is not
+// wanted any more has not served before it is ready, and is killed; a ready one ends
+// like any other, after the old one.
+func (l *Life) replace(now time.Time) (out []Kind) {
+	if l.oldTerm && !l.oldKilled && !now.Before(l.oldKillAt) {
+		l.oldKilled = true
+		return []Kind{KillOld}
+	}
+	switch {
+	case l.phase == Draining: // its end is awaited
+	case !l.run && l.phase == Starting, l.run && l.process != l.generation && l.phase == Starting:
+		l.giveUp(now, "not wanted any more")
+		return []Kind{Kill}
+	case !l.oldTerm && (!l.run || l.phase != Starting):
+		l.oldTerm, l.oldKillAt = true, now.Add(l.cfg.KillAfter)
+		return []Kind{TermOld}
+	}
+	return nil
+}
+
+// giveUp marks the new process as one that is to be killed.
+func (l *Life) giveUp(now time.Time, why string) {
+	l.enter(now, Draining, why)
+	l.killed = true
+}
+
+// GiveUp ends a new process that has not become ready beside the old one, which serves
+// on; nothing where there is no old one.
+func (l *Life) GiveUp(now time.Time, why string) []Kind {
+	if l.old == 0 || l.oldTerm || l.phase != Starting {
+		return nil
+	}
+	l.giveUp(now, why)
+	return []Kind{Kill}
+}
+
 // Launched tells that a process of the wanted generation runs.
 func (l *Life) Launched(now time.Time) []Kind {
+	if l.process != 0 {
+		l.old, l.oldTerm, l.oldKilled = l.process, false, false
+	} else {
+		l.failed = 0 // nobody serves on
+	}
 	l.process, l.fails = l.generation, 0
 	l.enter(now, Starting, "")
 	l.since = now
 	return l.step(now)
 }
 
-// LaunchFailed tells that none could be started: it counts as a crash.
+// LaunchFailed tells that none could be started: it counts as a crash, or as a failure
+// of its generation where a process serves.
 func (l *Life) LaunchFailed(now time.Time, why string) []Kind {
+	if l.process != 0 {
+		l.failed, l.failure = l.generation, "can't be started: "+why
+		l.reason = l.serves()
+		return nil
+	}
 	return l.crash(now, "can't be started: "+why)
 }
 
 // Exited tells that the process has ended, and how.
 func (l *Life) Exited(now time.Time, how string) []Kind {
 	ended := l.process
+	if l.old != 0 {
+		return l.back(now, ended, how)
+	}
 	l.process = 0
 	if l.phase == Draining || !l.run || ended != l.generation {
 		l.enter(now, Stopped, how)
@@ -169,6 +277,42 @@
 	return l.crash(now, how)
 }
 
+// back takes the end of the new process while the old one is there: that one is the
+// instance's again.
+func (l *Life) back(now time.Time, ended int64, how string) []Kind {
+	wanted := l.run && ended == l.generation
+	if wanted {
+		l.failed, l.failure = ended, how
+		if l.phase == Draining {
+			l.failure = l.reason
+		}
+	}
+	l.process, l.old, l.fails = l.old, 0, 0
+	if l.oldTerm {
+		l.killAt, l.killed = l.oldKillAt, l.oldKilled
+		l.failed = 0 // no process serves on: it is launched again
+		l.enter(now, Draining, how)
+	} else {
+		l.enter(now, Ready, l.serves())
+	}
+	l.oldTerm, l.oldKilled = false, false
+	return l.step(now)
+}
+
+// serves is the reason of an instance whose new process failed.
+func (l *Life) serves() string {
+	if l.failed != l.generation || l.failed == 0 {
+		return ""
+	}
+	return fmt.Sprintf("generation %d serves on: the new process failed: %s", l.process, l.failure)
+}
+
+// OldExited tells that the process being replaced has ended.
+func (l *Life) OldExited(now time.Time) []Kind {
+	l.old, l.oldTerm, l.oldKilled = 0, false, false
+	return l.step(now)
+}
+
 func (l *Life) crash(now time.Time, how string) []Kind {
 	kept := l.crashes[:0]
 	for _, t := range l.crashes {
@@ -198,7 +342,7 @@
 	case l.process == 0 || l.phase == Draining:
 	case ok:
 		l.fails = 0
-		l.enter(now, Ready, "")
+		l.enter(now, Ready, l.serves())
 		if now.Sub(l.since) >= l.cfg.CrashWithin {
 			l.streak, l.crashes = 0, nil
 		}
--- a/internal/fleet/proc/proc.go
+++ b/internal/fleet/proc/proc.go
@@ -181,6 +181,7 @@
 type Healthy struct {
 	ConfigSum string // of the configuration in force
 	Record    string // how its store of record does
+	Launch    string // which process answered; told only by one that can hand over
 }
 
 // Health makes the health call.
@@ -202,7 +203,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return h, fmt.Errorf("health: answered %s", resp.Status)
 	}
-	return Healthy{resp.Header.Get("Config-Sum"), resp.Header.Get("Record")}, nil
+	return Healthy{resp.Header.Get("Config-Sum"), resp.Header.Get("Record"), resp.Header.Get("Hands-Over")}, nil
 }
 
 // Rotate keeps a log within most bytes: past half of that its content goes to
