Two processes of a sidecar share the ids of open requests while both take clients

Need: during a hand-over an id that one process has open was unknown to the other, so a request under another's id could reach a server a second time. Not taken: ids as messages over the Unix socket (two for each request, and a gap until they come), a lock in shared memory (a killed process keeps it). Also: a field that nobody used in the test of life, which staticcheck turned down. Seen: TestUpgradeSharesIDs with the other upgrade tests 5 times under -race; with the sharing switched off two requests under one id reached the server.

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -23,6 +23,7 @@
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/handover"
+	"chalkrack/internal/handover/idtable"
 	"chalkrack/internal/handover/link"
 	"chalkrack/internal/limitlog"
 	"chalkrack/internal/sidecar"
@@ -185,6 +186,12 @@
 	}
 }
 
+// ShareIDs implements link.Host.
+func (r *rooms) ShareIDs(t *link.IDs) { r.srv.ShareIDs(t) }
+
+// UnshareIDs implements link.Host.
+func (r *rooms) UnshareIDs(t *link.IDs) { r.srv.UnshareIDs(t) }
+
 func (r *rooms) leave() {
 	r.mu.Lock()
 	r.leaving = true
@@ -328,6 +335,19 @@
 		}
 	}()
 
+	// The old process's ids are known for their life after its end.
+	var forget <-chan time.Time
+	var inherited *link.IDs
+	if began != nil {
+		if inherited = began.IDs(); inherited != nil {
+			r.ShareIDs(inherited)
+			defer func() {
+				r.UnshareIDs(inherited)
+				inherited.Close()
+			}()
+		}
+	}
+
 	wait := time.NewTimer(listMost)
 	defer wait.Stop()
 	listed := make(chan struct{}, 1)
@@ -378,8 +398,13 @@
 			}
 		case now := <-sweep.C:
 			pool.Sweep(now)
+		case <-forget:
+			r.UnshareIDs(inherited)
 		case <-alone:
 			alone = nil
+			if inherited != nil {
+				forget = time.After(idtable.Life)
+			}
 			r.Limit(full(c))
 			at := c.listen // c may change under the snapshot
 			old = link.NewOld(place, r.lns[0], handover.NewOld(at, full(c), func() []byte { return learned(at, host) }), r)
--- a/cmd/fawnrock/upgrade_test.go
+++ b/cmd/fawnrock/upgrade_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -322,6 +324,70 @@
 	})
 }
 
+// An id that one of two processes has open, or had a moment ago, is known to the other:
+// a request under it is turned away and reaches no server, whichever process gets it.
+func TestUpgradeSharesIDs(t *testing.T) {
+	s := newShop(t, 256)
+	var came atomic.Int64
+	hold := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Req-Id") == "same" {
+			came.Add(1)
+			<-hold
+		}
+		io.WriteString(w, "one")
+	}))
+	t.Cleanup(server.Close)
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = bytes.Replace(text, []byte(s.discovery), []byte(registry(t, 1, "s1", server.Listener.Addr().String())), 1)
+	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	old := s.running()
+	ask := func() net.Conn {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: same\r\nContent-Length: 4\r\nConnection: close\r\n\r\ncard")
+		return c
+	}
+	turnedAway := func(when string) {
+		t.Helper()
+		for n := range 20 { // some come to each process
+			resp, err := http.ReadResponse(bufio.NewReader(ask()), nil)
+			if err != nil || resp.StatusCode != http.StatusConflict {
+				t.Errorf("%s, request %d under another's id: %v, %v", when, n, resp, err)
+			}
+		}
+	}
+	owner := ask()
+	eventually(t, "the owner's request at the server", func() bool { return came.Load() == 1 })
+	next := s.running()
+	turnedAway("while both serve")
+	old.Process.Signal(syscall.SIGTERM)
+	eventually(t, "the old process's leaving", func() bool { return old.says("/api/ready") != http.StatusOK })
+	turnedAway("while the old one ends")
+	close(hold)
+	if resp, err := http.ReadResponse(bufio.NewReader(owner), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the owner was answered %v, %v", resp, err)
+	}
+	old.ends(t)
+	turnedAway("after the answer")
+	if n := came.Load(); n != 1 {
+		t.Errorf("%d requests under one id came to the server", n)
+	}
+	next.holds(t, 256)
+	if err := visit(http.DefaultClient, s.listen); err != nil {
+		t.Error(err)
+	}
+}
+
 // A process that starts soon after a stop knows what the one before knew; a damaged
 // file is left aside.
 func TestWarmRestart(t *testing.T) {
--- a/internal/fleet/life/life_test.go
+++ b/internal/fleet/life/life_test.go
@@ -186,10 +186,10 @@
 func TestProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type process struct {
-			generation   int64
-			ready, ended bool
-			term         time.Time
-			killed       bool
+			generation int64
+			ready      bool
+			term       time.Time
+			killed     bool
 		}
 		now := t0
 		l := New(cfg, now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chalkrack/internal/figures"
 	"chalkrack/internal/framing"
 	"chalkrack/internal/settings"
@@ -411,10 +413,10 @@
 // the same id. It also catches a client that repeats an id of late. It may do harm
 // to a client that reuses ids, which the protocol forbids.
 func (c *conn) begin(x *Exchange) bool {
-	s := c.srv
+	s, now := c.srv, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == shut || !s.ids.open(x.id) {
+	if c.state == shut || !s.ids.open(x.id, now) {
 		return false
 	}
 	c.x = x
@@ -572,15 +574,43 @@
 	}
 }
 
+// SharedIDs is a set of ids that another process shares. Open enters the id of a hash;
+// false if it is known already.
+type SharedIDs interface {
+	Open(hash uint64, at time.Time) bool
+}
+
+// ShareIDs makes the ids known here known to another process, and that one's here. A set
+// shared before is not used any more.
+func (s *Server) ShareIDs(with SharedIDs) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids.shared = with
+	for id := range s.ids.known {
+		with.Open(xxhash.Sum64String(id), now)
+	}
+}
+
+// UnshareIDs ends the sharing of a set: when it returns, the set is not used any more.
+func (s *Server) UnshareIDs(with SharedIDs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids.shared == with {
+		s.ids.shared = nil
+	}
+}
+
 // ids knows the ids of open requests and of those answered last.
 type ids struct {
 	known  map[string]bool
+	shared SharedIDs         // nil: no other process takes clients
 	recent [recentIDs]string // a ring
 	next   int
 }
 
-func (i *ids) open(id string) bool {
-	if i.known[id] {
+func (i *ids) open(id string, now time.Time) bool {
+	if i.known[id] || i.shared != nil && !i.shared.Open(xxhash.Sum64String(id), now) {
 		return false
 	}
 	i.known[id] = true
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -42,6 +42,9 @@
 	Again    bool   `json:"again,omitempty"` // of a refusal: it may pass
 	Share    Share  `json:"share,omitzero"`
 	Snapshot []byte `json:"snapshot,omitempty"`
+	// IDs says of a hello that this process can share a table of ids, and of an offer
+	// that one comes with it.
+	IDs bool `json:"ids,omitempty"`
 }
 
 // Share is a part of what one sidecar may hold.
@@ -81,7 +84,7 @@
 // What the host can be asked for.
 const (
 	Send          Do = iota
-	SendListener     // Send, with the listening socket beside it
+	SendListener     // Send, with the listening socket beside it, and a table of ids where it says so
 	Drop             // end the connection to a peer
 	Limit            // keep to Share from now on
 	Unpublish        // no new process can find this one from now on
@@ -134,7 +137,7 @@
 		// The share is given up here before it is granted there.
 		return []Action{
 			{Do: Limit, Share: o.Own()},
-			{Do: SendListener, To: peer, Message: Message{Kind: Offer, Version: Version, Listen: o.listen, Share: o.granted, Snapshot: o.snapshot()}},
+			{Do: SendListener, To: peer, Message: Message{Kind: Offer, Version: Version, Listen: o.listen, Share: o.granted, Snapshot: o.snapshot(), IDs: m.IDs}},
 		}
 	case peer != o.peer:
 		return o.refuse(peer, "no hand-over is under way with this process", false)
@@ -214,7 +217,7 @@
 
 // Begin asks the old one, whom the host has found.
 func (n *New) Begin(listen string) []Action {
-	return []Action{{Do: Send, Message: Message{Kind: Hello, Version: Version, Listen: listen}}}
+	return []Action{{Do: Send, Message: Message{Kind: Hello, Version: Version, Listen: listen, IDs: true}}}
 }
 
 // Nobody says that there is no old process.
--- /dev/null
+++ b/internal/handover/link/memfd_arm64.go
@@ -0,0 +1,3 @@
+package link
+
+const sysMemfdCreate = 279 // memfd_create(2) on Linux, arm64
--- a/internal/handover/link/new.go
+++ b/internal/handover/link/new.go
@@ -34,6 +34,7 @@
 	passed   *net.TCPListener
 	own      *net.TCPListener
 	snapshot []byte
+	ids      *IDs // shared with the old one; nil: none
 	alone    chan struct{}
 	failed   chan error // the old process has called it off
 	closed   bool
@@ -148,7 +149,11 @@
 func (n *New) took(m handover.Message, files []*os.File) error {
 	defer closeAll(files)
 	if m.Kind == handover.Offer {
-		if len(files) != 2 {
+		want := 2
+		if m.IDs {
+			want = 3
+		}
+		if len(files) != want {
 			return fmt.Errorf("%w: %d descriptors", handover.ErrShape, len(files))
 		}
 		ln, err := net.FileListener(files[0])
@@ -168,6 +173,11 @@
 		syscall.CloseOnExec(lock)
 		n.place.take(os.NewFile(uintptr(lock), n.place.path(".lock")))
 		n.passed, n.snapshot = tl, m.Snapshot
+		if m.IDs {
+			if n.ids, err = mapIDs(files[2]); err != nil {
+				slog.Warn("ids are not shared", "err", err)
+			}
+		}
 	}
 	acts, err := n.machine.Came(m)
 	if err != nil {
@@ -274,6 +284,13 @@
 	return n.snapshot
 }
 
+// IDs is the table that the old process shares, nil for none. It is the caller's to close.
+func (n *New) IDs() *IDs {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ids
+}
+
 // Ready says that this process takes clients.
 func (n *New) Ready() {
 	n.mu.Lock()
--- a/internal/handover/link/old.go
+++ b/internal/handover/link/old.go
@@ -19,6 +19,11 @@
 	Limit(s handover.Share)
 	// StopAccepting closes this process's end of the listening socket.
 	StopAccepting()
+	// ShareIDs makes the ids that this process has open known to another one by t, and
+	// the other's to this one. When it returns, a table before is not used any more.
+	ShareIDs(t *IDs)
+	// UnshareIDs ends that. When it returns, t is not used any more.
+	UnshareIDs(t *IDs)
 }
 
 // Old lets new processes find this one and hands over to one of them.
@@ -32,6 +37,8 @@
 	door    *net.UnixListener
 	peers   map[int]*peer
 	last    int
+	ids     *IDs // shared with the peer idsOf; nil: none
+	idsOf   int
 	closed  bool
 	wait    sync.WaitGroup
 }
@@ -144,6 +151,9 @@
 	delete(o.peers, id)
 	p.timer.Stop()
 	p.uc.Close()
+	if o.idsOf == id {
+		o.unshareIDs()
+	}
 	if !o.closed {
 		o.do(o.machine.Lost(id))
 	}
@@ -181,12 +191,27 @@
 	if p == nil {
 		return net.ErrClosed
 	}
+	fds := []int{0, int(o.place.lock.Fd())}
+	if a.Message.IDs {
+		ids, file, err := newIDs()
+		if err != nil { // each knows its own ids then
+			slog.Warn("ids are not shared", "err", err)
+			a.Message.IDs = false
+		} else {
+			defer file.Close()
+			fds = append(fds, int(file.Fd()))
+			o.shareIDs(ids, a.To)
+		}
+	}
 	raw, err := o.ln.SyscallConn()
 	if err != nil {
 		return err
 	}
 	// Not by File: it would make the socket blocking for both processes.
-	e := raw.Control(func(fd uintptr) { err = p.send(a.Message, int(fd), int(o.place.lock.Fd())) })
+	e := raw.Control(func(fd uintptr) {
+		fds[0] = int(fd)
+		err = p.send(a.Message, fds...)
+	})
 	if err == nil {
 		err = e
 	}
@@ -196,6 +221,22 @@
 	return err
 }
 
+// shareIDs shares a table with a peer. The lock is held.
+func (o *Old) shareIDs(t *IDs, with int) {
+	o.unshareIDs()
+	o.ids, o.idsOf = t, with
+	o.host.ShareIDs(t)
+}
+
+// unshareIDs ends the sharing. The lock is held.
+func (o *Old) unshareIDs() {
+	if o.ids != nil {
+		o.host.UnshareIDs(o.ids)
+		o.ids.Close()
+		o.ids, o.idsOf = nil, 0
+	}
+}
+
 // Retuned takes new limits of the configuration.
 func (o *Old) Retuned(full handover.Share) {
 	o.mu.Lock()
