--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -189,7 +189,7 @@
 		(s.Action == api.ActUpgrade && s.Kind == api.Change || (s.Action == api.ActUpgrade || s.Action == api.ActRollback) && a.hands[i.row.Release])
 }
 
-// old is a row's process, put into the row as it is now.
+// putBack makes the process that old tells of the row's again.
 func putBack(row *store.Instance, old store.Instance) {
 	row.Launch, row.Process, row.Running, row.PID, row.Ticks, row.Boot, row.Launched =
 		old.Launch, old.Process, old.Running, old.PID, old.Ticks, old.Boot, old.Launched
--- a/internal/handover/link/ids.go
+++ b/internal/handover/link/ids.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"unsafe"
 
+	"golang.org/x/sys/unix"
+
 	"chalkrack/internal/handover/idtable"
 )
 
@@ -15,19 +17,15 @@
 	mem []byte
 }
 
-const (
-	idsBytes   = idtable.Slots * 8
-	mfdCloexec = 1
-)
+const idsBytes = idtable.Slots * 8
 
 // newIDs makes a table and returns the file to pass on, which the caller closes.
 func newIDs() (t *IDs, f *os.File, err error) {
-	name := []byte("sidecar-ids\x00")
-	fd, _, errno := syscall.Syscall(sysMemfdCreate, uintptr(unsafe.Pointer(&name[0])), mfdCloexec, 0)
-	if errno != 0 {
-		return nil, nil, fmt.Errorf("link: a table of ids: %w", errno)
+	fd, err := unix.MemfdCreate("sidecar-ids", unix.MFD_CLOEXEC)
+	if err != nil {
+		return nil, nil, fmt.Errorf("link: a table of ids: %w", err)
 	}
-	f = os.NewFile(fd, "ids")
+	f = os.NewFile(uintptr(fd), "ids")
 	if err = f.Truncate(idsBytes); err == nil {
 		t, err = mapIDs(f)
 	}
