Reading the whole change: one accept loop, one raw handle, no clock on the hot path

Need: the change of this landing wrote some things again that were there, or twice. Change, behaviour as it was: - standin/tcp is the accept loop of six test servers (two new, four older) and of the count of lost connections; configured writes the sidecar's file for tests and benchmarks; the fuzz targets share seeds (the union of both), the writer in pieces and the reading. - A connection's raw handle is fetched once, by sock.Lazy, which answers Quiet too; front and upstream each had their own way to it. Not a look at the clock for each request where no ids are shared: the one that had been added is gone. - life: that the old process was asked to end follows from its time; one place resets. agent: one filter of launches, no method named as the function beside it; the releases known to hand over are forgotten with the releases.

--- a/cmd/fawnrock/bench_test.go
+++ b/cmd/fawnrock/bench_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"chalkrack/internal/standin/tcp"
 )
 
 // program builds the sidecar as operators run it: a test's own program would count
@@ -25,15 +27,8 @@
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		b.Fatalf("%v\n%s", err, out)
 	}
-	addr = freeAddr(b)
-	text := fmt.Sprintf(configForm, registry(b, 1, "s1", server))
-	text = strings.Replace(text, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, addr), 1)
-	text = strings.Replace(text, `"memory_mb":512,"sockets":256`, fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, memoryMB, sockets), 1)
-	text = strings.Replace(text, `"mostHeld":100`, `"mostHeld":1000`, 1)
-	config := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		b.Fatal(err)
-	}
+	config, addr, _ := configured(b, server, sockets,
+		`"memory_mb":512`, fmt.Sprintf(`"memory_mb":%d`, memoryMB), `"mostHeld":100`, `"mostHeld":1000`)
 	cmd := exec.Command(bin)
 	cmd.Env = append(os.Environ(), "TMPDIR="+dir, "BALANCER_CONFIG="+config, "BALANCER_MGMT=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
 	if err := cmd.Start(); err != nil {
@@ -141,28 +136,13 @@
 // servedBy is a server that writes each answer by give.
 func servedBy(b *testing.B, give func(io.Writer) error) string {
 	b.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	return tcp.Serve(b, func(_ int, c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			if _, err := http.ReadRequest(br); err != nil || give(c) != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for br := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(br); err != nil || give(c) != nil {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // fetch asks for one answer and counts its bytes.
--- a/cmd/fawnrock/retune_test.go
+++ b/cmd/fawnrock/retune_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+
+	"chalkrack/internal/standin/tcp"
 )
 
 // figure is a figure by its full name, -1 if there is none.
@@ -66,29 +68,14 @@
 // once let. It counts what it ran.
 func reset(t *testing.T, came chan<- struct{}, let <-chan struct{}) (addr string, ran *atomic.Int64) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	ran = new(atomic.Int64)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					ran.Add(1)
-					came <- struct{}{}
-					<-let
-				}
-			}()
+	return tcp.Serve(t, func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			ran.Add(1)
+			came <- struct{}{}
+			<-let
 		}
-	}()
-	return ln.Addr().String(), ran
+	}), ran
 }
 
 // retune writes a new file and waits until the process has decided on it.
--- a/cmd/fawnrock/upgrade_test.go
+++ b/cmd/fawnrock/upgrade_test.go
@@ -78,16 +78,22 @@
 	t.Helper()
 	came, hold := make(chan struct{}, 10000), make(chan struct{})
 	close(hold)
-	s := &shop{t: t, dir: t.TempDir(), listen: freeAddr(t)}
-	s.config = filepath.Join(t.TempDir(), "config.json")
-	s.discovery = registry(t, 1, "s1", backend(t, "one", came, hold))
-	text := fmt.Sprintf(configForm, s.discovery)
-	text = strings.Replace(text, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, s.listen), 1)
-	text = strings.Replace(text, `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+	s := &shop{t: t, dir: t.TempDir()}
+	s.config, s.listen, s.discovery = configured(t, backend(t, "one", came, hold), sockets)
+	return s
+}
+
+// configured writes the configuration of a sidecar at a free address before one server,
+// with further changes to its text, each what is there and what comes in its place.
+func configured(t testing.TB, server string, sockets int, changes ...string) (path, listen, discovery string) {
+	t.Helper()
+	path, listen, discovery = filepath.Join(t.TempDir(), "config.json"), freeAddr(t), registry(t, 1, "s1", server)
+	changes = append(changes, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, listen), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets))
+	text := strings.NewReplacer(changes...).Replace(fmt.Sprintf(configForm, discovery))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return s
+	return path, listen, discovery
 }
 
 // start starts a process; its end is seen to.
@@ -338,12 +344,8 @@
 		io.WriteString(w, "one")
 	}))
 	t.Cleanup(server.Close)
-	text, err := os.ReadFile(s.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text = bytes.Replace(text, []byte(s.discovery), []byte(registry(t, 1, "s1", server.Listener.Addr().String())), 1)
-	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+	text := replace(t, s.text(t), s.discovery, registry(t, 1, "s1", server.Listener.Addr().String()))
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	old := s.running()
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -410,6 +410,7 @@
 				used = append(used, o.Release)
 			}
 		}
+		maps.DeleteFunc(a.hands, func(release string, _ bool) bool { return !slices.Contains(used, release) })
 		a.mu.Unlock()
 		if n%30 == 29 {
 			if err := a.releases.Keep(used, a.cfg.Limits.Releases); err != nil {
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -87,7 +87,7 @@
 			i.late = ""
 		}
 		if now.Before(i.retryAt) {
-			kinds = slices.DeleteFunc(kinds, func(k life.Kind) bool { return k == life.Launch }) // asked for again then
+			kinds = withoutLaunch(kinds) // asked for again then
 		}
 		a.mu.Unlock()
 		a.act(i, kinds)
@@ -157,12 +157,10 @@
 		switch k {
 		case life.Launch:
 			kinds = append(kinds, a.launch(i)...)
-		case life.Term, life.Kill:
-			sig := syscall.SIGTERM
-			if k == life.Kill {
-				sig = syscall.SIGKILL
-			}
-			a.signal(i, i.proc, sig)
+		case life.Term:
+			a.signal(i, i.proc, syscall.SIGTERM)
+		case life.Kill:
+			a.signal(i, i.proc, syscall.SIGKILL)
 		case life.TermOld:
 			a.signal(i, i.prev, syscall.SIGTERM)
 		case life.KillOld:
@@ -335,7 +333,7 @@
 		i.row.LastExit, i.sum, i.hands = how, "", true
 		kinds := i.life.Exited(now, how)
 		a.told(i, nil)
-		return a.later(i, kinds)
+		return i.ended(kinds)
 	}
 	if i.life.Phase() != life.Draining {
 		i.gone = i.row.Process
@@ -345,7 +343,7 @@
 	i.row.Launch, i.row.PID, i.row.Process, i.row.Running, i.row.LastExit = "", 0, 0, "", how
 	kinds := i.life.Exited(now, how)
 	a.told(i, nil)
-	return a.later(i, kinds)
+	return i.ended(kinds)
 }
 
 // oldExited takes the end of a process that was being replaced.
@@ -359,12 +357,17 @@
 	i.prev, i.prevRow = nil, store.Instance{}
 	kinds := i.life.OldExited(time.Now())
 	a.told(i, nil)
-	return a.later(i, kinds)
+	return i.ended(kinds)
 }
 
-// later leaves launches to the next round, which asks with what is wanted by then.
-func (a *Agent) later(i *instance, kinds []life.Kind) []life.Kind {
+// ended is what to do at once after a process's end: all but launches, which are left to
+// the next round. That asks with what is wanted by then.
+func (i *instance) ended(kinds []life.Kind) []life.Kind {
 	i.poke()
+	return withoutLaunch(kinds)
+}
+
+func withoutLaunch(kinds []life.Kind) []life.Kind {
 	return slices.DeleteFunc(kinds, func(k life.Kind) bool { return k == life.Launch })
 }
 
--- a/internal/fleet/life/life.go
+++ b/internal/fleet/life/life.go
@@ -75,9 +75,8 @@
 	fails   int // health calls failed in a row
 	streak  int // crashes in a row
 
-	old       int64 // generation of the process being replaced, 0: none
-	oldKillAt time.Time
-	oldTerm   bool // it was asked to end
+	old       int64     // generation of the process being replaced, 0: none
+	oldKillAt time.Time // zero: it was not asked to end yet
 	oldKilled bool
 	failed    int64 // the latest generation that ended before it was ready, beside an old one
 	failure   string
@@ -115,7 +114,7 @@
 // Next is when Tick is due at the latest; zero for no such time.
 func (l *Life) Next() (t time.Time) {
 	switch {
-	case l.oldTerm && !l.oldKilled:
+	case l.oldAsked() && !l.oldKilled:
 		return l.oldKillAt
 	case l.phase == Draining && !l.killed:
 		return l.killAt
@@ -140,7 +139,15 @@
 
 // AdoptOld tells of a process of an earlier generation that was found running beside
 // the adopted one.
-func (l *Life) AdoptOld(generation int64) { l.old = generation }
+func (l *Life) AdoptOld(generation int64) { l.replacing(generation) }
+
+// replacing makes the process of a generation the one being replaced, 0 for none.
+func (l *Life) replacing(generation int64) {
+	l.old, l.oldKillAt, l.oldKilled = generation, time.Time{}, false
+}
+
+// oldAsked says that the process being replaced was asked to end.
+func (l *Life) oldAsked() bool { return !l.oldKillAt.IsZero() }
 
 // AdoptFailed tells of a generation that ended beside the adopted process.
 func (l *Life) AdoptFailed(generation int64, how string) { l.failed, l.failure = generation, how }
@@ -206,18 +213,18 @@
 // replace is step while an old process is there beside the new one. One that is not
 // wanted any more has not served before it is ready, and is killed; a ready one ends
 // like any other, after the old one.
-func (l *Life) replace(now time.Time) (out []Kind) {
-	if l.oldTerm && !l.oldKilled && !now.Before(l.oldKillAt) {
+func (l *Life) replace(now time.Time) []Kind {
+	if l.oldAsked() && !l.oldKilled && !now.Before(l.oldKillAt) {
 		l.oldKilled = true
 		return []Kind{KillOld}
 	}
 	switch {
 	case l.phase == Draining: // its end is awaited
-	case !l.run && l.phase == Starting, l.run && l.process != l.generation && l.phase == Starting:
+	case l.phase == Starting && (!l.run || l.process != l.generation):
 		l.giveUp(now, "not wanted any more")
 		return []Kind{Kill}
-	case !l.oldTerm && (!l.run || l.phase != Starting):
-		l.oldTerm, l.oldKillAt = true, now.Add(l.cfg.KillAfter)
+	case l.phase != Starting && !l.oldAsked():
+		l.oldKillAt = now.Add(l.cfg.KillAfter)
 		return []Kind{TermOld}
 	}
 	return nil
@@ -232,7 +239,7 @@
 // GiveUp ends a new process that has not become ready beside the old one, which serves
 // on; nothing where there is no old one.
 func (l *Life) GiveUp(now time.Time, why string) []Kind {
-	if l.old == 0 || l.oldTerm || l.phase != Starting {
+	if l.old == 0 || l.oldAsked() || l.phase != Starting {
 		return nil
 	}
 	l.giveUp(now, why)
@@ -242,7 +249,7 @@
 // Launched tells that a process of the wanted generation runs.
 func (l *Life) Launched(now time.Time) []Kind {
 	if l.process != 0 {
-		l.old, l.oldTerm, l.oldKilled = l.process, false, false
+		l.replacing(l.process)
 	} else {
 		l.failed = 0 // nobody serves on
 	}
@@ -287,15 +294,15 @@
 			l.failure = l.reason
 		}
 	}
-	l.process, l.old, l.fails = l.old, 0, 0
-	if l.oldTerm {
+	l.process, l.fails = l.old, 0
+	if l.oldAsked() {
 		l.killAt, l.killed = l.oldKillAt, l.oldKilled
 		l.failed = 0 // no process serves on: it is launched again
 		l.enter(now, Draining, how)
 	} else {
 		l.enter(now, Ready, l.serves())
 	}
-	l.oldTerm, l.oldKilled = false, false
+	l.replacing(0)
 	return l.step(now)
 }
 
@@ -309,7 +316,7 @@
 
 // OldExited tells that the process being replaced has ended.
 func (l *Life) OldExited(now time.Time) []Kind {
-	l.old, l.oldTerm, l.oldKilled = 0, false, false
+	l.replacing(0)
 	return l.step(now)
 }
 
--- a/internal/framing/framingtest/dechunk.go
+++ b/internal/framing/framingtest/dechunk.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strconv"
 	"strings"
 )
@@ -98,3 +99,44 @@
 	}
 	return s != ""
 }
+
+// Seeds are bodies for fuzz targets to begin with: good ones, and ones that readers differ on.
+var Seeds = []string{
+	"0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n", "3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n",
+	"3 \r\nabc\r\n0\r\n\r\n", "3\nabc\r\n0\n\n", "3\r\nabcd\r\n0\r\n\r\n",
+	"zz\r\n", "-1\r\n\r\n", "3\r\nabc\r\n0\r\n\r\nGET /look HTTP/1.1\r\n\r\n",
+	"ffffffffffffffff\r\na", "0x3\r\nabc\r\n0\r\n\r\n", "+3\r\nabc\r\n0\r\n\r\n",
+	"00000003\r\nabc\r\n0\r\n\r\n", "3;\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\nX y\r\n\r\n",
+	"1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "",
+	"yes",
+}
+
+// Reading is what a reader makes of bytes: a body and what follows it, if OK.
+type Reading struct {
+	Body, Rest []byte
+	OK         bool
+}
+
+// Read reads a body of a stated length, or a chunked one where length is below 0, both
+// strictly and leniently.
+func Read(b []byte, length int) (strict, lenient Reading) {
+	if length < 0 {
+		strict.Body, strict.Rest, strict.OK = Dechunk(b, true)
+		lenient.Body, lenient.Rest, lenient.OK = Dechunk(b, false)
+	} else if length <= len(b) {
+		strict = Reading{b[:length], b[length:], true}
+		lenient = strict
+	}
+	return strict, lenient
+}
+
+// Send writes text in pieces of that size, until one can't be written.
+func Send(w io.Writer, text []byte, piece int) error {
+	for len(text) > 0 {
+		n, err := w.Write(text[:min(piece, len(text))])
+		if text = text[n:]; err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,7 +12,6 @@
 	"runtime/debug"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -303,7 +302,7 @@
 	s.mu.Lock()
 	var old []*conn
 	for c := range s.conns {
-		if c.state == idle && time.Since(c.since) >= since && (since == 0 || c.quiet()) {
+		if c.state == idle && time.Since(c.since) >= since && (since == 0 || c.in.Quiet()) {
 			c.enter(shut)
 			old = append(old, c)
 		}
@@ -314,19 +313,6 @@
 	}
 }
 
-// quiet says that nothing has come that is not read yet.
-func (c *conn) quiet() bool {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	return sock.Quiet(raw)
-}
-
 // Trim evicts what can be spared until the connections keep to the limit.
 func (s *Server) Trim() {
 	for {
@@ -413,10 +399,10 @@
 // the same id. It also catches a client that repeats an id of late. It may do harm
 // to a client that reuses ids, which the protocol forbids.
 func (c *conn) begin(x *Exchange) bool {
-	s, now := c.srv, time.Now()
+	s := c.srv
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == shut || !s.ids.open(x.id, now) {
+	if c.state == shut || !s.ids.open(x.id) {
 		return false
 	}
 	c.x = x
@@ -609,8 +595,8 @@
 	next   int
 }
 
-func (i *ids) open(id string, now time.Time) bool {
-	if i.known[id] || i.shared != nil && !i.shared.Open(xxhash.Sum64String(id), now) {
+func (i *ids) open(id string) bool {
+	if i.known[id] || i.shared != nil && !i.shared.Open(xxhash.Sum64String(id), time.Now()) {
 		return false
 	}
 	i.known[id] = true
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -189,7 +189,7 @@
 	i := ids{known: make(map[string]bool)}
 	for n := range 3 * recentIDs {
 		id := fmt.Sprint(n)
-		if !i.open(id, time.Now()) {
+		if !i.open(id) {
 			t.Fatal("a new id passed for a known one")
 		}
 		i.close(id)
@@ -197,7 +197,7 @@
 			t.Fatalf("%d ids known after %d", len(i.known), n)
 		}
 	}
-	if !i.open("0", time.Now()) {
+	if !i.open("0") {
 		t.Error("an old id is still known")
 	}
 }
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -18,12 +18,7 @@
 // what arrives with what RFC 9112 makes of the same bytes: what the strict grammar takes
 // whole arrives, and nothing arrives that even a lenient reader would read otherwise.
 func FuzzRequestBody(f *testing.F) {
-	for _, seed := range []string{
-		"0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n", "3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n", "3 \r\nabc\r\n0\r\n\r\n",
-		"3\nabc\r\n0\n\n", "3\r\nabcd\r\n0\r\n\r\n", "zz\r\n", "-1\r\n\r\n", "3\r\nabc\r\n0\r\n\r\nGET /look HTTP/1.1\r\n\r\n",
-		"ffffffffffffffff\r\na", "0x3\r\nabc\r\n0\r\n\r\n", "+3\r\nabc\r\n0\r\n\r\n", "00000003\r\nabc\r\n0\r\n\r\n",
-		"3;\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\nX y\r\n\r\n", "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n",
-	} {
+	for _, seed := range framingtest.Seeds {
 		f.Add([]byte(seed), -1, 1)
 		f.Add([]byte(seed), 3, 2)
 		f.Add([]byte(seed), len(seed), 7)
@@ -44,29 +39,17 @@
 		}
 		there.SetDeadline(time.Now().Add(patience))
 		go func() {
-			text := append([]byte(head), body...)
-			for len(text) > 0 {
-				n, err := there.Write(text[:min(piece, len(text))])
-				if text = text[n:]; err != nil {
-					return // it was turned away
-				}
+			if framingtest.Send(there, append([]byte(head), body...), piece) == nil { // else it was turned away
+				there.Close()
 			}
-			there.Close()
 		}()
 		answers := make(chan struct{})
 		go func() { // read off, or a rejection would block
 			defer close(answers)
 			io.Copy(io.Discard, there)
 		}()
-		var strict, lenient, rest []byte
-		var mustArrive, mayArrive bool
-		if length < 0 {
-			strict, rest, mustArrive = framingtest.Dechunk(body, true)
-			mustArrive = mustArrive && len(rest) == 0
-			lenient, _, mayArrive = framingtest.Dechunk(body, false)
-		} else if mayArrive = length <= len(body); mayArrive {
-			mustArrive, strict, lenient = length == len(body), body[:length], body[:length]
-		}
+		strict, lenient := framingtest.Read(body, length)
+		mustArrive := strict.OK && len(strict.Rest) == 0
 		<-answers
 		for until := time.Now().Add(patience); s.Conns() > 0; time.Sleep(50 * time.Microsecond) {
 			if time.Now().After(until) {
@@ -81,12 +64,12 @@
 		switch {
 		case x == nil && mustArrive:
 			t.Errorf("%q did not arrive", body)
-		case x != nil && !mayArrive:
+		case x != nil && !lenient.OK:
 			t.Errorf("%q arrived as %q", body, x.Request.Body)
-		case x != nil && !bytes.Equal(x.Request.Body, lenient):
-			t.Errorf("%q arrived as %q, want %q", body, x.Request.Body, lenient)
-		case x != nil && mustArrive && !bytes.Equal(strict, lenient):
-			t.Errorf("the two readings of %q differ: %q, %q", body, strict, lenient)
+		case x != nil && !bytes.Equal(x.Request.Body, lenient.Body):
+			t.Errorf("%q arrived as %q, want %q", body, x.Request.Body, lenient.Body)
+		case x != nil && mustArrive && !bytes.Equal(strict.Body, lenient.Body):
+			t.Errorf("the two readings of %q differ: %q, %q", body, strict.Body, lenient.Body)
 		case len(h.arrived) > 0:
 			t.Error("a second request arrived")
 		}
--- a/internal/handover/link/ids.go
+++ b/internal/handover/link/ids.go
@@ -54,9 +54,4 @@
 }
 
 // Close unmaps the table: nobody of this process may use it any more.
-func (t *IDs) Close() {
-	if t != nil && t.mem != nil {
-		syscall.Munmap(t.mem)
-		t.mem = nil
-	}
-}
+func (t *IDs) Close() { syscall.Munmap(t.mem) }
--- a/internal/handover/link/queue_test.go
+++ b/internal/handover/link/queue_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"chalkrack/internal/standin/tcp"
 )
 
 // What waits in the accept queue when the old process closes its socket: with a second
@@ -28,18 +30,7 @@
 			open = append(open, c)
 		}
 		old.Close() // nothing of its queue was accepted
-		go func() {
-			for {
-				c, err := next.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer c.Close()
-					io.CopyN(c, c, 2)
-				}()
-			}
-		}()
+		go tcp.Accept(next, func(_ int, c net.Conn) { io.CopyN(c, c, 2) })
 		for n, c := range open {
 			b := make([]byte, 2)
 			if _, err := io.ReadFull(c, b); err == nil && string(b) == fmt.Sprintf("%02d", n) {
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -9,40 +9,28 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"chalkrack/internal/standin/tcp"
 )
 
 // BenchmarkHotPath is one small request through the sidecar and back, one after the
 // other on one connection, on whatever cores -cpu gives. The client and the server
 // are as lean as they can be, and part of the figure.
 func BenchmarkHotPath(b *testing.B) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { ln.Close() })
-	go func() {
+	server := tcp.Serve(b, func(_ int, c net.Conn) {
+		buf := make([]byte, 8<<10)
 		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				buf := make([]byte, 8<<10)
-				for {
-					n := 0
-					for !bytes.HasSuffix(buf[:n], []byte("\r\n\r\n")) {
-						m, err := c.Read(buf[n:])
-						if n += m; err != nil {
-							return
-						}
-					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nSrv-Load: inflight=1\r\n\r\nyes")
+			n := 0
+			for !bytes.HasSuffix(buf[:n], []byte("\r\n\r\n")) {
+				m, err := c.Read(buf[n:])
+				if n += m; err != nil {
+					return
 				}
-			}()
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nSrv-Load: inflight=1\r\n\r\nyes")
 		}
-	}()
-	_, _, at := start(b, ln.Addr().String())
+	})
+	_, _, at := start(b, server)
 	c, err := net.Dial("tcp", at)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -14,6 +14,7 @@
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/settings"
+	"chalkrack/internal/standin/tcp"
 	"chalkrack/internal/upstream"
 )
 
@@ -64,17 +65,7 @@
 
 // mute is a server that takes requests and never answers.
 func mute(t *testing.T) string {
-	ln := listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go io.Copy(io.Discard, c)
-		}
-	}()
-	return ln.Addr().String()
+	return tcp.Serve(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) })
 }
 
 func ask(t *testing.T, c net.Conn, br *bufio.Reader, head string) *http.Response {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -12,31 +12,22 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"chalkrack/internal/standin/tcp"
 )
 
 // served is a server that hands each connection's requests to answer, which returns
 // false to close it.
 func served(t *testing.T, answer func(c net.Conn, r *http.Request) bool) string {
 	t.Helper()
-	ln := listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	return tcp.Serve(t, func(_ int, c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(br)
+			if err != nil || !answer(c, r) {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for br := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(br)
-					if err != nil || !answer(c, r) {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // block is text that shows where it was cut or shifted.
--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -1,3 +1,5 @@
+// Package sock reads sockets, and asks them what the net package does not tell. Both
+// sides of the sidecar use it.
 package sock
 
 import (
@@ -12,7 +14,7 @@
 
 // Lazy reads a connection through a buffer that it holds only while something of the
 // peer's is unread or being read. A connection that says nothing, or waits for its
-// answer, costs no buffer. It is one goroutine's at a time.
+// answer, costs no buffer. It is one goroutine's at a time, but for Quiet.
 type Lazy struct {
 	nc  net.Conn
 	raw syscall.RawConn // nil: not a socket, read in the plain way
@@ -133,6 +135,22 @@
 	}
 }
 
+// Quiet says that nothing has come that is not read yet, the connection's end included.
+// It does not wait, takes nothing, and may be called from any goroutine. What is no
+// socket passes for quiet.
+func (l *Lazy) Quiet() bool {
+	if l.raw == nil {
+		return true
+	}
+	var one [1]byte
+	still := false
+	err := l.raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = err == syscall.EAGAIN
+	})
+	return err == nil && still
+}
+
 // Reader is what Wait has found something in, good until the next Wait.
 func (l *Lazy) Reader() *bufio.Reader { return l.now.br }
 
--- a/internal/sock/lazy_test.go
+++ b/internal/sock/lazy_test.go
@@ -10,6 +10,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"chalkrack/internal/framing/framingtest"
 )
 
 // patience is how long a test waits for what must come.
@@ -47,11 +49,7 @@
 			fmt.Fprintf(&sent, "%06d%s", n*511, bytes.Repeat([]byte("x"), n*511)) // to twice the buffer
 		}
 		go func() {
-			for rest := sent.Bytes(); len(rest) > 0; {
-				n := min(len(rest), 3001)
-				c.there.Write(rest[:n])
-				rest = rest[n:]
-			}
+			framingtest.Send(c.there, sent.Bytes(), 3001)
 			c.there.Close()
 		}()
 		for n := range 40 {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -174,14 +174,8 @@
 		a.pool.unbook()
 		return nil
 	}
-	raw, err := nc.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		nc.Close()
-		a.pool.unbook()
-		return nil
-	}
 	return &conn{
-		Conn: nc, raw: raw, to: a.to, addr: addr, owner: a,
+		Conn: nc, to: a.to, addr: addr, owner: a,
 		in: sock.NewLazy(nc),
 	}
 }
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -18,11 +18,7 @@
 // what the strict grammar takes whole is an answer, and nothing is that even a lenient
 // reader would read otherwise.
 func FuzzAnswerBody(f *testing.F) {
-	for _, seed := range []string{
-		"0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n", "3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n", "3 \r\nabc\r\n0\r\n\r\n",
-		"3\nabc\r\n0\n\n", "3\r\nabcd\r\n0\r\n\r\n", "zz\r\n", "-1\r\n\r\n", "3\r\nabc\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
-		"ffffffffffffffff\r\na", "0x3\r\nabc\r\n0\r\n\r\n", "+3\r\nabc\r\n0\r\n\r\n", "", "yes",
-	} {
+	for _, seed := range framingtest.Seeds {
 		f.Add([]byte(seed), -1, 1, false)
 		f.Add([]byte(seed), 3, 2, true)
 		f.Add([]byte(seed), len(seed), 7, false)
@@ -39,36 +35,24 @@
 		if interim {
 			head = "HTTP/1.1 103 Early Hints\r\n\r\n" + head
 		}
-		var strict, lenient, rest []byte
-		var must, may bool
+		strict, lenient := framingtest.Read(body, length)
 		switch {
 		case length == -1:
 			head += "Transfer-Encoding: chunked\r\n"
-			strict, _, must = framingtest.Dechunk(body, true)
-			lenient, rest, may = framingtest.Dechunk(body, false)
 		case length >= 0:
 			head += "Content-Length: " + strconv.Itoa(length) + "\r\n"
-			if may = length <= len(body); may {
-				must, strict, lenient, rest = true, body[:length], body[:length], body[length:]
-			}
-		default:
-			may = len(body) > 0
-			must, strict, lenient = may, body, body
+		default: // to the connection's end
+			strict = framingtest.Reading{Body: body, OK: len(body) > 0}
+			lenient = strict
 		}
 		go func() {
 			defer there.Close()
-			text := append([]byte(head+"\r\n"), body...)
-			for len(text) > 0 {
-				n, err := there.Write(text[:min(piece, len(text))])
-				if text = text[n:]; err != nil {
-					return
-				}
-			}
+			framingtest.Send(there, append([]byte(head+"\r\n"), body...), piece)
 		}()
 		c := &conn{Conn: here, in: sock.NewLazy(here)}
 		resp, ans, err := c.readAnswer(http.MethodPost)
 		switch {
-		case err != nil && must:
+		case err != nil && strict.OK:
 			t.Fatalf("%q, length %d: %v", body, length, err)
 		case err != nil:
 			return
@@ -79,7 +63,7 @@
 		if ans.Rest != nil { // it took long to come
 			more, err := io.ReadAll(ans.Rest)
 			if err != nil {
-				if must {
+				if strict.OK {
 					t.Errorf("%q, length %d: %v", body, length, err)
 				}
 				return
@@ -87,16 +71,16 @@
 			got = append(got, more...)
 		}
 		switch {
-		case !may:
+		case !lenient.OK:
 			t.Errorf("%q, length %d, passed for %q", body, length, got)
-		case !bytes.Equal(got, lenient):
-			t.Errorf("%q, length %d, read as %q, want %q", body, length, got, lenient)
-		case must && !bytes.Equal(strict, lenient):
-			t.Errorf("the two readings of %q differ: %q, %q", body, strict, lenient)
+		case !bytes.Equal(got, lenient.Body):
+			t.Errorf("%q, length %d, read as %q, want %q", body, length, got, lenient.Body)
+		case strict.OK && !bytes.Equal(strict.Body, lenient.Body):
+			t.Errorf("the two readings of %q differ: %q, %q", body, strict.Body, lenient.Body)
 		case ans.Rest == nil && ans.Length != int64(len(got)):
 			t.Errorf("%d bytes said to be %d", len(got), ans.Length)
-		case c.in.Buffered() > len(rest):
-			t.Errorf("%d bytes are left over, want at most %d", c.in.Buffered(), len(rest))
+		case c.in.Buffered() > len(lenient.Rest):
+			t.Errorf("%d bytes are left over, want at most %d", c.in.Buffered(), len(lenient.Rest))
 		}
 	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"chalkrack/internal/sock"
@@ -44,7 +43,6 @@
 // is used again, for an unsafe request that ends as a reset can't be saved.
 type conn struct {
 	net.Conn
-	raw   syscall.RawConn
 	in    *sock.Lazy
 	to    *server
 	addr  string
@@ -256,7 +254,7 @@
 		c := s.idle[n]
 		rested := now.Sub(c.used) >= p.rest
 		// The connection's goroutine would find its end too, but may not have run yet.
-		if rested && now.Sub(c.used) <= p.idleMost() && sock.Quiet(c.raw) {
+		if rested && now.Sub(c.used) <= p.idleMost() && c.in.Quiet() {
 			s.idle = append(s.idle[:n], s.idle[n+1:]...)
 			c.owner, a.kept = a, true
 			return c, "", true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/standin/tcp"
 )
 
 // patience is how long a test waits for what must come.
@@ -34,32 +35,17 @@
 // serve answers the n-th request on any of its connections with what answer says.
 func serve(t *testing.T, answer func(conn, n int, c net.Conn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for conn := 0; ; conn++ {
-			c, err := ln.Accept()
+	return tcp.Serve(t, func(conn int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					answer(conn, n, c)
-				}
-			}()
+			io.Copy(io.Discard, r.Body)
+			answer(conn, n, c)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 func newPool(addr string) *Pool {
