--- a/test.sh
+++ b/test.sh
@@ -15,6 +15,17 @@
 test -n "$build"
 sh -c "$build"
 test -x bin/drill
+# The full fleet's days load a library into the sidecar, which needs the C
+# library's loader: a static bin/fawnrock, or one that Go's own linker made,
+# would be refused at its start.
+if ! readelf -d bin/fawnrock | grep -q 'NEEDED.*\[libc\.so'; then
+	echo "bin/fawnrock is not linked against the C library: see build in deploy/balancer.toml" >&2
+	exit 1
+fi
+if ! go version -m bin/fawnrock | grep -q -- '-ldflags=-linkmode=external'; then
+	echo "bin/fawnrock was not linked by the C toolchain: build in deploy/balancer.toml lacks -linkmode=external" >&2
+	exit 1
+fi
 # The sidecar that has the store of record is a build of its own.
 go vet -tags record ./cmd/fawnrock
 go test -race -count=1 -tags record ./cmd/fawnrock
