A hand-over refuses no client: both processes count what they hold in one shared table

Cause: on its way out the old process granted the new one its whole share of held requests whenever it held none at that moment (rooms.uses in cmd/fawnrock/main.go said Held, not what its open connections may bring; handover.Old.Needs gave the rest away), so the next request on a kept connection met a limit of 0: 'too many held' with held=0. A share of a fixed size is wrong in any case where as many clients come as may be held: each goes on at the new one the moment the old one marks its connection.

Change: the table that both map has a count of what either holds, and the sum is limited; shares remain for a process that can't count. Accept loops end before needs are told. A process that meets a stopped one and opened a socket of its own now takes the late offer: before, took() kept the passed socket without accepting from it, the machine answered 'a message "offer" was not expected', and after 15 s the old one called it off.

With 24 clients never more than 8 at the server. A stopped old process, asked to end before or after it wakes: before, no hand-over; after, no client met anything but its answer, nor in the next upgrade. Ruled out on the way: the count's breach of the limit under -race was Go's weaker atomic store there, not the algorithm (same test, no breach with a swap, 60 runs).

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -48,6 +48,11 @@
 	// process serves: its client is not about to use it.
 	quietFor  = 300 * time.Millisecond
 	sweepEach = 2 * time.Second
+	// A process that was stopped may wake to SIGTERM and a new process at once. So many
+	// times 10 ms it waits for that before it closes idle connections under its clients,
+	// and so many once one has come.
+	softLeast = 2
+	softMost  = 30
 	// doorEach is how often a new process looks whether the old one's door is closed.
 	doorEach = 100 * time.Millisecond
 	// healthSum tells in answers to the health call which file is in force: its
@@ -106,7 +111,8 @@
 	host  *sidecar.Host
 	lns   []*net.TCPListener
 
-	leaving bool
+	accepting sync.WaitGroup // the loops that accept from lns
+	leaving   bool
 }
 
 // full is all that one sidecar may hold by its configuration.
@@ -153,7 +159,7 @@
 	if r.pool != nil {
 		r.pool.Limit(up)
 		r.srv.Limit(in)
-		r.host.Limit(s.Held)
+		r.host.Limit(s.Held, full(r.c).Held)
 	}
 	if less && r.pool != nil && !r.leaving { // else it gives up only what it does not use
 		r.srv.Trim()
@@ -184,13 +190,38 @@
 	for _, ln := range r.lns {
 		ln.Close()
 	}
+	// What was accepted is among the server's connections when this returns: what they
+	// need is not given away.
+	r.accepting.Wait()
+}
+
+// accept serves on listeners.
+func (r *rooms) accept(lns []*net.TCPListener) {
+	for _, ln := range lns {
+		r.accepting.Go(func() { r.srv.Serve(ln) })
+	}
+}
+
+// listens says where the process accepts.
+func (r *rooms) listens(lns []*net.TCPListener) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lns = lns
 }
 
 // ShareIDs implements link.Host.
-func (r *rooms) ShareIDs(t *link.IDs) { r.srv.ShareIDs(t) }
+func (r *rooms) ShareIDs(t *link.IDs) {
+	r.srv.ShareIDs(t)
+	if t.Counted() {
+		r.host.ShareHeld(t)
+	}
+}
 
 // UnshareIDs implements link.Host.
-func (r *rooms) UnshareIDs(t *link.IDs) { r.srv.UnshareIDs(t) }
+func (r *rooms) UnshareIDs(t *link.IDs) {
+	r.srv.UnshareIDs(t)
+	r.host.UnshareHeld(t)
+}
 
 func (r *rooms) leave() {
 	r.mu.Lock()
@@ -204,7 +235,8 @@
 		// Each request that may come on a client's connection needs one to a server.
 		Sockets:  r.c.reserved() + 2*max(r.srv.Conns(), r.pool.Conns()),
 		MemoryMB: residentMB(),
-		Held:     r.host.Held(),
+		// So with the requests held, where no tally is shared.
+		Held: max(r.host.Held(), r.srv.Conns()),
 	}
 }
 
@@ -270,7 +302,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	srv := front.New(in, host)
-	host.Limit(r.share.Held)
+	host.Limit(r.share.Held, full(c).Held)
 	r.pool, r.srv, r.host = pool, srv, host
 	r.mu.Unlock()
 	rec, err := openRecord(c)
@@ -323,10 +355,10 @@
 			return name
 		})
 	}
-	var alone <-chan struct{}
+	var alone, late <-chan struct{}
 	var failed <-chan error
 	if began != nil {
-		alone, failed = began.Alone(), began.Failed()
+		alone, late, failed = began.Alone(), began.Late(), began.Failed()
 	}
 	var old *link.Old // from when this process is alone
 	defer func() {
@@ -338,24 +370,25 @@
 	// The old process's ids are known for their life after its end.
 	var forget <-chan time.Time
 	var inherited *link.IDs
-	if began != nil {
+	inherit := func() {
 		if inherited = began.IDs(); inherited != nil {
 			r.ShareIDs(inherited)
-			defer func() {
-				r.UnshareIDs(inherited)
-				inherited.Close()
-			}()
 		}
 	}
+	defer func() {
+		if inherited != nil {
+			r.UnshareIDs(inherited)
+			inherited.Close()
+		}
+	}()
+	if began != nil {
+		inherit()
+	}
 
 	wait := time.NewTimer(listMost)
 	defer wait.Stop()
 	listed := make(chan struct{}, 1)
-	accept := sync.OnceFunc(func() {
-		for _, ln := range r.lns {
-			go srv.Serve(ln)
-		}
-	})
+	accept := sync.OnceFunc(func() { r.accept(r.lns) })
 	if began == nil || !began.Shared() {
 		accept() // nobody else does: whoever comes now is better off than in the queue
 	}
@@ -371,6 +404,18 @@
 			began.Ready()
 		}
 	}
+	// woken takes that the old process hung, so that this one opened a socket of its own
+	// beside, and has now handed over.
+	woken := func() {
+		before := len(r.lns)
+		r.listens(began.Listeners())
+		inherit()
+		slog.Info("the old process has woken and hands over")
+		if host.Ready() {
+			r.accept(r.lns[:len(r.lns)-before])
+			began.Ready()
+		}
+	}
 	if c.asks {
 		ready()
 	} else {
@@ -400,14 +445,22 @@
 			pool.Sweep(now)
 		case <-forget:
 			r.UnshareIDs(inherited)
+		case <-late:
+			woken()
 		case <-alone:
 			alone = nil
+			select {
+			case <-late: // it woke, and has ended since
+				woken()
+			default:
+			}
+			r.Limit(full(c))
 			if inherited != nil {
 				forget = time.After(idtable.Life)
+				host.UnshareHeld(inherited) // what the old one counted has ended with it
 			}
-			r.Limit(full(c))
 			at := c.listen // c may change under the snapshot
-			old = link.NewOld(place, r.lns[0], handover.NewOld(at, full(c), func() []byte { return learned(at, host) }), r)
+			old = link.NewOld(place, r.lns, handover.NewOld(at, full(c), func() []byte { return learned(at, host) }), r)
 			if err := old.Publish(); err != nil {
 				slog.Warn("a new process can't take over from this one", "err", err)
 			}
@@ -498,7 +551,8 @@
 	host.QuitAt(longest + quitAfter)
 	r.leave()
 	succeeded = old != nil && old.Leave()
-	srv.Drain(succeeded)
+	soft := old != nil // for a moment: a process may be about to take over
+	srv.Drain(soft)
 	busy := func() bool { return srv.Busy() > 0 || succeeded && srv.Conns() > 0 }
 	for n := 0; ; n++ {
 		took := time.Since(began)
@@ -514,8 +568,10 @@
 		if n%10 == 0 {
 			succeeded = old.Needs(r.uses()) // one that came late may take over still
 		}
-		if succeeded {
+		if soft = soft && (succeeded || n < softLeast || n < softMost && old.Talking()); soft {
 			srv.CloseQuiet(quietFor)
+		} else {
+			srv.CloseQuiet(0)
 		}
 	}
 	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
--- a/cmd/fawnrock/upgrade_test.go
+++ b/cmd/fawnrock/upgrade_test.go
@@ -104,7 +104,7 @@
 		s.t.Fatal(err)
 	}
 	p := &process{Cmd: exec.Command(self), mgmt: freeAddr(s.t), log: new(safeBuffer), done: make(chan error, 1)}
-	p.Env = append(os.Environ(), "FAWNROCK_TEST_CHILD=1", "TMPDIR="+s.dir, "BALANCER_CONFIG="+s.config, "BALANCER_MGMT="+p.mgmt, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
+	p.Env = append(os.Environ(), "FAWNROCK_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "TMPDIR="+s.dir, "BALANCER_CONFIG="+s.config, "BALANCER_MGMT="+p.mgmt, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		s.t.Fatal(err)
@@ -217,15 +217,16 @@
 	return nil
 }
 
-func flock(t *testing.T, addr string, clients int) *crowd {
+func flock(t *testing.T, addr string, clients int) *crowd { return gather(t, addr, clients, clients/2) }
+
+// gather is flock with so many clients that keep their connections.
+func gather(t *testing.T, addr string, clients, kept int) *crowd {
+	t.Helper()
 	c := &crowd{stop: make(chan struct{})}
-	t.Cleanup(func() {
-		c.once.Do(func() { close(c.stop) })
-		c.wait.Wait()
-	})
+	t.Cleanup(c.halt)
 	for n := range clients {
 		c.wait.Go(func() {
-			client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
+			client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: n >= kept}}
 			defer client.CloseIdleConnections()
 			for {
 				select {
@@ -245,10 +246,14 @@
 	return c
 }
 
-func (c *crowd) end(t *testing.T) {
-	t.Helper()
+func (c *crowd) halt() {
 	c.once.Do(func() { close(c.stop) })
 	c.wait.Wait()
+}
+
+func (c *crowd) end(t *testing.T) {
+	t.Helper()
+	c.halt()
 	c.bad.Range(func(what, _ any) bool {
 		t.Errorf("a client met: %v", what)
 		return true
@@ -290,6 +295,106 @@
 	c.end(t)
 }
 
+// succeed lets a new process take the place of old, which is asked to end and does.
+func (s *shop) succeed(old *process) *process {
+	s.t.Helper()
+	next := s.running()
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.ends(s.t); err != nil {
+		s.t.Errorf("the old process ended with %v", err)
+	}
+	return next
+}
+
+// As many clients as requests may be held, each on a connection that it keeps, lose
+// nothing by one upgrade after the other, though none has room to spare; with more
+// clients than that, what both processes hold stays within the limit.
+func TestUpgradeServesKeptConnections(t *testing.T) {
+	const most = 8
+	for _, c := range []struct {
+		clients, upgrades int
+		lossless          bool
+	}{{most, 20, true}, {3 * most, 3, false}} {
+		t.Run(fmt.Sprint(c.clients, " clients"), func(t *testing.T) {
+			var open, peak atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost { // these are not copied
+					if n := open.Add(1); n > peak.Load() {
+						peak.Store(n)
+					}
+				}
+				time.Sleep(2 * time.Millisecond)
+				if r.Method == http.MethodPost {
+					open.Add(-1)
+				}
+				io.WriteString(w, "one")
+			}))
+			t.Cleanup(server.Close)
+			s := &shop{t: t, dir: t.TempDir()}
+			s.config, s.listen, s.discovery = configured(t, server.Listener.Addr().String(), 256, `"mostHeld":100`, fmt.Sprintf(`"mostHeld":%d`, most))
+			p := s.running()
+			clients := gather(t, s.listen, c.clients, c.clients)
+			for range c.upgrades {
+				clients.more(t, 50)
+				p = s.succeed(p)
+			}
+			p.holds(t, 256)
+			clients.halt()
+			if !c.lossless {
+				clients.bad.Clear()
+			}
+			clients.end(t)
+			if n := peak.Load(); n == 0 || n > most {
+				t.Errorf("%d requests at the server at once, %d may be held", n, most)
+			}
+		})
+	}
+}
+
+// An old process that was stopped hands over when it wakes: the new one has opened a
+// socket of its own meanwhile, and goes on at both. No client meets anything but its
+// answer, in this upgrade and in the next, which passes both sockets on.
+func TestUpgradeOfAStoppedProcess(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		asleep bool // it is asked to end before it wakes, as an agent does
+	}{{"asked when awake", false}, {"asked while stopped", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") }))
+			t.Cleanup(server.Close)
+			s := &shop{t: t, dir: t.TempDir()}
+			s.config, s.listen, s.discovery = configured(t, server.Listener.Addr().String(), 256)
+			old := s.running()
+			clients := gather(t, s.listen, 8, 4)
+			clients.more(t, 50)
+			old.Process.Signal(syscall.SIGSTOP)
+			next := s.running()
+			next.holds(t, 128)
+			if c.asleep {
+				old.Process.Signal(syscall.SIGTERM)
+			}
+			old.Process.Signal(syscall.SIGCONT)
+			eventually(t, "a hand-over after all", func() bool { return strings.Contains(next.log.String(), "has woken") })
+			if !c.asleep {
+				clients.more(t, 50)
+				old.Process.Signal(syscall.SIGTERM)
+			}
+			if err := old.ends(t); err != nil {
+				t.Errorf("the old process ended with %v", err)
+			}
+			next.holds(t, 256)
+			clients.more(t, 50)
+			third := s.succeed(next)
+			third.holds(t, 256)
+			clients.more(t, 50)
+			clients.end(t)
+			if log := old.log.String() + next.log.String(); strings.Contains(log, "ERROR") {
+				t.Error("a hand-over went wrong")
+			}
+		})
+	}
+}
+
 // The two processes together hold no more descriptors than one may, whatever many
 // clients open on them, and the new one gets the rest when the old one has gone.
 func TestUpgradeSharesLimits(t *testing.T) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -10,6 +10,13 @@
 //     one of the two lives: the old one stops accepting only once the new one has said
 //     that it serves and is still there.
 //   - One new process at a time; a second one is told so.
+//   - An old one that hangs is not waited for. Should it wake, the hand-over goes on
+//     where it stood: the new one takes its socket beside its own.
+//
+// Requests held are counted by both together, in a table that the two share, where both
+// can: a client whose connection the old one ends goes on at the new one at once, and a
+// share of a fixed size would be too small at the one or the other. The shares of Held
+// are for two of which one can't.
 package handover
 
 import (
@@ -45,8 +52,19 @@
 	// IDs says of a hello that this process can share a table of ids, and of an offer
 	// that one comes with it.
 	IDs bool `json:"ids,omitempty"`
+	// Counts says of a hello that this process can share a count of the requests held,
+	// and of an offer that the table has one: what is held is limited by the sum then.
+	Counts bool `json:"counts,omitempty"`
+	// Many says of a hello that this process can take several listening sockets.
+	Many bool `json:"many,omitempty"`
+	// Listeners is how many sockets come with an offer, 0 for one.
+	Listeners int `json:"listeners,omitempty"`
 }
 
+// ListenersMost is how many sockets an offer may bring: one, and one more for each
+// process that woke after another had opened its own.
+const ListenersMost = 4
+
 // Share is a part of what one sidecar may hold.
 type Share struct {
 	Sockets  int `json:"sockets"`   // descriptors
@@ -84,7 +102,8 @@
 // What the host can be asked for.
 const (
 	Send          Do = iota
-	SendListener     // Send, with the listening socket beside it, and a table of ids where it says so
+	ShareTable       // with a peer: ids, and the count of requests held where Message says so
+	SendListener     // Send, with the listening socket beside it, and the table where there is one
 	Drop             // end the connection to a peer
 	Limit            // keep to Share from now on
 	Unpublish        // no new process can find this one from now on
@@ -134,11 +153,14 @@
 		return o.refuse(peer, "this process listens at "+o.listen, false)
 	case m.Kind == Hello:
 		o.peer, o.serving, o.granted = peer, false, o.full.half()
-		// The share is given up here before it is granted there.
-		return []Action{
-			{Do: Limit, Share: o.Own()},
-			{Do: SendListener, To: peer, Message: Message{Kind: Offer, Version: Version, Listen: o.listen, Share: o.granted, Snapshot: o.snapshot(), IDs: m.IDs}},
+		// The share is given up here before it is granted there. The table comes first:
+		// with a count in it, less than all is not the limit of what is held.
+		offer := Message{Kind: Offer, Version: Version, Listen: o.listen, Share: o.granted, Snapshot: o.snapshot(), IDs: m.IDs, Counts: m.IDs && m.Counts, Many: m.Many}
+		acts := []Action{{Do: Limit, Share: o.Own()}, {Do: SendListener, To: peer, Message: offer}}
+		if offer.IDs {
+			acts = append([]Action{{Do: ShareTable, To: peer, Message: offer}}, acts...)
 		}
+		return acts
 	case peer != o.peer:
 		return o.refuse(peer, "no hand-over is under way with this process", false)
 	case m.Kind == Serving:
@@ -217,7 +239,7 @@
 
 // Begin asks the old one, whom the host has found.
 func (n *New) Begin(listen string) []Action {
-	return []Action{{Do: Send, Message: Message{Kind: Hello, Version: Version, Listen: listen, IDs: true}}}
+	return []Action{{Do: Send, Message: Message{Kind: Hello, Version: Version, Listen: listen, IDs: true, Counts: true, Many: true}}}
 }
 
 // Nobody says that there is no old process.
@@ -260,8 +282,8 @@
 		return nil, fmt.Errorf("%w: %s", ErrRefused, m.Why)
 	case m.Version != Version:
 		return nil, fmt.Errorf("%w: version %d", ErrRefused, m.Version)
-	case m.Kind == Offer && n.state == asking:
-		if m.Share.Sockets <= 0 || m.Share.MemoryMB <= 0 {
+	case m.Kind == Offer && (n.state == asking || n.state == aside): // aside: it hung, and has woken
+		if m.Share.Sockets <= 0 || m.Share.MemoryMB <= 0 || m.Listeners < 0 || m.Listeners > ListenersMost {
 			return nil, ErrShape
 		}
 		n.state, n.share = sharing, m.Share
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -9,13 +9,20 @@
 
 var full = Share{Sockets: 200, MemoryMB: 64, Held: 101}
 
+// counting is a hello that asks for all that a process may.
+func counting() Message {
+	m := hello()
+	m.IDs, m.Counts, m.Many = true, true, true
+	return m
+}
+
 func hello() Message { return Message{Kind: Hello, Version: Version, Listen: "a:1"} }
 
 func newOld() *Old { return NewOld("a:1", full, func() []byte { return []byte("learned") }) }
 
 // trace is what actions ask for, in one line.
 func trace(acts []Action) (s string) {
-	names := [...]string{"send", "sendListener", "drop", "limit", "unpublish", "publish", "stopAccepting", "takeListener", "ownListener"}
+	names := [...]string{"send", "shareTable", "sendListener", "drop", "limit", "unpublish", "publish", "stopAccepting", "takeListener", "ownListener"}
 	for _, a := range acts {
 		s += names[a.Do]
 		switch a.Do {
@@ -53,6 +60,7 @@
 		{func() []Action { return o.Needs(Share{Sockets: 30, MemoryMB: 60}) }, "limit(30) send(4 grant 170) "},
 		{func() []Action { return o.Needs(Share{Sockets: 50, MemoryMB: 60}) }, ""}, // nothing is taken back
 		{func() []Action { return o.Lost(4) }, "limit(200) "},
+		{func() []Action { return o.Came(5, counting()) }, "shareTable limit(100) sendListener(5 offer 100) "}, // the count is there before the limit
 	} {
 		if got := trace(step.do()); got != step.want {
 			t.Fatalf("step %d: %q, want %q", n, got, step.want)
@@ -88,7 +96,15 @@
 	if got := trace(n.Silent()) + trace(n.Ready()) + trace(n.Lost()); got != "limit(100) ownListener limit(200) publish " {
 		t.Error("silent:", got)
 	}
-	for _, m := range []Message{{Kind: Refuse, Why: "no"}, {Kind: Refuse, Again: true}, {Kind: Offer, Version: 7}, {Kind: Offer, Version: Version}, {Kind: "what", Version: Version}, {Kind: Grant, Version: Version, Share: full}} {
+	n = NewNew(full) // the old one wakes
+	got := trace(n.Silent()) + trace(n.Ready())
+	acts, err = n.Came(offer)
+	if got += trace(acts) + trace(n.Ready()) + trace(n.Lost()); got != "limit(100) ownListener limit(100) takeListener send(0 serving 0) limit(200) publish " || err != nil {
+		t.Error("woken:", got, err)
+	}
+	many := offer
+	many.Listeners = ListenersMost + 1
+	for _, m := range []Message{many, {Kind: Refuse, Why: "no"}, {Kind: Refuse, Again: true}, {Kind: Offer, Version: 7}, {Kind: Offer, Version: Version}, {Kind: "what", Version: Version}, {Kind: Grant, Version: Version, Share: full}} {
 		if acts, err := NewNew(full).Came(m); err == nil || acts != nil {
 			t.Errorf("%+v was taken: %s", m, trace(acts))
 		}
--- a/internal/handover/link/ids.go
+++ b/internal/handover/link/ids.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"unsafe"
 
@@ -11,23 +12,55 @@
 	"chalkrack/internal/handover/idtable"
 )
 
-// IDs is a table of ids in memory that two processes map.
+// IDs is a table of ids in memory that two processes map, and beside it how many requests
+// each of the two holds.
 type IDs struct {
 	*idtable.Table
-	mem []byte
+	mem  []byte
+	held []uint64 // of either side; nil: the other process can't count with this one
+	side side
 }
 
-const idsBytes = idtable.Slots * 8
+// side is which of the two a process is.
+type side int
+
+const (
+	older side = iota
+	newer
+	sides
+)
+
+const (
+	idsBytes  = idtable.Slots * 8
+	heldBytes = int(sides) * 8
+)
+
+// Counted says that the table has a count of the requests held.
+func (t *IDs) Counted() bool { return t.held != nil }
+
+// Hold says that this process holds n requests and returns how many the other one does.
+// Of two that write at the same time at least one sees what the other wrote, so two
+// that each keep the sum within a limit don't exceed it together. A process's own
+// calls are in turn. (A swap, for a plain atomic store is weaker under the race detector:
+// there it let both take the last place.)
+func (t *IDs) Hold(n int) (others int) {
+	atomic.SwapUint64(&t.held[t.side], uint64(n))
+	return int(atomic.LoadUint64(&t.held[sides-1-t.side]))
+}
 
 // newIDs makes a table and returns the file to pass on, which the caller closes.
-func newIDs() (t *IDs, f *os.File, err error) {
+func newIDs(counted bool) (t *IDs, f *os.File, err error) {
 	fd, err := unix.MemfdCreate("sidecar-ids", unix.MFD_CLOEXEC)
 	if err != nil {
 		return nil, nil, fmt.Errorf("link: a table of ids: %w", err)
 	}
 	f = os.NewFile(uintptr(fd), "ids")
-	if err = f.Truncate(idsBytes); err == nil {
-		t, err = mapIDs(f)
+	size := idsBytes
+	if counted {
+		size += heldBytes
+	}
+	if err = f.Truncate(int64(size)); err == nil {
+		t, err = mapIDs(f, counted, older)
 	}
 	if err != nil {
 		f.Close()
@@ -37,20 +70,29 @@
 }
 
 // mapIDs maps the table of a file that another process made.
-func mapIDs(f *os.File) (*IDs, error) {
+func mapIDs(f *os.File, counted bool, s side) (*IDs, error) {
+	size := idsBytes
+	if counted {
+		size += heldBytes
+	}
 	info, err := f.Stat()
 	if err != nil {
 		return nil, fmt.Errorf("link: a table of ids: %w", err)
 	}
-	if info.Size() != idsBytes {
-		return nil, fmt.Errorf("link: a table of ids of %d bytes, want %d", info.Size(), idsBytes)
+	if info.Size() != int64(size) {
+		return nil, fmt.Errorf("link: a table of ids of %d bytes, want %d", info.Size(), size)
 	}
-	mem, err := syscall.Mmap(int(f.Fd()), 0, idsBytes, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+	mem, err := syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
 	if err != nil {
 		return nil, fmt.Errorf("link: a table of ids: %w", err)
 	}
 	// A mapping begins at a page, so it is aligned.
-	return &IDs{Table: idtable.Over(unsafe.Slice((*uint64)(unsafe.Pointer(&mem[0])), idtable.Slots)), mem: mem}, nil
+	words := unsafe.Slice((*uint64)(unsafe.Pointer(&mem[0])), size/8)
+	t := &IDs{Table: idtable.Over(words), mem: mem, side: s}
+	if counted {
+		t.held = words[idtable.Slots:]
+	}
+	return t, nil
 }
 
 // Close unmaps the table: nobody of this process may use it any more.
--- /dev/null
+++ b/internal/handover/link/ids_test.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// Two sides that each keep the sum within a limit never exceed it together, whoever
+// writes when; and where there are no more who ask than may be held, none is refused.
+func TestHeldByTwo(t *testing.T) {
+	for _, c := range []struct{ older, newer, most int }{{4, 4, 8}, {8, 0, 8}, {6, 6, 8}, {1, 1, 1}} {
+		t1, f, err := newIDs(true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t2, err := mapIDs(f, true, newer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		var held, over, refused atomic.Int64
+		var wait sync.WaitGroup
+		for _, s := range []struct {
+			ids  *IDs
+			asks int
+		}{{t1, c.older}, {t2, c.newer}} {
+			wait.Go(func() {
+				mine := 0
+				for n := range 20000 {
+					if mine == s.asks || mine > 0 && n%3 == 0 {
+						if mine > 0 {
+							mine--
+							held.Add(-1)
+							s.ids.Hold(mine)
+						}
+						continue
+					}
+					if mine+1+s.ids.Hold(mine+1) > c.most {
+						s.ids.Hold(mine)
+						refused.Add(1)
+						continue
+					}
+					if mine++; held.Add(1) > int64(c.most) {
+						over.Add(1)
+					}
+				}
+				held.Add(-int64(mine))
+				s.ids.Hold(0)
+			})
+		}
+		wait.Wait()
+		if over.Load() > 0 || c.older+c.newer <= c.most && refused.Load() > 0 {
+			t.Errorf("%+v: %d times over the limit, %d refused", c, over.Load(), refused.Load())
+		}
+		t1.Close()
+		t2.Close()
+	}
+	if t1, f, err := newIDs(false); err != nil || t1.Counted() {
+		t.Error("a table without a count:", err)
+	} else if _, err := mapIDs(f, true, newer); err == nil {
+		t.Error("a table without a count was taken for one with it")
+	}
+}
--- a/internal/handover/link/new.go
+++ b/internal/handover/link/new.go
@@ -31,10 +31,11 @@
 
 	mu       sync.Mutex // of the machine's events, and of all below
 	conn     *conn      // to the old one; nil: none
-	passed   *net.TCPListener
+	passed   []*net.TCPListener
 	own      *net.TCPListener
 	snapshot []byte
 	ids      *IDs // shared with the old one; nil: none
+	late     chan struct{}
 	alone    chan struct{}
 	failed   chan error // the old process has called it off
 	closed   bool
@@ -46,7 +47,7 @@
 // to accept. No process may accept there and have no way to answer yet: the caller
 // begins when it can.
 func Start(p *Place, listen string, full handover.Share, h Host) (*New, error) {
-	n := &New{place: p, host: h, listen: listen, machine: handover.NewNew(full), alone: make(chan struct{}), failed: make(chan error, 1)}
+	n := &New{place: p, host: h, listen: listen, machine: handover.NewNew(full), late: make(chan struct{}, 1), alone: make(chan struct{}), failed: make(chan error, 1)}
 	for began := time.Now(); ; time.Sleep(again) {
 		err := n.try()
 		took := time.Since(began)
@@ -148,42 +149,91 @@
 // took takes a message and the files beside it. The lock is held.
 func (n *New) took(m handover.Message, files []*os.File) error {
 	defer closeAll(files)
+	var o *offered
 	if m.Kind == handover.Offer {
-		want := 2
-		if m.IDs {
-			want = 3
+		var err error
+		if o, err = n.open(m, files); err != nil {
+			return err
 		}
-		if len(files) != want {
-			return fmt.Errorf("%w: %d descriptors", handover.ErrShape, len(files))
+	}
+	acts, err := n.machine.Came(m)
+	if err != nil {
+		o.close()
+		return err
+	}
+	if o != nil {
+		n.place.take(o.lock)
+		n.passed, n.snapshot, n.ids = o.lns, m.Snapshot, o.ids
+	}
+	return n.do(acts)
+}
+
+// offered is what came beside an offer.
+type offered struct {
+	lns  []*net.TCPListener
+	lock *os.File
+	ids  *IDs // nil: none
+}
+
+func (o *offered) close() {
+	if o == nil {
+		return
+	}
+	for _, ln := range o.lns {
+		ln.Close()
+	}
+	if o.lock != nil {
+		o.lock.Close()
+	}
+	if o.ids != nil {
+		o.ids.Close()
+	}
+}
+
+// open takes what came beside an offer, whole or not at all. The files stay the caller's.
+func (n *New) open(m handover.Message, files []*os.File) (o *offered, err error) {
+	lns, want := max(1, m.Listeners), max(1, m.Listeners)+1
+	if m.IDs {
+		want++
+	}
+	if len(files) != want || m.Listen != n.listen {
+		return nil, fmt.Errorf("%w: %d descriptors for %s, want %d for %s", handover.ErrShape, len(files), m.Listen, want, n.listen)
+	}
+	o = new(offered)
+	defer func() {
+		if err != nil {
+			o.close()
+			o = nil
 		}
-		ln, err := net.FileListener(files[0])
+	}()
+	for _, f := range files[:lns] {
+		ln, err := net.FileListener(f)
 		if err != nil {
-			return fmt.Errorf("%w: %w", handover.ErrShape, err)
+			return o, fmt.Errorf("%w: %w", handover.ErrShape, err)
 		}
 		tl, ok := ln.(*net.TCPListener)
-		if !ok || m.Listen != n.listen {
+		if !ok {
 			ln.Close()
-			return fmt.Errorf("%w: a socket at %s", handover.ErrShape, ln.Addr())
-		}
-		lock, err := syscall.Dup(int(files[1].Fd()))
-		if err != nil {
-			ln.Close()
-			return fmt.Errorf("link: %w", err)
-		}
-		syscall.CloseOnExec(lock)
-		n.place.take(os.NewFile(uintptr(lock), n.place.path(".lock")))
-		n.passed, n.snapshot = tl, m.Snapshot
-		if m.IDs {
-			if n.ids, err = mapIDs(files[2]); err != nil {
-				slog.Warn("ids are not shared", "err", err)
-			}
+			return o, fmt.Errorf("%w: a socket at %s", handover.ErrShape, ln.Addr())
 		}
+		o.lns = append(o.lns, tl)
 	}
-	acts, err := n.machine.Came(m)
+	lock, err := syscall.Dup(int(files[lns].Fd()))
 	if err != nil {
-		return err
+		return o, fmt.Errorf("link: %w", err)
 	}
-	return n.do(acts)
+	syscall.CloseOnExec(lock)
+	o.lock = os.NewFile(uintptr(lock), n.place.path(".lock"))
+	if m.IDs {
+		o.ids, err = mapIDs(files[lns+1], m.Counts, newer)
+		switch {
+		case err != nil && m.Counts: // the old one counts on it
+			return o, err
+		case err != nil:
+			slog.Warn("ids are not shared", "err", err)
+		}
+	}
+	return o, nil
 }
 
 // do carries out what the machine asks for. The lock is held.
@@ -205,6 +255,10 @@
 				return fmt.Errorf("listen: %w", err)
 			}
 			n.own = ln
+		case handover.TakeListener:
+			if n.own != nil { // the old one hung, and has woken
+				n.late <- struct{}{}
+			}
 		case handover.Publish:
 			close(n.alone)
 		}
@@ -224,7 +278,7 @@
 				if err = n.took(m, files); err != nil && !n.closed {
 					slog.Error("hand-over", "err", err)
 				}
-				refused := errors.Is(err, handover.ErrRefused)
+				refused := errors.Is(err, handover.ErrRefused) || err != nil && m.Kind == handover.Offer && !n.place.Locked()
 				if refused && n.place.Locked() {
 					// It lives, and has taken its share back: going on would be too much.
 					n.failed <- err
@@ -269,14 +323,17 @@
 func (n *New) Listeners() (list []*net.TCPListener) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, ln := range []*net.TCPListener{n.passed, n.own} {
-		if ln != nil {
-			list = append(list, ln)
-		}
+	list = append(list, n.passed...)
+	if n.own != nil {
+		list = append(list, n.own)
 	}
 	return list
 }
 
+// Late brings a word when an old process that hung has handed over after all: Listeners
+// and IDs have more than before then. The caller serves there and says so by Ready.
+func (n *New) Late() <-chan struct{} { return n.late }
+
 // Snapshot is what the old process has learned, empty if it said nothing.
 func (n *New) Snapshot() []byte {
 	n.mu.Lock()
@@ -304,7 +361,7 @@
 func (n *New) Shared() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.passed != nil || !n.machine.Alone()
+	return len(n.passed) > 0 || !n.machine.Alone()
 }
 
 // Alone is closed when no old process is left, and this one owns all.
--- a/internal/handover/link/old.go
+++ b/internal/handover/link/old.go
@@ -20,7 +20,8 @@
 	// StopAccepting closes this process's end of the listening socket.
 	StopAccepting()
 	// ShareIDs makes the ids that this process has open known to another one by t, and
-	// the other's to this one. When it returns, a table before is not used any more.
+	// the other's to this one; so with how many requests it holds, where t is counted.
+	// When it returns, a table before is not used any more.
 	ShareIDs(t *IDs)
 	// UnshareIDs ends that. When it returns, t is not used any more.
 	UnshareIDs(t *IDs)
@@ -29,7 +30,7 @@
 // Old lets new processes find this one and hands over to one of them.
 type Old struct {
 	place *Place
-	ln    *net.TCPListener
+	lns   []*net.TCPListener
 	host  Host
 
 	mu      sync.Mutex // of all below, and of the machine's events
@@ -39,6 +40,7 @@
 	last    int
 	ids     *IDs // shared with the peer idsOf; nil: none
 	idsOf   int
+	idsFile *os.File // of ids, until it is sent
 	closed  bool
 	wait    sync.WaitGroup
 }
@@ -49,9 +51,9 @@
 	timer *time.Timer // until it must have said that it serves
 }
 
-// NewOld returns the old one's side for a process that serves on ln and has the place.
-func NewOld(p *Place, ln *net.TCPListener, m *handover.Old, h Host) *Old {
-	return &Old{place: p, ln: ln, machine: m, host: h, peers: make(map[int]*peer)}
+// NewOld returns the old one's side for a process that serves on lns and has the place.
+func NewOld(p *Place, lns []*net.TCPListener, m *handover.Old, h Host) *Old {
+	return &Old{place: p, lns: lns, machine: m, host: h, peers: make(map[int]*peer)}
 }
 
 // Publish lets new processes find this one. A file that an ended process left is replaced.
@@ -151,12 +153,12 @@
 	delete(o.peers, id)
 	p.timer.Stop()
 	p.uc.Close()
-	if o.idsOf == id {
-		o.unshareIDs()
-	}
 	if !o.closed {
 		o.do(o.machine.Lost(id))
 	}
+	if o.idsOf == id { // after the limits, which grow: without the count they were less
+		o.unshareIDs()
+	}
 }
 
 // do carries out what the machine asks for. The lock is held.
@@ -167,6 +169,8 @@
 			if p := o.peers[a.To]; p != nil && p.send(a.Message) != nil {
 				o.drop(a.To)
 			}
+		case handover.ShareTable:
+			o.shareIDs(a.To, a.Message.Counts)
 		case handover.SendListener:
 			if o.sendListener(a) != nil {
 				o.drop(a.To)
@@ -185,51 +189,71 @@
 	}
 }
 
-// sendListener sends a message with the listening socket and the place's lock.
+// sendListener sends a message with the listening sockets, the place's lock and the
+// table that is shared with the peer.
 func (o *Old) sendListener(a handover.Action) error {
 	p := o.peers[a.To]
 	if p == nil {
 		return net.ErrClosed
 	}
-	fds := []int{0, int(o.place.lock.Fd())}
-	if a.Message.IDs {
-		ids, file, err := newIDs()
-		if err != nil { // each knows its own ids then
-			slog.Warn("ids are not shared", "err", err)
-			a.Message.IDs = false
-		} else {
-			defer file.Close()
-			fds = append(fds, int(file.Fd()))
-			o.shareIDs(ids, a.To)
-		}
+	lns := o.lns
+	if !a.Message.Many {
+		lns = lns[:1]
+	}
+	a.Message.Listeners = len(lns)
+	rest := []int{int(o.place.lock.Fd())}
+	if o.idsFile != nil && o.idsOf == a.To {
+		defer o.sentIDs()
+		rest = append(rest, int(o.idsFile.Fd()))
+	} else {
+		a.Message.IDs, a.Message.Counts = false, false
 	}
-	raw, err := o.ln.SyscallConn()
+	err := withFDs(lns, nil, func(fds []int) error { return p.send(a.Message, append(fds, rest...)...) })
 	if err != nil {
-		return err
+		slog.Warn("the listener could not be handed over", "err", err)
 	}
-	// Not by File: it would make the socket blocking for both processes.
-	e := raw.Control(func(fd uintptr) {
-		fds[0] = int(fd)
-		err = p.send(a.Message, fds...)
-	})
-	if err == nil {
-		err = e
+	return err
+}
+
+// withFDs calls do with the descriptors of sockets, which stay open and as they are
+// meanwhile. File would make them blocking for both processes.
+func withFDs(lns []*net.TCPListener, fds []int, do func(fds []int) error) error {
+	if len(lns) == 0 {
+		return do(fds)
 	}
+	raw, err := lns[0].SyscallConn()
 	if err != nil {
-		slog.Warn("the listener could not be handed over", "err", err)
+		return err
+	}
+	if e := raw.Control(func(fd uintptr) { err = withFDs(lns[1:], append(fds, int(fd)), do) }); e != nil {
+		return e
 	}
 	return err
 }
 
-// shareIDs shares a table with a peer. The lock is held.
-func (o *Old) shareIDs(t *IDs, with int) {
+// shareIDs makes a table and shares it with a peer. The lock is held.
+func (o *Old) shareIDs(with int, counted bool) {
 	o.unshareIDs()
-	o.ids, o.idsOf = t, with
+	t, file, err := newIDs(counted)
+	if err != nil { // each knows its own ids then, and keeps to its share
+		slog.Warn("ids are not shared", "err", err)
+		return
+	}
+	o.ids, o.idsOf, o.idsFile = t, with, file
 	o.host.ShareIDs(t)
 }
 
+// sentIDs closes the table's file. The lock is held.
+func (o *Old) sentIDs() {
+	if o.idsFile != nil {
+		o.idsFile.Close()
+		o.idsFile = nil
+	}
+}
+
 // unshareIDs ends the sharing. The lock is held.
 func (o *Old) unshareIDs() {
+	o.sentIDs()
 	if o.ids != nil {
 		o.host.UnshareIDs(o.ids)
 		o.ids.Close()
@@ -260,6 +284,13 @@
 	return o.machine.Succeeded()
 }
 
+// Talking says that a process has come that may take over.
+func (o *Old) Talking() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.peers) > 0
+}
+
 // Close ends this side for good: a new process learns by it that this one has gone.
 func (o *Old) Close() {
 	o.mu.Lock()
--- a/internal/sidecar/figures_test.go
+++ b/internal/sidecar/figures_test.go
@@ -100,9 +100,9 @@
 		open = append(open, c)
 	}
 	wait(t, "three to be held", func() bool { return h.Held() == 3 && srv.Active() == 3 })
-	h.Limit(3)
+	h.Limit(3, 3)
 	send("fine", "pay", 9999)
-	h.Limit(100)
+	h.Limit(100, 100)
 	open[2].Close()
 	wait(t, "the abandoned one to go", func() bool { return srv.Active() == 2 })
 	close(hold)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,6 +49,8 @@
 	b       *chalkrack.Balancer
 	held    map[chalkrack.RequestID]*request
 	most    int // requests held at once
+	all     int // by this process and the other one together, while a tally is shared
+	tally   Tally
 	last    chalkrack.RequestID
 	alarms  alarms
 	alarm   *time.Timer
@@ -99,6 +101,7 @@
 		held:    make(map[chalkrack.RequestID]*request),
 		meter:   unmetered{},
 		most:    cmp.Or(set.MostHeld, math.MaxInt),
+		all:     cmp.Or(set.MostHeld, math.MaxInt),
 	}
 	watcher.Listed, watcher.Failed = h.Listed, h.DiscoveryFailed
 	h.wrote = h.meter.Wrote
@@ -134,7 +137,7 @@
 // Arrive implements front.Handler.
 func (h *Host) Arrive(x *front.Exchange) {
 	h.locked(func(now time.Duration) {
-		if len(h.held) >= h.most {
+		if !h.room() {
 			slog.Warn("request refused: too many held", "held", len(h.held))
 			h.meter.Limited(figures.Held)
 			h.actions = append(h.actions, func() { x.Refuse(h.set.Config.MaxRetryAfter / 10) }, x.Release)
@@ -156,6 +159,7 @@
 		q := &request{id: h.last, x: x, deadline: deadline, wait: wait}
 		x.State = q
 		h.held[q.id] = q
+		h.counted()
 		q.alarm = h.after(&alarm{at: deadline, q: q})
 		if h.recorder == nil {
 			h.admit(now, q)
@@ -255,11 +259,57 @@
 	return h.b.Servers(h.now())
 }
 
-// Limit replaces how many requests may be held at once, for those still to come.
-func (h *Host) Limit(most int) {
+// Limit replaces how many requests may be held at once, for those still to come: most by
+// this process alone, or all by the two together while it shares a tally.
+func (h *Host) Limit(most, all int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.most = most
+	h.most, h.all = most, all
+}
+
+// Tally is a count of the requests that this process and another one hold.
+type Tally interface {
+	// Hold says that this process holds n, and returns how many the other does.
+	Hold(n int) (others int)
+}
+
+// ShareHeld counts what is held in t from now on, and limits the sum. A tally before is
+// not used any more.
+func (h *Host) ShareHeld(t Tally) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tally = t
+	h.counted()
+}
+
+// UnshareHeld ends that: when it returns, t is not used any more.
+func (h *Host) UnshareHeld(t Tally) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tally == t {
+		h.tally = nil
+	}
+}
+
+// room says whether one more request may be held. The place is kept in the tally, for
+// counted to confirm or give back: two processes that look at the same time don't both
+// take the last one.
+func (h *Host) room() bool {
+	if h.tally == nil {
+		return len(h.held) < h.most
+	}
+	if n := len(h.held) + 1; n+h.tally.Hold(n) > h.all {
+		h.counted()
+		return false
+	}
+	return true
+}
+
+// counted brings the tally up to date.
+func (h *Host) counted() {
+	if h.tally != nil {
+		h.tally.Hold(len(h.held))
+	}
 }
 
 // Learned is what the Balancer has learned.
@@ -453,6 +503,7 @@
 	if q.over && q.out == 0 && q.x != nil {
 		h.tell(q, q.came(), nil, nil)
 		delete(h.held, q.id)
+		h.counted()
 		if q.alarm.place >= 0 {
 			heap.Remove(&h.alarms, q.alarm.place)
 		}
