Hand-over read over: one owner of what an offer brings, no second write on the hot path

Need: the change read once more for what is more complicated than it has to be or done twice.

Change: a request that is held writes the shared count once, not twice (room has written it already); what came beside an offer is closed in one place, by who asked for it; a late offer brings its listeners instead of a word, so nobody cuts them out of a list by place; the size of the shared table is computed in one function; the leaving process asks each time whether it may still be soft instead of keeping it (a process that takes over after 0.3 s finds the idle connections closed, as before, and later ones closed softly, as before the count came); an instance's old process is put back by one method, not by the same two lines twice. Seen: the packages' tests under the race detector.

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -355,7 +356,8 @@
 			return name
 		})
 	}
-	var alone, late <-chan struct{}
+	var alone <-chan struct{}
+	var late <-chan []*net.TCPListener
 	var failed <-chan error
 	if began != nil {
 		alone, late, failed = began.Alone(), began.Late(), began.Failed()
@@ -406,13 +408,12 @@
 	}
 	// woken takes that the old process hung, so that this one opened a socket of its own
 	// beside, and has now handed over.
-	woken := func() {
-		before := len(r.lns)
-		r.listens(began.Listeners())
+	woken := func(passed []*net.TCPListener) {
+		r.listens(slices.Concat(passed, r.lns))
 		inherit()
 		slog.Info("the old process has woken and hands over")
 		if host.Ready() {
-			r.accept(r.lns[:len(r.lns)-before])
+			r.accept(passed)
 			began.Ready()
 		}
 	}
@@ -445,13 +446,13 @@
 			pool.Sweep(now)
 		case <-forget:
 			r.UnshareIDs(inherited)
-		case <-late:
-			woken()
+		case passed := <-late:
+			woken(passed)
 		case <-alone:
 			alone = nil
 			select {
-			case <-late: // it woke, and has ended since
-				woken()
+			case passed := <-late: // it woke, and has ended since
+				woken(passed)
 			default:
 			}
 			r.Limit(full(c))
@@ -551,8 +552,7 @@
 	host.QuitAt(longest + quitAfter)
 	r.leave()
 	succeeded = old != nil && old.Leave()
-	soft := old != nil // for a moment: a process may be about to take over
-	srv.Drain(soft)
+	srv.Drain(old != nil) // softly for a moment: a process may be about to take over
 	busy := func() bool { return srv.Busy() > 0 || succeeded && srv.Conns() > 0 }
 	for n := 0; ; n++ {
 		took := time.Since(began)
@@ -568,7 +568,7 @@
 		if n%10 == 0 {
 			succeeded = old.Needs(r.uses()) // one that came late may take over still
 		}
-		if soft = soft && (succeeded || n < softLeast || n < softMost && old.Talking()); soft {
+		if succeeded || n < softLeast || n < softMost && old.Talking() {
 			srv.CloseQuiet(quietFor)
 		} else {
 			srv.CloseQuiet(0)
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -187,10 +187,12 @@
 		(s.Action == api.ActUpgrade && s.Kind == api.Change || (s.Action == api.ActUpgrade || s.Action == api.ActRollback) && a.hands[i.row.Release])
 }
 
-// putBack makes the process that old tells of the row's again.
-func putBack(row *store.Instance, old store.Instance) {
+// putBack makes the process that was being replaced the instance's again, and the row's.
+func (i *instance) putBack() {
+	row, old := &i.row, &i.prevRow
 	row.Launch, row.Process, row.Running, row.PID, row.Ticks, row.Boot, row.Launched =
 		old.Launch, old.Process, old.Running, old.PID, old.Ticks, old.Boot, old.Launched
+	i.proc, i.prev, i.prevRow = i.prev, nil, store.Instance{}
 }
 
 // launch starts a process of the wanted generation: it is written down first, and
@@ -229,8 +231,7 @@
 		i.row.Launch, i.row.Process, i.row.Running = "", 0, ""
 		i.row.LastExit = err.Error()
 		if i.prev != nil {
-			putBack(&i.row, i.prevRow)
-			i.prev, i.prevRow = nil, store.Instance{}
+			i.putBack()
 		} else {
 			i.gone = row.Generation
 		}
@@ -328,8 +329,7 @@
 	how := p.Exit()
 	if i.prev != nil {
 		slog.Warn("a new process ended while the one before it was there", "instance", i.cfg.Name, "pid", p.PID, "how", how)
-		putBack(&i.row, i.prevRow)
-		i.proc, i.prev, i.prevRow = i.prev, nil, store.Instance{}
+		i.putBack()
 		i.row.LastExit, i.sum, i.hands = how, "", true
 		kinds := i.life.Exited(now, how)
 		a.told(i, nil)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -156,11 +156,11 @@
 		// The share is given up here before it is granted there. The table comes first:
 		// with a count in it, less than all is not the limit of what is held.
 		offer := Message{Kind: Offer, Version: Version, Listen: o.listen, Share: o.granted, Snapshot: o.snapshot(), IDs: m.IDs, Counts: m.IDs && m.Counts, Many: m.Many}
-		acts := []Action{{Do: Limit, Share: o.Own()}, {Do: SendListener, To: peer, Message: offer}}
+		var acts []Action
 		if offer.IDs {
-			acts = append([]Action{{Do: ShareTable, To: peer, Message: offer}}, acts...)
+			acts = append(acts, Action{Do: ShareTable, To: peer, Message: offer})
 		}
-		return acts
+		return append(acts, Action{Do: Limit, Share: o.Own()}, Action{Do: SendListener, To: peer, Message: offer})
 	case peer != o.peer:
 		return o.refuse(peer, "no hand-over is under way with this process", false)
 	case m.Kind == Serving:
--- a/internal/handover/link/ids.go
+++ b/internal/handover/link/ids.go
@@ -30,10 +30,13 @@
 	sides
 )
 
-const (
-	idsBytes  = idtable.Slots * 8
-	heldBytes = int(sides) * 8
-)
+// tableBytes is the size of a table.
+func tableBytes(counted bool) int {
+	if counted {
+		return (idtable.Slots + int(sides)) * 8
+	}
+	return idtable.Slots * 8
+}
 
 // Counted says that the table has a count of the requests held.
 func (t *IDs) Counted() bool { return t.held != nil }
@@ -55,11 +58,7 @@
 		return nil, nil, fmt.Errorf("link: a table of ids: %w", err)
 	}
 	f = os.NewFile(uintptr(fd), "ids")
-	size := idsBytes
-	if counted {
-		size += heldBytes
-	}
-	if err = f.Truncate(int64(size)); err == nil {
+	if err = f.Truncate(int64(tableBytes(counted))); err == nil {
 		t, err = mapIDs(f, counted, older)
 	}
 	if err != nil {
@@ -71,10 +70,7 @@
 
 // mapIDs maps the table of a file that another process made.
 func mapIDs(f *os.File, counted bool, s side) (*IDs, error) {
-	size := idsBytes
-	if counted {
-		size += heldBytes
-	}
+	size := tableBytes(counted)
 	info, err := f.Stat()
 	if err != nil {
 		return nil, fmt.Errorf("link: a table of ids: %w", err)
--- a/internal/handover/link/new.go
+++ b/internal/handover/link/new.go
@@ -35,7 +35,7 @@
 	own      *net.TCPListener
 	snapshot []byte
 	ids      *IDs // shared with the old one; nil: none
-	late     chan struct{}
+	late     chan []*net.TCPListener
 	alone    chan struct{}
 	failed   chan error // the old process has called it off
 	closed   bool
@@ -47,7 +47,7 @@
 // to accept. No process may accept there and have no way to answer yet: the caller
 // begins when it can.
 func Start(p *Place, listen string, full handover.Share, h Host) (*New, error) {
-	n := &New{place: p, host: h, listen: listen, machine: handover.NewNew(full), late: make(chan struct{}, 1), alone: make(chan struct{}), failed: make(chan error, 1)}
+	n := &New{place: p, host: h, listen: listen, machine: handover.NewNew(full), late: make(chan []*net.TCPListener, 1), alone: make(chan struct{}), failed: make(chan error, 1)}
 	for began := time.Now(); ; time.Sleep(again) {
 		err := n.try()
 		took := time.Since(began)
@@ -149,19 +149,20 @@
 // took takes a message and the files beside it. The lock is held.
 func (n *New) took(m handover.Message, files []*os.File) error {
 	defer closeAll(files)
-	var o *offered
+	var o offered
+	var acts []handover.Action
+	var err error
 	if m.Kind == handover.Offer {
-		var err error
-		if o, err = n.open(m, files); err != nil {
-			return err
-		}
+		err = o.open(m, files, n)
+	}
+	if err == nil {
+		acts, err = n.machine.Came(m)
 	}
-	acts, err := n.machine.Came(m)
 	if err != nil {
 		o.close()
 		return err
 	}
-	if o != nil {
+	if m.Kind == handover.Offer {
 		n.place.take(o.lock)
 		n.passed, n.snapshot, n.ids = o.lns, m.Snapshot, o.ids
 	}
@@ -176,9 +177,6 @@
 }
 
 func (o *offered) close() {
-	if o == nil {
-		return
-	}
 	for _, ln := range o.lns {
 		ln.Close()
 	}
@@ -190,37 +188,31 @@
 	}
 }
 
-// open takes what came beside an offer, whole or not at all. The files stay the caller's.
-func (n *New) open(m handover.Message, files []*os.File) (o *offered, err error) {
+// open takes what came beside an offer to n. The files stay the caller's, and so does
+// closing o, also after an error.
+func (o *offered) open(m handover.Message, files []*os.File, n *New) error {
 	lns, want := max(1, m.Listeners), max(1, m.Listeners)+1
 	if m.IDs {
 		want++
 	}
 	if len(files) != want || m.Listen != n.listen {
-		return nil, fmt.Errorf("%w: %d descriptors for %s, want %d for %s", handover.ErrShape, len(files), m.Listen, want, n.listen)
+		return fmt.Errorf("%w: %d descriptors for %s, want %d for %s", handover.ErrShape, len(files), m.Listen, want, n.listen)
 	}
-	o = new(offered)
-	defer func() {
-		if err != nil {
-			o.close()
-			o = nil
-		}
-	}()
 	for _, f := range files[:lns] {
 		ln, err := net.FileListener(f)
 		if err != nil {
-			return o, fmt.Errorf("%w: %w", handover.ErrShape, err)
+			return fmt.Errorf("%w: %w", handover.ErrShape, err)
 		}
 		tl, ok := ln.(*net.TCPListener)
 		if !ok {
 			ln.Close()
-			return o, fmt.Errorf("%w: a socket at %s", handover.ErrShape, ln.Addr())
+			return fmt.Errorf("%w: a socket at %s", handover.ErrShape, ln.Addr())
 		}
 		o.lns = append(o.lns, tl)
 	}
 	lock, err := syscall.Dup(int(files[lns].Fd()))
 	if err != nil {
-		return o, fmt.Errorf("link: %w", err)
+		return fmt.Errorf("link: %w", err)
 	}
 	syscall.CloseOnExec(lock)
 	o.lock = os.NewFile(uintptr(lock), n.place.path(".lock"))
@@ -228,12 +220,12 @@
 		o.ids, err = mapIDs(files[lns+1], m.Counts, newer)
 		switch {
 		case err != nil && m.Counts: // the old one counts on it
-			return o, err
+			return err
 		case err != nil:
 			slog.Warn("ids are not shared", "err", err)
 		}
 	}
-	return o, nil
+	return nil
 }
 
 // do carries out what the machine asks for. The lock is held.
@@ -257,7 +249,7 @@
 			n.own = ln
 		case handover.TakeListener:
 			if n.own != nil { // the old one hung, and has woken
-				n.late <- struct{}{}
+				n.late <- n.passed
 			}
 		case handover.Publish:
 			close(n.alone)
@@ -278,13 +270,14 @@
 				if err = n.took(m, files); err != nil && !n.closed {
 					slog.Error("hand-over", "err", err)
 				}
-				refused := errors.Is(err, handover.ErrRefused) || err != nil && m.Kind == handover.Offer && !n.place.Locked()
-				if refused && n.place.Locked() {
+				refused, locked := errors.Is(err, handover.ErrRefused), n.place.Locked()
+				switch {
+				case refused && locked:
 					// It lives, and has taken its share back: going on would be too much.
 					n.failed <- err
 					n.closed = true
-				}
-				if !refused {
+				case refused, err != nil && m.Kind == handover.Offer && !locked: // no hand-over comes of it
+				default:
 					n.mu.Unlock()
 					continue
 				}
@@ -330,9 +323,9 @@
 	return list
 }
 
-// Late brings a word when an old process that hung has handed over after all: Listeners
-// and IDs have more than before then. The caller serves there and says so by Ready.
-func (n *New) Late() <-chan struct{} { return n.late }
+// Late brings the listeners of an old process that hung and has handed over after all;
+// Listeners and IDs have them too by then. The caller serves there and says so by Ready.
+func (n *New) Late() <-chan []*net.TCPListener { return n.late }
 
 // Snapshot is what the old process has learned, empty if it said nothing.
 func (n *New) Snapshot() []byte {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -159,7 +159,6 @@
 		q := &request{id: h.last, x: x, deadline: deadline, wait: wait}
 		x.State = q
 		h.held[q.id] = q
-		h.counted()
 		q.alarm = h.after(&alarm{at: deadline, q: q})
 		if h.recorder == nil {
 			h.admit(now, q)
@@ -291,9 +290,8 @@
 	}
 }
 
-// room says whether one more request may be held. The place is kept in the tally, for
-// counted to confirm or give back: two processes that look at the same time don't both
-// take the last one.
+// room says whether one more request may be held, and counts it in the tally if so: two
+// processes that look at the same time don't both take the last place.
 func (h *Host) room() bool {
 	if h.tally == nil {
 		return len(h.held) < h.most
