--- a/admit.go
+++ b/admit.go
@@ -9,9 +9,9 @@
 const (
 	// The shed level rests where a fifth of answers are late or half of the
 	// sends turned away, which costs only an attempt.
-	lateStep = 0.04
-	fullStep = 0.01
-	calmStep = 0.01
+	lateStep = 0.08
+	fullStep = 0.02
+	calmStep = 0.02
 	// A balancer of fewer than calmRate sends a second takes larger steps, by
 	// gainMax at most. Guards against a level that outlives its cause.
 	calmRate = 8.0
