--- a/cmd/martendrum/change.go
+++ b/cmd/martendrum/change.go
@@ -163,24 +163,9 @@
 	} else if r.policy.OnFailure == rollout.Back {
 		return fmt.Errorf("--on-failure rollback goes with upgrade; a %s can't be taken back", action)
 	}
-	states := f.List(ctx, r.sel)
-	agents := make(map[string]*client.Agent)
-	byHost := make(map[string]inventory.Host)
-	for _, h := range states {
-		if h.Error != "" {
-			if !r.skip {
-				return &exitError{exitReached, fmt.Errorf("nothing was changed: %s; --skip-unreachable leaves such hosts out", h.Error)}
-			}
-			fmt.Fprintf(os.Stderr, "left out: %s\n", h.Error)
-			continue
-		}
-		for _, i := range h.Instances {
-			op.Targets = append(op.Targets, api.Target{Host: h.Host.Name, Instance: i.Name})
-			agents[h.Host.Name], byHost[h.Host.Name] = f.Agent(h.Host.Name), h.Host
-		}
-	}
-	if len(op.Targets) == 0 {
-		return &exitError{exitSome, errors.New("nothing was changed: no instance fits")}
+	states, agents, err := r.targets(ctx, f, &op)
+	if err != nil {
+		return err
 	}
 	spread(op.Targets)
 	if r.policy.Batch, err = count(r.batch, len(op.Targets)); err != nil {
@@ -200,11 +185,7 @@
 		return g.plan(&op, states)
 	}
 	if action == api.ActUpgrade {
-		var all []*client.Agent
-		for _, a := range agents {
-			all = append(all, a)
-		}
-		if err := f.Upload(ctx, all, op.Release, r.binary, r.config, func(host string) {
+		if err := f.Upload(ctx, agents, op.Release, r.binary, r.config, func(host string) {
 			fmt.Fprintf(os.Stderr, "release %s is at %s\n", short(op.Release), host)
 		}); err != nil {
 			return &exitError{exitSome, fmt.Errorf("nothing was changed: %w", err)}
@@ -221,6 +202,30 @@
 	return g.report(rep)
 }
 
+// targets lists the instances that are meant, and adds them to an operation.
+func (r *rolling) targets(ctx context.Context, f *client.Fleet, op *api.Operation) (states []client.HostState, agents []*client.Agent, err error) {
+	states = f.List(ctx, r.sel)
+	for _, h := range states {
+		if h.Error != "" {
+			if !r.skip {
+				return nil, nil, &exitError{exitReached, fmt.Errorf("nothing was changed: %s; --skip-unreachable leaves such hosts out", h.Error)}
+			}
+			fmt.Fprintf(os.Stderr, "left out: %s\n", h.Error)
+			continue
+		}
+		for _, i := range h.Instances {
+			op.Targets = append(op.Targets, api.Target{Host: h.Host.Name, Instance: i.Name})
+		}
+		if len(h.Instances) > 0 {
+			agents = append(agents, f.Agent(h.Host.Name))
+		}
+	}
+	if len(op.Targets) == 0 {
+		return nil, nil, &exitError{exitSome, errors.New("nothing was changed: no instance fits")}
+	}
+	return states, agents, nil
+}
+
 // prepare reads a release from this machine.
 func prepare(r *rolling) (string, error) {
 	if r.config != "" {
@@ -320,6 +325,9 @@
 		if rep.Holder != "" {
 			fmt.Println("held by:", rep.Holder)
 		}
+		if rep.Operation.Staged != nil {
+			fmt.Print(noteText(rep.Stages, rep.Operation.Staged))
+		}
 		for _, n := range rep.Notes {
 			fmt.Println(n)
 		}
--- a/cmd/martendrum/main.go
+++ b/cmd/martendrum/main.go
@@ -94,7 +94,7 @@
 	root.AddCommand(viewCommands(g)...)
 	root.AddCommand(changeCommands(g)...)
 	root.AddCommand(opCommands(g)...)
-	root.AddCommand(recordCommand(g), agentCommand(), caCommand(), devCommand())
+	root.AddCommand(stagedCommand(g), judgeCommand(g), recordCommand(g), agentCommand(), caCommand(), devCommand())
 	return root
 }
 
--- a/cmd/martendrum/run.go
+++ b/cmd/martendrum/run.go
@@ -120,7 +120,7 @@
 	}
 	defer servers.Close()
 	var toml strings.Builder
-	fmt.Fprintf(&toml, "name = \"dev\"\nstate_dir = \"state\"\n[listen]\nunix = \"agent.sock\"\n[sidecar]\nbinary = %q\n", sidecar)
+	fmt.Fprintf(&toml, "name = \"dev\"\nstate_dir = \"state\"\n[listen]\nunix = \"agent.sock\"\n[figures]\nslot = \"2s\"\n[sidecar]\nbinary = %q\n", sidecar)
 	var listens []string
 	for n := range many {
 		name := fmt.Sprintf("shop-%d", n+1)
@@ -191,6 +191,7 @@
   %[3]s restart --all --batch 1
   %[3]s upgrade --binary %[4]s --overlay %[5]s --canaries 1 --all
   %[3]s rollback --all
+  %[3]s change start --overlay %[5]s --stages 1,100%% --least 20s --longest 2m --past 6 --warm 2s --all
   kill -9 PID, with one off the list; then list again and watch it come back
 
 Ctrl-C ends all of it.
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -32,6 +32,7 @@
 	"chalkrack/internal/fleet/life"
 	"chalkrack/internal/fleet/proc"
 	"chalkrack/internal/fleet/release"
+	"chalkrack/internal/fleet/scrape"
 	"chalkrack/internal/fleet/store"
 )
 
@@ -41,6 +42,8 @@
 	Adopt(ctx context.Context, pid int, ticks uint64) (*Process, error)
 	Find(prefix string) map[string]proc.Found
 	Health(ctx context.Context, addr string, most time.Duration) (proc.Healthy, error)
+	// Figures asks a process's operators' door; of the sample, only the figures count.
+	Figures(ctx context.Context, door string, pid int, most time.Duration) (*api.Sample, error)
 	Boot() string
 }
 
@@ -73,6 +76,15 @@
 	return proc.Health(ctx, addr, most)
 }
 
+func (Processes) Figures(ctx context.Context, door string, pid int, most time.Duration) (*api.Sample, error) {
+	s, err := scrape.Door(ctx, door, most)
+	if err != nil {
+		return nil, err
+	}
+	s.Memory, s.Files, err = scrape.Usage(pid)
+	return s, err
+}
+
 type stepKey struct{ op, instance, kind string }
 
 // Agent is a running agent. One lock guards all it knows; the record is written
@@ -95,7 +107,9 @@
 	names      []string // of inst, in the file's order
 	ops        map[string]*store.Operation
 	steps      map[stepKey]*api.Step
-	hands      map[string]bool // releases that said that they hand over
+	hands      map[string]bool      // releases that said that they hand over
+	heldAt     map[string]time.Time // of open staged operations: when somebody last held them
+	boundary   int64                // up to which figures were taken
 	leases     lease.Table
 	change     int64
 	changed    chan struct{} // closed at the next change
@@ -108,7 +122,7 @@
 	a := &Agent{
 		cfg: cfg, machine: m, started: time.Now(),
 		inst: make(map[string]*instance), ops: make(map[string]*store.Operation), steps: make(map[stepKey]*api.Step),
-		hands:   make(map[string]bool),
+		hands: make(map[string]bool), heldAt: make(map[string]time.Time),
 		changed: make(chan struct{}),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -122,6 +136,20 @@
 		}
 		return nil, fmt.Errorf("agent %s: %w", cfg.Name, err)
 	}
+	if a.cfg.Figures.Slot > 0 {
+		j, err := openJournal(a.figuresPath(), a.keepSlots()*max(1, len(a.names)), func(s api.Sample) {
+			if i := a.inst[s.Instance]; i != nil {
+				i.ring.add(s)
+			}
+		})
+		if err != nil {
+			a.cancel()
+			a.store.Close()
+			a.flock.Close()
+			return nil, fmt.Errorf("agent %s: figures: %w", cfg.Name, err)
+		}
+		a.wg.Go(func() { a.takeFigures(j) })
+	}
 	for _, name := range a.names {
 		i := a.inst[name]
 		a.wg.Go(func() { a.run(i) })
@@ -206,7 +234,7 @@
 			begin.Instances = append(begin.Instances, row)
 		}
 		delete(rows, c.Name)
-		i := &instance{cfg: c, row: row, life: life.New(limits, now), wake: make(chan struct{}, 1)}
+		i := &instance{cfg: c, row: row, life: life.New(limits, now), wake: make(chan struct{}, 1), ring: ring{most: a.keepSlots()}}
 		a.inst[c.Name] = i
 		a.names = append(a.names, c.Name)
 		launch := i.row.Launch
@@ -401,6 +429,7 @@
 		a.mu.Lock()
 		a.rewrite()
 		a.endAborted()
+		a.alone(time.Now())
 		var used []string
 		for _, i := range a.inst {
 			used = append(used, i.row.Release, i.row.Previous, i.row.Running, i.prevRow.Running)
@@ -562,6 +591,14 @@
 	return err
 }
 
+// keepSlots is how many slots' figures are kept of each instance.
+func (a *Agent) keepSlots() int {
+	if a.cfg.Figures.Slot <= 0 {
+		return 1
+	}
+	return int(a.cfg.Figures.Keep/a.cfg.Figures.Slot) + 2
+}
+
 func (a *Agent) logPath(name string) string {
 	return filepath.Join(a.cfg.StateDir, "logs", name+".log")
 }
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -43,6 +43,11 @@
 		// HandOver lets an upgrade start the new process beside the old one.
 		HandOver bool `toml:"hand_over"`
 	} `toml:"sidecar"`
+	// Figures are taken of each instance that has a door, at the multiples of Slot.
+	Figures struct {
+		Slot units.Duration `toml:"slot"` // 0: never
+		Keep units.Duration `toml:"keep"`
+	} `toml:"figures"`
 	Limits struct {
 		KillAfter   units.Duration `toml:"kill_after"`
 		HealthEach  units.Duration `toml:"health_each"`
@@ -68,6 +73,8 @@
 	Stop   bool              `toml:"stopped"` // at first; later the record tells
 
 	listen string
+	door   string // of operators, "" for none
+	memory int    // its limit, MiB
 }
 
 // Where an agent's record may be kept.
@@ -76,6 +83,9 @@
 	Postgres = "postgres"
 )
 
+// keepMost is how many slots' figures are kept at most.
+const keepMost = 2000
+
 // MostInstances is how many sidecars one agent looks after.
 const MostInstances = 256
 
@@ -90,6 +100,7 @@
 	l.CrashMost, l.CrashWithin = 5, units.Duration(time.Minute)
 	l.Log, l.Record = 8<<20, 64<<20
 	l.Operations, l.Audit, l.Releases = 100, 10000, 3
+	c.Figures.Slot, c.Figures.Keep = units.Duration(10*time.Second), units.Duration(time.Hour)
 	c.Listen.PlainRole, c.Sidecar.HandOver = api.View, true
 	c.Record.Store, c.Record.Statement, c.Record.Connect = SQLite, units.Duration(2*time.Second), units.Duration(2*time.Second)
 	if err := units.Load(path, c); err != nil {
@@ -143,6 +154,10 @@
 		return fmt.Errorf("limits.log: 64KiB at least")
 	case l.Operations < 1 || l.Audit < 1 || l.Releases < 0:
 		return fmt.Errorf("limits.operations and audit must be 1 at least, releases 0")
+	case c.Figures.Slot < 0 || c.Figures.Slot > 0 && c.Figures.Slot < units.Duration(200*time.Millisecond):
+		return fmt.Errorf("figures.slot: %v; 200ms at least, or 0s for none", time.Duration(c.Figures.Slot))
+	case c.Figures.Slot > 0 && (c.Figures.Keep < c.Figures.Slot || c.Figures.Keep/c.Figures.Slot > keepMost):
+		return fmt.Errorf("figures.keep: %v; want 1 to %d slots of %v", time.Duration(c.Figures.Keep), keepMost, time.Duration(c.Figures.Slot))
 	case len(c.Instances) > MostInstances:
 		return fmt.Errorf("instance: %d of them; an agent looks after %d at most", len(c.Instances), MostInstances)
 	}
@@ -185,6 +200,7 @@
 			return fmt.Errorf("instances %s and %s both listen on %s", other, i.Name, base.Listen)
 		}
 		i.listen, addrs[base.Listen] = base.Listen, i.Name
+		i.door, i.memory = doorOf(data)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/fleet/agent/figures.go
@@ -0,0 +1,373 @@
+package agent
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/judge"
+	"chalkrack/internal/fleet/life"
+	"chalkrack/internal/fleet/store"
+)
+
+const (
+	// doorMost is how long a door may take, of a slot's quarter at most.
+	doorMost = 2 * time.Second
+	// doorsAtOnce bounds the calls under way.
+	doorsAtOnce = 16
+	// figuresMost is how many samples one answer holds.
+	figuresMost = 4000
+	// rateSlots is over how many slots an instance's rate is told.
+	rateSlots = 6
+)
+
+// ring keeps an instance's latest samples, in order. The agent's lock guards it.
+type ring struct {
+	samples []api.Sample
+	most    int
+}
+
+func (r *ring) add(s api.Sample) {
+	if n := len(r.samples); n > 0 && r.samples[n-1].Boundary >= s.Boundary {
+		return
+	}
+	if len(r.samples) >= 2*r.most {
+		r.samples = append(r.samples[:0:0], r.samples[len(r.samples)-r.most:]...)
+	}
+	r.samples = append(r.samples, s)
+}
+
+// rate is the requests a second of late; 0 where that is not known.
+func (r *ring) rate() float64 {
+	ss := r.samples[max(0, len(r.samples)-rateSlots-1):]
+	if len(ss) < 2 {
+		return 0
+	}
+	a, b := &ss[0], &ss[len(ss)-1]
+	took := b.At.Sub(a.At).Seconds()
+	if a.Process != b.Process || took <= 0 {
+		return 0
+	}
+	n := 0.0
+	for name, c := range b.Classes {
+		was := a.Classes[name]
+		n += float64(c.Served+c.Refused+c.Failed) - float64(was.Served+was.Refused+was.Failed)
+	}
+	return max(0, n/took)
+}
+
+// windows are those of the process that runs now.
+func (r *ring) windows(slot time.Duration) (out []judge.Window) {
+	d := judge.Differ{Slot: slot, Off: slot / 4}
+	for _, s := range r.samples[max(0, len(r.samples)-rateSlots-1):] {
+		names := make([]string, 0, len(s.Classes))
+		for name := range s.Classes {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		if w, ok := d.Next(s.Judged(0, names), 0); ok {
+			out = append(out, w)
+		}
+	}
+	n := len(out)
+	for n > 0 && out[n-1].Release == out[len(out)-1].Release {
+		n--
+	}
+	return out[n:]
+}
+
+// journal keeps samples over the agent's own restarts, in two files of which the
+// older goes when the newer is full. Samples that are lost with it are missing
+// evidence, no more: it is not synced, and a torn tail is left out.
+type journal struct {
+	path    string
+	f       *os.File
+	samples int // in f
+	most    int
+}
+
+// openJournal reads what there is and goes on behind it.
+func openJournal(path string, most int, each func(api.Sample)) (*journal, error) {
+	j := &journal{path: path, most: most}
+	for _, p := range []string{path + ".1", path} {
+		f, err := os.Open(p)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		j.samples = 0
+		dec := msgpack.NewDecoder(bufio.NewReader(f))
+		for {
+			var s api.Sample
+			if err := dec.Decode(&s); err != nil {
+				if !errors.Is(err, io.EOF) {
+					slog.Warn("figures: the rest of a file can't be read and is left out", "file", p, "after", j.samples, "err", err)
+				}
+				break
+			}
+			j.samples++
+			each(s)
+		}
+		f.Close()
+	}
+	// Behind a torn tail nothing could be read: the next sample begins a file.
+	if err := j.turn(); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+// turn begins a new file, and keeps the one before it.
+func (j *journal) turn() error {
+	if j.f != nil {
+		j.f.Close()
+		j.f = nil
+	}
+	if st, err := os.Stat(j.path); err == nil && st.Size() > 0 {
+		if err := os.Rename(j.path, j.path+".1"); err != nil {
+			return err
+		}
+	}
+	f, err := os.OpenFile(j.path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
+	j.f, j.samples = f, 0
+	return err
+}
+
+func (j *journal) write(ss []api.Sample) error {
+	if j.f == nil || j.samples+len(ss) > j.most {
+		if err := j.turn(); err != nil {
+			return err
+		}
+	}
+	var b []byte
+	for n := range ss {
+		one, err := msgpack.Marshal(&ss[n])
+		if err != nil {
+			return err
+		}
+		b = append(b, one...)
+	}
+	j.samples += len(ss)
+	_, err := j.f.Write(b)
+	return err
+}
+
+// takeFigures takes all instances' figures at each boundary of a slot, until the agent
+// ends.
+func (a *Agent) takeFigures(j *journal) {
+	defer j.f.Close()
+	slot := time.Duration(a.cfg.Figures.Slot)
+	for {
+		next := time.Unix(0, (time.Now().UnixNano()/int64(slot)+1)*int64(slot))
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-a.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		boundary := next.UnixNano() / int64(slot)
+		got := a.sampleAll(boundary, min(doorMost, slot/4))
+		a.mu.Lock()
+		for _, s := range got {
+			a.inst[s.Instance].ring.add(s)
+		}
+		a.boundary = boundary
+		a.mu.Unlock()
+		if err := j.write(got); err != nil {
+			slog.Warn("figures can't be kept over a restart of this agent", "err", err)
+		}
+	}
+}
+
+// sampleAll asks all doors at once. An instance that is being replaced is left out:
+// which of its processes answers is not known.
+func (a *Agent) sampleAll(boundary int64, most time.Duration) []api.Sample {
+	type job struct {
+		s    api.Sample
+		door string
+		pid  int
+	}
+	var jobs []job
+	a.mu.Lock()
+	for _, name := range a.names {
+		i := a.inst[name]
+		if i.cfg.door != "" && i.proc != nil && i.prev == nil && i.row.Launch != "" {
+			jobs = append(jobs, job{api.Sample{Instance: name, Boundary: boundary, Process: i.row.Launch, Release: i.row.Running,
+				Started: i.row.Launched, Crashes: uint32(max(0, i.row.Restarts))}, i.cfg.door, i.row.PID})
+		}
+	}
+	a.mu.Unlock()
+	var mu sync.Mutex
+	var out []api.Sample
+	var wg sync.WaitGroup
+	turns := make(chan struct{}, doorsAtOnce)
+	for _, b := range jobs {
+		turns <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-turns }()
+			got, err := a.machine.Figures(a.ctx, b.door, b.pid, most)
+			if err != nil {
+				return // a gap, which whoever judges sees and counts
+			}
+			s := b.s
+			s.At, s.Classes, s.Tries, s.Ended, s.Declined = time.Now(), got.Classes, got.Tries, got.Ended, got.Declined
+			s.Timed, s.Slow, s.Memory, s.Files = got.Timed, got.Slow, got.Memory, got.Files
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, s)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// figures answers with samples, the earliest first.
+func (a *Agent) figures(_ context.Context, _ *caller, in *api.FiguresIn) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := &api.FiguresOut{Slot: time.Duration(a.cfg.Figures.Slot), Now: time.Now(), Last: a.boundary}
+	for _, name := range a.names {
+		ss := a.inst[name].ring.samples
+		at, _ := slices.BinarySearchFunc(ss, in.After+1, func(s api.Sample, b int64) int { return cmp.Compare(s.Boundary, b) })
+		out.Samples = append(out.Samples, ss[at:]...)
+	}
+	slices.SortStableFunc(out.Samples, func(x, y api.Sample) int { return cmp.Compare(x.Boundary, y.Boundary) })
+	most := figuresMost
+	if in.Most > 0 {
+		most = min(most, in.Most)
+	}
+	if len(out.Samples) > most {
+		// Whole boundaries only, so that the next call goes on behind them.
+		cut := out.Samples[most].Boundary
+		n := most
+		for n > 0 && out.Samples[n-1].Boundary == cut {
+			n--
+		}
+		if n > 0 {
+			out.Samples, out.Last = out.Samples[:n], out.Samples[n-1].Boundary
+		}
+	}
+	return out, nil
+}
+
+// opNote writes down where a staged change stands.
+func (a *Agent) opNote(_ context.Context, c *caller, in *api.NoteIn) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, err := a.op(in.Op)
+	if err != nil {
+		return nil, err
+	}
+	names, err := a.own(&o.Operation)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.fenced(a.leases.Check(time.Now(), o.ID, in.Token, names[0])); err != nil {
+		return nil, err
+	}
+	switch {
+	case o.State != api.OpOpened:
+		return nil, api.Errorf(api.Closed, "operation %s is %s at agent %s", o.ID, o.State, a.cfg.Name)
+	case len(in.Note.Log) > api.VerdictsMost:
+		return nil, api.Errorf(api.BadParams, "%d verdicts in a note; %d at most", len(in.Note.Log), api.VerdictsMost)
+	case o.Note != nil && o.Note.Number >= in.Note.Number:
+		return a.opOut(o), nil // told before, or by a holder that went further
+	}
+	next := *o
+	next.Note = &in.Note
+	if err := a.commit(&store.Change{Operations: []store.Operation{next}}); err != nil {
+		return nil, err
+	}
+	*o = next
+	return a.opOut(o), nil
+}
+
+// alone takes back, of open operations that nobody has held for as long as they say,
+// those of its own instances that were changed and fail by the coarse rule.
+func (a *Agent) alone(now time.Time) {
+	for id := range a.heldAt {
+		if o := a.ops[id]; o == nil || o.State == api.OpClosed {
+			delete(a.heldAt, id)
+		}
+	}
+	for _, o := range a.ops {
+		if o.State != api.OpOpened || o.Staged == nil || o.Staged.Alone <= 0 {
+			continue
+		}
+		if a.heldAt[o.ID].IsZero() || a.held(o.ID, now) {
+			a.heldAt[o.ID] = now
+			continue
+		}
+		if gone := now.Sub(a.heldAt[o.ID]); gone > o.Staged.Alone {
+			for _, name := range a.names {
+				a.takeBack(o, a.inst[name], gone, now)
+			}
+		}
+	}
+}
+
+func (a *Agent) takeBack(o *store.Operation, i *instance, gone time.Duration, now time.Time) {
+	name := i.cfg.Name
+	change := a.steps[stepKey{o.ID, name, api.Change}]
+	if change == nil || i.step != nil && i.step.Kind == api.Rollback || a.steps[stepKey{o.ID, name, api.Rollback}] != nil {
+		return
+	}
+	phase := i.life.Phase()
+	own := judge.Own{
+		Crashing: phase == life.Crashloop || phase == life.Backoff,
+		Unready:  phase == life.Unready && now.Sub(i.life.Since()) > coarseUnready,
+		Limit:    uint64(i.cfg.memory) << 20,
+	}
+	if i.row.Running == change.To {
+		own.Windows = i.ring.windows(time.Duration(a.cfg.Figures.Slot))
+	}
+	why := judge.Coarse(own)
+	if why == "" {
+		return
+	}
+	if i.step != nil { // the change itself is still under way, and won't come about
+		a.end(i, i.step, false, why)
+	}
+	reason := fmt.Sprintf("taken back by agent %s alone: nobody held the operation for %v, and %s", a.cfg.Name, gone.Round(time.Second), why)
+	if _, err := a.begin(o, i, api.Rollback, 0, "agent "+a.cfg.Name+" alone", reason); err != nil {
+		slog.Warn("an instance can't be taken back", "instance", name, "why", why, "err", err)
+		return
+	}
+	slog.Warn("an instance is taken back", "instance", name, "operation", o.ID, "reason", reason)
+}
+
+// coarseUnready is how long an instance's health call may fail before it counts.
+const coarseUnready = 5 * time.Second
+
+// doorOf reads from a sidecar's configuration where its door is, and its memory's limit
+// in MiB.
+func doorOf(config []byte) (door string, memory int) {
+	var c struct {
+		Mgmt   string
+		Limits struct {
+			MemoryMB int `json:"memory_mb"`
+		}
+	}
+	if json.Unmarshal(config, &c) != nil {
+		return "", 0
+	}
+	return c.Mgmt, c.Limits.MemoryMB
+}
+
+func (a *Agent) figuresPath() string { return filepath.Join(a.cfg.StateDir, "figures") }
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -51,6 +52,8 @@
 	hands  bool      // it says that it can hand over
 	late   string    // why a new process beside an old one is to be given up
 
+	ring ring // of its figures
+
 	prev    *Process       // the process being replaced, nil for none
 	prevRow store.Instance // the row as it told of prev
 
@@ -183,7 +186,7 @@
 // when it is tried; a way back is only taken beside what serves where that is known.
 func (a *Agent) beside(i *instance) bool {
 	s := i.step
-	return a.cfg.Sidecar.HandOver && i.hands && i.cfg.Record == "" && s != nil &&
+	return a.cfg.Sidecar.HandOver && i.hands && s != nil &&
 		(s.Action == api.ActUpgrade && s.Kind == api.Change || (s.Action == api.ActUpgrade || s.Action == api.ActRollback) && a.hands[i.row.Release])
 }
 
@@ -379,7 +382,7 @@
 		a.mu.Unlock()
 		return
 	}
-	if s.Action == api.ActReload && s.Kind == api.Change {
+	if s.Action == api.ActReload && s.Kind == api.Change || s.Action == api.ActSettings {
 		a.mu.Unlock()
 		a.reload(i, s)
 		return
@@ -444,9 +447,43 @@
 	}
 	a.steps[stepKey{s.Op, s.Instance, s.Kind}] = &next
 	i.step, i.hupAt = nil, time.Time{}
+	if s.Action == api.ActSettings {
+		a.settled(i, s, ok)
+	}
 	a.told(i, &next)
 }
 
+// settled puts an instance's row right after a change of settings: what runs is what
+// was taken over, and if that was not, what is wanted and its file are as before.
+func (a *Agent) settled(i *instance, s *api.Step, ok bool) {
+	if ok {
+		if i.proc != nil {
+			i.row.Running = s.To
+		}
+		return
+	}
+	i.row.Release, i.row.Previous = s.From, s.Before
+	a.wg.Go(func() { // writes a file, without the lock
+		if err := a.configure(i, s.From, random()); err != nil {
+			slog.Error("an instance's file holds settings that it turned down", "instance", i.cfg.Name, "err", err)
+		}
+	})
+}
+
+// complaint is the last warning or error in a log.
+func complaint(path string) string {
+	b, _, err := readTail(path, -16<<10, 16<<10)
+	if err == nil {
+		lines := strings.Split(string(b), "\n")
+		for _, line := range slices.Backward(lines) {
+			if strings.Contains(line, "level=ERROR") || strings.Contains(line, "level=WARN") {
+				return fmt.Sprintf("%.300s", line)
+			}
+		}
+	}
+	return "its log tells why"
+}
+
 // reload brings a reload on its way: configuration, SIGHUP, and the sidecar's own
 // word that it runs it. To do all that again after a restart of the agent does no harm.
 func (a *Agent) reload(i *instance, s *api.Step) {
@@ -473,12 +510,15 @@
 		return
 	case !hup.IsZero():
 		if now.Sub(hup) > hupWithin {
-			a.end(i, s, false, "it kept its earlier configuration; its log tells why")
+			a.end(i, s, false, "it kept its earlier configuration: "+complaint(a.logPath(i.cfg.Name)))
 		}
 		a.mu.Unlock()
 		return
 	}
 	hash := i.row.Running
+	if s.Action == api.ActSettings {
+		hash = s.To
+	}
 	a.mu.Unlock()
 	err := a.configure(i, hash, random())
 	if err == nil {
@@ -501,7 +541,7 @@
 		Release: i.row.Release, Running: i.row.Running, Previous: i.row.Previous,
 		Generation: i.row.Generation, Process: i.row.Process, PID: i.row.PID,
 		Launched: i.row.Launched, Since: i.life.Since(), Restarts: i.row.Restarts, LastExit: i.row.LastExit,
-		Record: i.record,
+		Record: i.record, Door: i.cfg.door, Rate: i.ring.rate(),
 	}
 	if l := a.leases.ByInstance[i.cfg.Name]; l.Live(time.Now()) {
 		out.Holder = l.Holder
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -17,6 +17,7 @@
 
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/lease"
+	"chalkrack/internal/fleet/neighbour"
 	"chalkrack/internal/fleet/pki"
 	"chalkrack/internal/fleet/release"
 	"chalkrack/internal/fleet/rollout"
@@ -207,10 +208,13 @@
 		api.ReleaseStat:  typed(api.View, (*Agent).releaseStat),
 		api.ReleaseWrite: typed(api.Operate, (*Agent).releaseWrite),
 		api.ReleaseDone:  typed(api.Operate, (*Agent).releaseDone),
+		api.ReleaseRead:  typed(api.Operate, (*Agent).releaseRead),
 		api.OpOpen:       typed(api.Operate, (*Agent).opOpen),
 		api.OpClose:      typed(api.Operate, (*Agent).opClose),
 		api.OpAbort:      typed(api.Operate, (*Agent).opAbort),
 		api.StepStart:    typed(api.Operate, (*Agent).stepStart),
+		api.OpNote:       typed(api.Operate, (*Agent).opNote),
+		api.Figures:      typed(api.View, (*Agent).figures),
 	}
 }
 
@@ -335,6 +339,30 @@
 	return a.releaseStat(ctx, c, in)
 }
 
+// readMost is how much of a release's file one answer holds.
+const readMost = 1 << 20
+
+func (a *Agent) releaseRead(_ context.Context, _ *caller, in *api.ReadIn) (any, error) {
+	if !release.Valid(in.Release) || in.File != release.Sidecar && in.File != release.Overlay || in.Offset < 0 {
+		return nil, api.Errorf(api.BadParams, "%q of release %q from %d: no such piece", in.File, in.Release, in.Offset)
+	}
+	f, err := os.Open(a.releases.Path(in.Release, in.File))
+	if err != nil {
+		return nil, api.Errorf(api.NoRelease, "agent %s: %v", a.cfg.Name, err)
+	}
+	defer f.Close()
+	st, err := f.Stat()
+	if err != nil {
+		return nil, err
+	}
+	buf := make([]byte, max(0, min(readMost, st.Size()-in.Offset)))
+	n, err := f.ReadAt(buf, in.Offset)
+	if n < len(buf) && err != nil {
+		return nil, err
+	}
+	return &api.ReadOut{Data: buf[:n], Size: st.Size()}, nil
+}
+
 // own is the operation's instances here.
 func (a *Agent) own(o *api.Operation) (out []string, err error) {
 	for _, t := range o.Targets {
@@ -356,7 +384,7 @@
 	switch {
 	case o.ID == "" || len(o.ID) > 64 || in.Holder == "" || len(in.Holder) > 200:
 		return nil, api.Errorf(api.BadParams, "operation and holder need names")
-	case !slices.Contains([]string{api.ActStart, api.ActStop, api.ActDrain, api.ActUndrain, api.ActRestart, api.ActReload, api.ActUpgrade, api.ActRollback}, o.Action):
+	case !slices.Contains([]string{api.ActStart, api.ActStop, api.ActDrain, api.ActUndrain, api.ActRestart, api.ActReload, api.ActUpgrade, api.ActRollback, api.ActSettings}, o.Action):
 		return nil, api.Errorf(api.BadParams, "unknown action %q", o.Action)
 	case len(o.Targets) > targetsMost:
 		return nil, api.Errorf(api.BadParams, "%d targets; %d at most", len(o.Targets), targetsMost)
@@ -366,11 +394,27 @@
 	if err := rollout.Check(o.Policy, len(o.Targets)); err != nil {
 		return nil, api.Errorf(api.BadParams, "%v", err)
 	}
-	if o.Action == api.ActUpgrade {
+	if s := o.Staged; s != nil {
+		if err := errors.Join(s.Plan.Check(len(o.Targets)), s.Judge.Check()); err != nil {
+			return nil, api.Errorf(api.BadParams, "%v", err)
+		}
+		if slot := time.Duration(a.cfg.Figures.Slot); s.Judge.Slot != slot {
+			return nil, api.Errorf(api.BadParams, "agent %s takes figures each %v and operation %s is judged each %v: set figures.slot alike at all hosts", a.cfg.Name, slot, o.ID, s.Judge.Slot)
+		}
+	}
+	if len(o.Places) != 0 && len(o.Places) != len(o.Targets) {
+		return nil, api.Errorf(api.BadParams, "%d places of %d targets", len(o.Places), len(o.Targets))
+	}
+	if o.Action == api.ActUpgrade || o.Action == api.ActSettings {
 		if err := a.releases.Verify(o.Release); err != nil {
 			return nil, api.Errorf(api.NoRelease, "agent %s: %v", a.cfg.Name, err)
 		}
 	}
+	if o.Staged != nil {
+		if err := a.neighbours(o); err != nil {
+			return nil, err
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	have := a.ops[o.ID]
@@ -413,6 +457,33 @@
 	return &api.OpenOut{Token: ls[0].Token, Expires: ls[0].Expires}, nil
 }
 
+// neighbours says whether old and new programs may run side by side here.
+func (a *Agent) neighbours(o *api.Operation) error {
+	a.mu.Lock()
+	_, known := a.ops[o.ID]
+	uses := make(map[string]neighbour.Use) // by the release that runs
+	for _, t := range o.Targets {
+		if i := a.inst[t.Instance]; t.Host == a.cfg.Name && i != nil && i.row.Release != o.Release {
+			u := uses[i.row.Release]
+			u.HandOver, u.Back = a.cfg.Sidecar.HandOver && o.Action == api.ActUpgrade, o.Policy.OnFailure == rollout.Back || o.Policy.OnFailure == rollout.BackStage
+			u.Record = u.Record || i.cfg.Record != ""
+			uses[i.row.Release] = u
+		}
+	}
+	a.mu.Unlock()
+	if known {
+		return nil // it was asked when it began
+	}
+	for before, use := range uses {
+		old := neighbour.Ask(a.ctx, a.releases.Path(before, release.Sidecar))
+		now := neighbour.Ask(a.ctx, a.releases.Path(o.Release, release.Sidecar))
+		if err := neighbour.Check(old, now, use); err != nil {
+			return api.Errorf(api.BadRelease, "agent %s: release %.12s may not run beside %.12s: %v", a.cfg.Name, o.Release, before, err)
+		}
+	}
+	return nil
+}
+
 // op finds an operation; the lock is held.
 func (a *Agent) op(id string) (*store.Operation, error) {
 	if o := a.ops[id]; o != nil {
--- a/internal/fleet/agent/step.go
+++ b/internal/fleet/agent/step.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"chalkrack/internal/fleet/api"
@@ -30,21 +31,27 @@
 	case in.Kind != api.Change && in.Kind != api.Rollback:
 		return nil, api.Errorf(api.BadParams, "kind %q; want %q or %q", in.Kind, api.Change, api.Rollback)
 	}
-	now := time.Now()
-	if err := a.fenced(a.leases.Check(now, o.ID, in.Token, in.Instance)); err != nil {
+	if err := a.fenced(a.leases.Check(time.Now(), o.ID, in.Token, in.Instance)); err != nil {
 		return nil, err
 	}
-	if s := a.steps[stepKey{o.ID, in.Instance, in.Kind}]; s != nil {
+	return a.begin(o, i, in.Kind, in.Token, c.who, "")
+}
+
+// begin begins a step; the lock is held. reason says why where the agent does so by
+// itself.
+func (a *Agent) begin(o *store.Operation, i *instance, kind string, token int64, who, reason string) (*api.Step, error) {
+	name, now := i.cfg.Name, time.Now()
+	if s := a.steps[stepKey{o.ID, name, kind}]; s != nil {
 		return s, nil
 	}
 	switch {
 	case o.State != api.OpOpened:
 		return nil, api.Errorf(api.Closed, "operation %s is %s at agent %s", o.ID, o.State, a.cfg.Name)
 	case i.step != nil:
-		return nil, api.Errorf(api.Held, "a step of operation %s is under way on %s", i.step.Op, in.Instance)
+		return nil, api.Errorf(api.Held, "a step of operation %s is under way on %s", i.step.Op, name)
 	}
-	s := &api.Step{Op: o.ID, Instance: in.Instance, Kind: in.Kind, Action: o.Action, Status: api.StepRunning,
-		From: i.row.Release, To: i.row.Release, Before: i.row.Previous, Ready: o.Ready, Soak: o.Soak, Started: now, Token: in.Token}
+	s := &api.Step{Op: o.ID, Instance: name, Kind: kind, Action: o.Action, Status: api.StepRunning, Cause: reason,
+		From: i.row.Release, To: i.row.Release, Before: i.row.Previous, Ready: o.Ready, Soak: o.Soak, Started: now, Token: token}
 	row, verdict, ok := a.plan(i, o, s)
 	s.Generation = row.Generation
 	if verdict != "" || ok {
@@ -54,11 +61,11 @@
 		}
 	}
 	if err := a.commit(&store.Change{Instances: []store.Instance{row}, Steps: []api.Step{*s},
-		Audit: []api.AuditEntry{{At: now, Who: c.who, What: o.Action + " " + in.Kind, Target: in.Instance, Result: s.Status}}}); err != nil {
+		Audit: []api.AuditEntry{{At: now, Who: who, What: o.Action + " " + kind, Target: name, Result: strings.TrimSuffix(s.Status+": "+reason, ": ")}}}); err != nil {
 		return nil, err
 	}
 	i.row = row
-	a.steps[stepKey{o.ID, in.Instance, in.Kind}] = s
+	a.steps[stepKey{o.ID, name, kind}] = s
 	if s.Status == api.StepRunning {
 		i.step = s
 		i.hupAt = time.Time{}
@@ -83,7 +90,7 @@
 	if s.Kind == api.Rollback {
 		change := a.steps[stepKey{o.ID, s.Instance, api.Change}]
 		switch {
-		case o.Action != api.ActUpgrade && o.Action != api.ActRollback:
+		case o.Action != api.ActUpgrade && o.Action != api.ActRollback && o.Action != api.ActSettings:
 			return row, fmt.Sprintf("a %s can't be taken back", o.Action), false
 		case change == nil:
 			return row, "it was not changed", true
@@ -92,6 +99,9 @@
 		if row.Release == i.row.Release {
 			return row, "it was not changed", true
 		}
+		if o.Action == api.ActSettings && running {
+			return row, "", false
+		}
 		return again()
 	}
 	switch o.Action {
@@ -136,6 +146,22 @@
 		}
 		row.Release = o.Release
 		return again()
+	case api.ActSettings:
+		s.To = o.Release
+		if row.Release == o.Release && (!running || row.Running == o.Release) {
+			return row, "it has these settings", true
+		}
+		if same, err := a.releases.SameProgram(row.Release, o.Release); err != nil || !same {
+			return row, fmt.Sprintf("release %.12s has another program than %.12s, which it runs: that is an upgrade (%v)", o.Release, row.Release, err), false
+		}
+		if row.Release != o.Release {
+			row.Previous = row.Release
+		}
+		row.Release = o.Release
+		if !running {
+			return row, fmt.Sprintf("left %s; it runs this at its next start", row.Desired), true
+		}
+		return row, "", false
 	case api.ActRollback:
 		if row.Previous == "" {
 			return row, "there is no earlier release to go back to", false
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"time"
+
+	"chalkrack/internal/fleet/judge"
+	"chalkrack/internal/fleet/stage"
 )
 
 // The versions of this protocol that this build speaks. A new field is no new
@@ -26,12 +29,15 @@
 	ReleaseStat  = "release.stat"  // ReleaseIn, ReleaseOut
 	ReleaseWrite = "release.write" // ChunkIn, ReleaseOut
 	ReleaseDone  = "release.done"  // ReleaseIn, ReleaseOut
+	ReleaseRead  = "release.read"  // ReadIn, ReadOut
 	OpOpen       = "op.open"       // OpenIn, OpenOut
 	OpClose      = "op.close"      // CloseIn, OpOut
 	OpAbort      = "op.abort"      // AbortIn, OpOut
 	OpStatus     = "op.status"     // StatusIn, OpOut
 	OpList       = "op.list"       // Empty, OpsOut
+	OpNote       = "op.note"       // NoteIn, OpOut
 	StepStart    = "step.start"    // StepIn, Step
+	Figures      = "figures"       // FiguresIn, FiguresOut
 )
 
 // Roles of a caller. Operate includes View.
@@ -90,6 +96,7 @@
 	ActRestart  = "restart"
 	ActReload   = "reload"
 	ActUpgrade  = "upgrade"
+	ActSettings = "settings" // another overlay for the same program, taken over at SIGHUP
 	ActRollback = "rollback"
 )
 
@@ -149,6 +156,8 @@
 	Restarts   int64     `msgpack:"restarts" json:"restarts"`
 	LastExit   string    `msgpack:"last_exit" json:"last_exit,omitempty"`
 	Record     string    `msgpack:"record,omitempty" json:"record,omitempty"` // how its store of record does, by its own word
+	Door       string    `msgpack:"door,omitempty" json:"door,omitempty"`     // where its operators' door is, "" for none
+	Rate       float64   `msgpack:"rate,omitempty" json:"rate,omitempty"`     // requests a second, of late
 	Operation  string    `msgpack:"operation" json:"operation,omitempty"`     // open on it
 	Holder     string    `msgpack:"holder" json:"holder,omitempty"`           // of a live lease
 }
@@ -210,6 +219,18 @@
 	Data    []byte `msgpack:"data"`
 }
 
+// ReadIn asks for a piece of a release's file.
+type ReadIn struct {
+	Release string `msgpack:"release"`
+	File    string `msgpack:"file"`
+	Offset  int64  `msgpack:"offset"`
+}
+
+type ReadOut struct {
+	Data []byte `msgpack:"data"`
+	Size int64  `msgpack:"size"` // of the whole file
+}
+
 type ReleaseOut struct {
 	Have    bool  `msgpack:"have"`
 	Sidecar int64 `msgpack:"sidecar"` // bytes received of it so far
@@ -229,6 +250,53 @@
 	MaxUnavailable int    `msgpack:"max_unavailable" json:"max_unavailable"`
 	MaxFailures    int    `msgpack:"max_failures" json:"max_failures"`
 	OnFailure      string `msgpack:"on_failure" json:"on_failure"`
+	// So many of one host, zone or shop unavailable at most; 0: no limit of its own.
+	MaxHost int `msgpack:"max_host,omitempty" json:"max_host,omitempty"`
+	MaxZone int `msgpack:"max_zone,omitempty" json:"max_zone,omitempty"`
+	MaxShop int `msgpack:"max_shop,omitempty" json:"max_shop,omitempty"`
+}
+
+// Place is where a target is.
+type Place struct {
+	Zone string `msgpack:"zone,omitempty" json:"zone,omitempty"`
+	Shop string `msgpack:"shop,omitempty" json:"shop,omitempty"`
+}
+
+// Staged is how a change in stages goes about it; see packages stage and judge.
+type Staged struct {
+	Plan  stage.Plan   `msgpack:"plan" json:"plan"`
+	Judge judge.Config `msgpack:"judge" json:"judge"` // its Start is set when the first stage begins
+	Seed  uint64       `msgpack:"seed" json:"seed"`   // of the draw that ordered the targets
+	// First is the boundary (Unix time over slot length) at which slot 0 begins.
+	First int64 `msgpack:"first" json:"first"`
+	// Alone is how long an agent waits, once nobody holds the operation any more,
+	// before it takes back those of its own instances that fail by the coarse rule.
+	// 0: it never does.
+	Alone time.Duration `msgpack:"alone" json:"alone"`
+}
+
+// Note is where a staged change stands, as its holder last wrote it down. Of two,
+// the one with the higher Number counts.
+type Note struct {
+	Number int64       `msgpack:"number" json:"number"`
+	At     time.Time   `msgpack:"at" json:"at"`
+	By     string      `msgpack:"by" json:"by"`
+	State  stage.State `msgpack:"state" json:"state"`
+	Start  int         `msgpack:"start" json:"start"` // slot at which the first stage began
+	Log    []Verdict   `msgpack:"log" json:"log"`     // the latest last, VerdictsMost of them
+}
+
+// VerdictsMost is how many verdicts a note keeps.
+const VerdictsMost = 64
+
+// Verdict is one change of what was known, for the report.
+type Verdict struct {
+	At       time.Time `msgpack:"at" json:"at"`
+	Slot     int       `msgpack:"slot" json:"slot"`
+	Stage    int       `msgpack:"stage" json:"stage"`
+	Verdict  string    `msgpack:"verdict" json:"verdict"`
+	Text     string    `msgpack:"text" json:"text"`
+	Evidence []string  `msgpack:"evidence" json:"evidence,omitempty"`
 }
 
 // Operation is a change to a set of instances. Every agent that has one of them
@@ -243,6 +311,10 @@
 	Soak     time.Duration `msgpack:"soak" json:"soak"`   // and stay so for it
 	Operator string        `msgpack:"operator" json:"operator"`
 	Created  time.Time     `msgpack:"created" json:"created"`
+
+	Staged *Staged `msgpack:"staged,omitempty" json:"staged,omitempty"` // nil: all at once, in batches
+	Places []Place `msgpack:"places,omitempty" json:"places,omitempty"` // of Targets; empty: not known
+	Note   *Note   `msgpack:"note,omitempty" json:"note,omitempty"`     // at this agent
 }
 
 // OpenIn asks for an operation's instances at this agent, at its begin or to go on.
@@ -272,6 +344,7 @@
 	Action     string        `msgpack:"action" json:"action"`
 	Status     string        `msgpack:"status" json:"status"`
 	Reason     string        `msgpack:"reason" json:"reason,omitempty"`
+	Cause      string        `msgpack:"cause,omitempty" json:"cause,omitempty"` // why its agent began it by itself
 	Generation int64         `msgpack:"generation" json:"generation"`
 	From       string        `msgpack:"from" json:"from,omitempty"`     // release before
 	To         string        `msgpack:"to" json:"to,omitempty"`         // and after
@@ -289,6 +362,58 @@
 	Result string `msgpack:"result"`
 }
 
+// NoteIn writes down where a staged change stands.
+type NoteIn struct {
+	Op    string `msgpack:"op"`
+	Token int64  `msgpack:"token"`
+	Note  Note   `msgpack:"note"`
+}
+
+// FiguresIn asks for what an agent's instances counted at the boundaries of slots
+// of its own length, from After on (a boundary's number, Unix time over the
+// length), the earliest first.
+type FiguresIn struct {
+	After int64 `msgpack:"after"`
+	Most  int   `msgpack:"most"` // samples; 0: as many as a message holds
+}
+
+type FiguresOut struct {
+	Slot    time.Duration `msgpack:"slot"` // 0: this agent takes no figures
+	Now     time.Time     `msgpack:"now"`
+	Last    int64         `msgpack:"last"` // the latest boundary that is whole
+	Samples []Sample      `msgpack:"samples"`
+}
+
+// Sample is what an instance's door told at a boundary; see judge.Sample.
+type Sample struct {
+	Instance string                  `msgpack:"i"`
+	Boundary int64                   `msgpack:"b"`
+	At       time.Time               `msgpack:"t"`
+	Process  string                  `msgpack:"p"`
+	Release  string                  `msgpack:"r"`
+	Started  time.Time               `msgpack:"s"`
+	Classes  map[string]judge.Counts `msgpack:"c"`
+	Tries    uint32                  `msgpack:"n"`
+	Ended    uint32                  `msgpack:"e"`
+	Declined uint32                  `msgpack:"d"`
+	Timed    uint32                  `msgpack:"o"`
+	Slow     uint32                  `msgpack:"w"`
+	Crashes  uint32                  `msgpack:"x"`
+	Memory   uint64                  `msgpack:"m"`
+	Files    uint32                  `msgpack:"f"`
+}
+
+// Judged is the sample as the judge takes it: of the instance at that place, with the
+// classes in that order.
+func (s *Sample) Judged(instance int, classes []string) judge.Sample {
+	w := judge.Window{Instance: instance, Release: s.Release, Tries: s.Tries, Ended: s.Ended, Declined: s.Declined,
+		Timed: s.Timed, Slow: s.Slow, Crashes: s.Crashes, Memory: s.Memory, Files: s.Files, Classes: make([]judge.Counts, len(classes))}
+	for n, name := range classes {
+		w.Classes[n] = s.Classes[name]
+	}
+	return judge.Sample{At: s.At, Process: s.Process, Started: s.Started, Window: w}
+}
+
 type AbortIn struct {
 	Op string `msgpack:"op"`
 }
--- a/internal/fleet/client/run.go
+++ b/internal/fleet/client/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/judge"
 	"chalkrack/internal/fleet/rollout"
 )
 
@@ -20,12 +21,14 @@
 	// failed, and how long a rollout that can't go on waits for a change.
 	GiveUp   time.Duration
 	Progress func(Event) // may be nil; called from one goroutine
+	// Release lets a staged change that holds go on to its next stage.
+	Release bool
 }
 
 // Event is something that an operator may want to see while an operation runs.
 type Event struct {
 	At       time.Time `json:"at"`
-	Kind     string    `json:"kind"` // begin, ok, failed, silent, answers, note
+	Kind     string    `json:"kind"` // begin, ok, failed, silent, answers, note; of stages: stage, verdict, wait, hold, worse
 	Host     string    `json:"host,omitempty"`
 	Instance string    `json:"instance,omitempty"`
 	Step     string    `json:"step,omitempty"`
@@ -55,6 +58,9 @@
 	Holder    string        `json:"holder,omitempty"`
 	Rows      []Row         `json:"rows"`
 	Notes     []string      `json:"notes,omitempty"`
+	// Of a staged change: where it stands, and what was last known of it.
+	Stages    *api.Note        `json:"stages,omitempty"`
+	Judgement *judge.Judgement `json:"judgement,omitempty"`
 }
 
 // OK says that all went as asked, and is known to have.
@@ -114,6 +120,10 @@
 	notes   []string
 	ended   string // the result at a host where the operation has ended already
 	changed time.Time
+
+	staged  *staged // nil: no stages
+	figures chan gathered
+	noted   chan int
 }
 
 // Start begins an operation: it takes the leases at every host, all or none, and
@@ -145,6 +155,11 @@
 		}
 		p.token = out.Token
 	}
+	if op.Staged != nil {
+		if err := r.stages(nil); err != nil {
+			return nil, err
+		}
+	}
 	return r.run(ctx)
 }
 
@@ -225,6 +240,16 @@
 	if r.ended != "" {
 		r.m.Abort("it had ended: " + r.ended)
 	}
+	if op.Staged != nil {
+		if err := r.stages(latest(outs)); err != nil {
+			return nil, err
+		}
+		if opt.Release {
+			if err := r.staged.release(); err != nil {
+				return nil, fmt.Errorf("operation %s can't go on: %w", id, err)
+			}
+		}
+	}
 	return r.run(ctx)
 }
 
@@ -276,7 +301,10 @@
 		if p := r.parts[host]; p != nil {
 			r.take(p, out)
 			if out.State != api.OpClosed {
-				result, holder = out.State, out.Holder
+				result = out.State
+				if out.Holder != "" {
+					holder = out.Holder
+				}
 			} else if result == "" {
 				result = out.Result
 			}
@@ -290,6 +318,7 @@
 	}
 	rep := r.report()
 	rep.Result, rep.Holder, rep.Why = result, holder, ""
+	rep.Stages = latest(outs)
 	return rep, nil
 }
 
@@ -306,12 +335,13 @@
 }
 
 func (f *Fleet) runner(op api.Operation, opt Options) (*runner, error) {
-	m, err := rollout.New(op.Policy, op.Targets)
+	m, err := rollout.New(op.Policy, op.Targets, op.Places...)
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{fleet: f, op: op, opt: opt, m: m, parts: make(map[string]*part), order: hosts(&op),
-		index: make(map[api.Target]int), states: make([]rollout.State, len(op.Targets)), events: make(chan event), changed: time.Now()}
+		index: make(map[api.Target]int), states: make([]rollout.State, len(op.Targets)), events: make(chan event), changed: time.Now(),
+		figures: make(chan gathered), noted: make(chan int)}
 	for _, host := range r.order {
 		a := f.Agent(host)
 		if a == nil {
@@ -348,6 +378,9 @@
 			continue
 		}
 		r.wg.Go(func() { r.follow(p) })
+		if r.staged != nil {
+			r.wg.Go(func() { r.staged.gather(p) })
+		}
 	}
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
@@ -365,7 +398,17 @@
 		case <-ctx.Done():
 		case e := <-r.events:
 			r.handle(e)
+		case g := <-r.figures:
+			r.staged.take(g)
+		case n := <-r.noted:
+			r.staged.noteWritten(n)
 		case <-tick.C:
+			if r.staged != nil {
+				r.staged.look()
+				if r.m.Settled() {
+					r.changed = time.Now() // it waits for evidence, not for instances
+				}
+			}
 			r.patience()
 		}
 	}
@@ -378,6 +421,8 @@
 	for waiting := true; waiting; {
 		select {
 		case <-r.events: // of no use any more
+		case <-r.figures:
+		case <-r.noted:
 		case <-done:
 			waiting = false
 		}
@@ -675,5 +720,8 @@
 		}
 		rep.Rows = append(rep.Rows, row)
 	}
+	if r.staged != nil {
+		rep.Stages, rep.Judgement = &r.staged.note, &r.staged.last
+	}
 	return rep
 }
--- a/internal/fleet/e2e/main_test.go
+++ b/internal/fleet/e2e/main_test.go
@@ -186,7 +186,7 @@
 				t.Fatal(err)
 			}
 			x.insts, x.listen[name] = append(x.insts, name), listen
-			fmt.Fprintf(&c, "[[instance]]\nname = %q\nconfig = %q\nlabels = {half = \"%d\"}\n", name, path, i%2)
+			fmt.Fprintf(&c, "[[instance]]\nname = %q\nconfig = %q\nlabels = {half = \"%d\", zone = \"zone-%d\"}\n", name, path, i%2, i%2)
 		}
 		x.config = filepath.Join(dir, "agent.toml")
 		if err := os.WriteFile(x.config, []byte(c.String()), 0o600); err != nil {
--- /dev/null
+++ b/internal/fleet/judge/export_test.go
@@ -0,0 +1,7 @@
+package judge
+
+// For the tests outside.
+var (
+	Radius         = radius
+	InformationFor = informationFor
+)
--- /dev/null
+++ b/internal/fleet/judge/trial/plot.go
@@ -0,0 +1,55 @@
+package trial
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Plot draws, for fleets of one size, the share of runs stopped over the time since
+// the change began: a line for each method, solid without harm and dashed with it.
+// The file's ending says its form: .svg, .png or .pdf.
+func Plot(rows []Row, size int, harm, path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%d instances: share of changes stopped", size)
+	p.X.Label.Text, p.Y.Label.Text = "seconds since the change began", "share of runs"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top, p.Legend.Left = false, false
+	end := float64(slotsPlayed-pastSlots) * slotLength.Seconds()
+	drawn := 0
+	for m, method := range Methods {
+		for _, r := range rows {
+			if r.Instances != size || r.Method != method || r.Harm != harm && r.Harm != Harms()[0].Name || r.Runs == 0 {
+				continue
+			}
+			pts := plotter.XYs{{X: 0, Y: 0}}
+			for n, t := range r.Times {
+				y := float64(n) / float64(r.Runs)
+				pts = append(pts, plotter.XY{X: t, Y: y}, plotter.XY{X: t, Y: y + 1/float64(r.Runs)})
+			}
+			pts = append(pts, plotter.XY{X: end, Y: math.Min(1, r.Share())})
+			l, err := plotter.NewLine(pts)
+			if err != nil {
+				return fmt.Errorf("plot of %s: %w", method, err)
+			}
+			l.Color = plotutil.Color(m)
+			if r.Harm == harm {
+				l.Dashes = plotutil.Dashes(1)
+			}
+			p.Add(l)
+			p.Legend.Add(fmt.Sprintf("%s, %s", method, r.Harm), l)
+			drawn++
+		}
+	}
+	if drawn == 0 {
+		return fmt.Errorf("plot: no run of %d instances with harm %q", size, harm)
+	}
+	if err := p.Save(22*vg.Centimeter, 14*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/neighbour/neighbour_test.go
@@ -0,0 +1,54 @@
+package neighbour
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCheck(t *testing.T) {
+	one := Versions{Program: "fawnrock", HandOver: 1, Snapshot: 1, Record: 1, Agent: 1}
+	with := func(edit func(*Versions)) Versions { v := one; edit(&v); return v }
+	all := Use{HandOver: true, Record: true, Back: true}
+	for name, c := range map[string]struct {
+		before, now Versions
+		use         Use
+		want        string // of the error; "" for none
+	}{
+		"the same":               {one, one, all, ""},
+		"one that does not tell": {First, one, Use{HandOver: true, Back: true}, ""},
+		"another snapshot":       {one, with(func(v *Versions) { v.Snapshot = 2 }), all, ""},
+		"another hand-over":      {one, with(func(v *Versions) { v.HandOver = 2 }), all, "versions 1 and 2 of the hand-over"},
+		"which is off":           {one, with(func(v *Versions) { v.HandOver = 2 }), Use{Record: true}, ""},
+		"another program":        {one, with(func(v *Versions) { v.Program = "drill" }), Use{}, "the other drill"},
+		"a later agent's":        {one, with(func(v *Versions) { v.Agent = 2 }), Use{}, "upgrade the agent first"},
+		"no record":              {one, with(func(v *Versions) { v.Record = 0 }), all, "-tags record"},
+		"an older record":        {with(func(v *Versions) { v.Record = 2 }), one, all, "schema 1, and that is at 2"},
+		"a newer record":         {one, with(func(v *Versions) { v.Record = 2 }), all, "can't be taken back"},
+		"and no way back":        {one, with(func(v *Versions) { v.Record = 2 }), Use{Record: true}, ""},
+	} {
+		err := Check(c.before, c.now, c.use)
+		if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v; want %q", name, err, c.want)
+		}
+	}
+}
+
+func TestAsk(t *testing.T) {
+	for text, want := range map[string]Versions{
+		"echo '{\"program\":\"x\",\"hand_over\":7,\"agent\":1}'": {Program: "x", HandOver: 7, Agent: 1},
+		"exit 1":       First,
+		"echo nothing": First,
+		"sleep 60":     First,
+	} {
+		path := filepath.Join(t.TempDir(), "program")
+		if err := os.WriteFile(path, []byte("#!/bin/sh\nPATH=/bin:/usr/bin\n"+text+"\n"), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if got := Ask(context.Background(), path); got != want {
+			t.Errorf("%s: %+v, want %+v", text, got, want)
+		}
+	}
+}
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -5,6 +5,7 @@
 package release
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -116,6 +117,25 @@
 	return false, size(Sidecar), size(Overlay)
 }
 
+// SameProgram says whether two releases differ in their overlays alone.
+func (d *Dir) SameProgram(x, y string) (bool, error) {
+	var sums [2][]byte
+	for n, hash := range []string{x, y} {
+		f, err := os.Open(d.Path(hash, Sidecar))
+		if err != nil {
+			return false, fmt.Errorf("release: %w", err)
+		}
+		h := sha256.New()
+		_, err = io.Copy(h, f)
+		f.Close()
+		if err != nil {
+			return false, fmt.Errorf("release: %w", err)
+		}
+		sums[n] = h.Sum(nil)
+	}
+	return bytes.Equal(sums[0], sums[1]), nil
+}
+
 // Write adds bytes at an offset, which must be where the file ends: a repeat of
 // what is there already is taken and changes nothing.
 func (d *Dir) Write(hash, file string, offset int64, data []byte) error {
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -17,9 +17,10 @@
 
 // What is done after too many failures.
 const (
-	Stop  = "stop"     // nothing new is changed
-	Back  = "rollback" // and what was changed goes back to what it was
-	Pause = "pause"    // nothing new, and the operation stays open to be resumed
+	Stop      = "stop"           // nothing new is changed
+	Back      = "rollback"       // and what was changed goes back to what it was
+	BackStage = "rollback-stage" // only what was changed in the stage under way does
+	Pause     = "pause"          // nothing new, and the operation stays open to be resumed
 )
 
 // Check says what is wrong with a policy for n targets.
@@ -35,8 +36,10 @@
 		return fmt.Errorf("max-failures is %d; it must be 0 or more", p.MaxFailures)
 	case p.Canaries < 0:
 		return fmt.Errorf("canaries is %d; it must be 0 or more", p.Canaries)
-	case p.OnFailure != Stop && p.OnFailure != Back && p.OnFailure != Pause:
-		return fmt.Errorf("on-failure is %q; it must be %s, %s or %s", p.OnFailure, Stop, Back, Pause)
+	case p.OnFailure != Stop && p.OnFailure != Back && p.OnFailure != BackStage && p.OnFailure != Pause:
+		return fmt.Errorf("on-failure is %q; it must be %s, %s, %s or %s", p.OnFailure, Stop, Back, BackStage, Pause)
+	case p.MaxHost < 0 || p.MaxZone < 0 || p.MaxShop < 0:
+		return fmt.Errorf("max-host, max-zone and max-shop must be 0 (no limit) or more")
 	}
 	return nil
 }
@@ -90,8 +93,24 @@
 	State  State
 	Reason string
 	Batch  int
-	down   bool // observed to be unavailable while no step runs
-	back   bool // a rollback was asked for
+	Place  api.Place // where it is, for the policy's limits
+	down   bool      // observed to be unavailable while no step runs
+	back   bool      // a rollback was asked for
+}
+
+// groups are those of which the policy allows only so many unavailable at once.
+func (t *Target) groups(p *api.Policy) (out []group) {
+	for _, g := range []group{{"host", t.Host, p.MaxHost}, {"zone", t.Place.Zone, p.MaxZone}, {"shop", t.Place.Shop, p.MaxShop}} {
+		if g.most > 0 && g.name != "" {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+type group struct {
+	kind, name string
+	most       int
 }
 
 // Action is a step to begin, Kind api.Change or api.Rollback, or the end: Kind "".
@@ -106,25 +125,36 @@
 	targets []Target
 	silent  map[string]bool
 	gaveUp  map[string]bool
+	open    int    // targets before it may be changed
+	more    bool   // more is to come, though all that may be changed is
+	from    int    // BackStage takes back targets from it on
 	tripped string // why nothing new is changed
 	aborted bool
 	stuck   bool
 	result  string
 }
 
-// New returns a machine with all targets pending.
-func New(p api.Policy, targets []api.Target) (*Machine, error) {
+// New returns a machine with all targets pending. places, where given, say where each
+// target is.
+func New(p api.Policy, targets []api.Target, places ...api.Place) (*Machine, error) {
 	if err := Check(p, len(targets)); err != nil {
 		return nil, fmt.Errorf("rollout: %w", err)
 	}
-	m := &Machine{policy: p, silent: make(map[string]bool), gaveUp: make(map[string]bool)}
+	if len(places) != 0 && len(places) != len(targets) {
+		return nil, fmt.Errorf("rollout: %d places of %d targets", len(places), len(targets))
+	}
+	m := &Machine{policy: p, silent: make(map[string]bool), gaveUp: make(map[string]bool), open: len(targets)}
 	seen := make(map[api.Target]bool)
 	for _, t := range targets {
 		if seen[t] {
 			return nil, fmt.Errorf("rollout: %s on %s is there twice", t.Instance, t.Host)
 		}
 		seen[t] = true
-		m.targets = append(m.targets, Target{Target: t, State: Pending})
+		x := Target{Target: t, State: Pending}
+		if len(places) > 0 {
+			x.Place = places[len(m.targets)]
+		}
+		m.targets = append(m.targets, x)
 	}
 	for n, b := range Batches(p, len(targets)) {
 		for _, i := range b {
@@ -134,6 +164,28 @@
 	return m, nil
 }
 
+// Open says that only the first n targets may be changed so far, and that the stage
+// under way begins at the target from. With more, the machine waits after them too.
+func (m *Machine) Open(n, from int, more bool) { m.open, m.from, m.more = n, from, more }
+
+// Settled says that every target that may be changed so far has come to its end.
+func (m *Machine) Settled() bool {
+	for i := range m.targets[:m.open] {
+		if t := &m.targets[i]; t.State == Pending && !m.gaveUp[t.Host] || t.State == Changing || t.State == Unknown && !m.gaveUp[t.Host] {
+			return false
+		}
+	}
+	return true
+}
+
+// Trip tells that what was changed is judged worse: nothing new is changed, and
+// the policy says what becomes of the rest.
+func (m *Machine) Trip(reason string) {
+	if m.tripped == "" {
+		m.tripped = reason
+	}
+}
+
 // Targets is what is known of each, in order. The caller must not change it.
 func (m *Machine) Targets() []Target { return m.targets }
 
@@ -290,10 +342,13 @@
 	if m.result != "" {
 		return nil
 	}
-	used := 0
+	used, within := 0, make(map[group]int)
 	for i := range m.targets {
-		if m.unavailable(&m.targets[i]) {
+		if t := &m.targets[i]; m.unavailable(t) {
 			used++
+			for _, g := range t.groups(&m.policy) {
+				within[g]++
+			}
 		}
 	}
 	begin := func(i int, kind string) {
@@ -302,6 +357,15 @@
 			if used >= m.policy.MaxUnavailable {
 				return
 			}
+			groups := t.groups(&m.policy)
+			for _, g := range groups {
+				if within[g] >= g.most {
+					return
+				}
+			}
+			for _, g := range groups {
+				within[g]++
+			}
 			used++
 		}
 		t.State, t.Reason = Changing, ""
@@ -316,7 +380,8 @@
 	case m.tripped == "":
 		// The first batch with a target that has not come to its end.
 		batch := -1
-		for i := range m.targets {
+		wait = wait || m.more
+		for i := range m.targets[:m.open] {
 			t := &m.targets[i]
 			open := t.State == Pending && !m.gaveUp[t.Host] || t.State == Changing || t.State == Unknown && !m.gaveUp[t.Host]
 			if open && batch < 0 {
@@ -329,12 +394,12 @@
 				}
 			}
 		}
-	case m.policy.OnFailure == Back && m.changing() == 0:
+	case m.back() && m.changing() == 0:
 		// Those that are down first: putting them right takes nothing away.
 		for _, down := range []bool{true, false} {
 			for i := range m.targets {
 				t := &m.targets[i]
-				if (t.State == Failed || t.State == Changed) && !t.back && !m.gaveUp[t.Host] {
+				if (t.State == Failed || t.State == Changed) && !t.back && !m.gaveUp[t.Host] && i >= m.backFrom() {
 					wait = true
 					if t.down == down && !m.silent[t.Host] {
 						begin(i, api.Rollback)
@@ -350,6 +415,18 @@
 	return out
 }
 
+// back says whether what was changed is taken back, and backFrom from which target on.
+func (m *Machine) back() bool {
+	return m.policy.OnFailure == Back || m.policy.OnFailure == BackStage
+}
+
+func (m *Machine) backFrom() int {
+	if m.policy.OnFailure == BackStage {
+		return m.from
+	}
+	return 0
+}
+
 // changing counts changes under way: they end before anything is taken back.
 func (m *Machine) changing() (n int) {
 	for i := range m.targets {
@@ -361,18 +438,22 @@
 }
 
 func (m *Machine) end() string {
-	n := make(map[State]int)
+	n, forward := make(map[State]int), 0
 	for i := range m.targets {
-		n[m.targets[i].State]++
+		s := m.targets[i].State
+		n[s]++
+		if i >= m.backFrom() && (s == Changed || s == Failed || s == Unknown) {
+			forward++
+		}
 	}
 	switch {
 	case m.aborted:
 		return Aborted
 	case n[Changed] == len(m.targets):
 		return Succeeded
-	case n[RollbackFailed] > 0, m.tripped != "" && m.policy.OnFailure == Back && n[Changed]+n[Failed]+n[Unknown] > 0:
+	case n[RollbackFailed] > 0, m.tripped != "" && m.back() && forward > 0:
 		return BackFailed
-	case m.tripped != "" && m.policy.OnFailure == Back:
+	case m.tripped != "" && m.back():
 		return WentBack
 	case m.tripped != "" && m.policy.OnFailure == Pause:
 		return Paused
--- a/internal/standin/shop/shop.go
+++ b/internal/standin/shop/shop.go
@@ -164,12 +164,18 @@
 	if listen, err = FreeAddr(n); err != nil {
 		return "", "", err
 	}
+	door := listen
+	for door == listen { // beside it, on the same address
+		if door, err = FreeAddr(n); err != nil {
+			return "", "", err
+		}
+	}
 	path = filepath.Join(dir, name+".json")
-	return path, listen, os.WriteFile(path, fmt.Appendf(nil, form, name, listen, s.Discovery), 0o600)
+	return path, listen, os.WriteFile(path, fmt.Appendf(nil, form, name, listen, door, s.Discovery), 0o600)
 }
 
 const form = `{
- "name": %q, "listen": %q, "discovery": %q, "seed": "1f",
+ "name": %q, "listen": %q, "mgmt": %q, "discovery": %q, "seed": "1f",
  "limits": {"cores": 1, "memory_mb": 64, "sockets": 128},
  "settings": {
   "replicasOfMe": 3, "registryMode": "automatic", "zone": "jakarta",
--- a/internal/standin/simhost/simhost.go
+++ b/internal/standin/simhost/simhost.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chalkrack/internal/fleet/agent"
+	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/proc"
 )
 
@@ -135,5 +136,10 @@
 	return proc.Healthy{}, errors.New("connection refused")
 }
 
+// Figures implements agent.Machine: a pretended sidecar has no door.
+func (h *Host) Figures(context.Context, string, int, time.Duration) (*api.Sample, error) {
+	return nil, errors.New("a pretended sidecar has no door")
+}
+
 // Boot implements agent.Machine.
 func (h *Host) Boot() string { return "simulated" }
