--- a/internal/fleet/client/staged.go
+++ b/internal/fleet/client/staged.go
@@ -263,7 +263,7 @@
 	}
 	v := api.Verdict{At: time.Now().UTC(), Slot: slot, Stage: now.Stage, Verdict: string(s.last.Verdict), Text: text}
 	for n, e := range s.last.Evidence {
-		if n == 4 || e.Verdict == judge.NotWorse {
+		if n == 4 || e.Verdict == judge.NotWorse || kind != "worse" && kind != "hold" {
 			break
 		}
 		v.Evidence = append(v.Evidence, e.String())
--- a/internal/fleet/stage/stage.go
+++ b/internal/fleet/stage/stage.go
@@ -174,7 +174,7 @@
 // missing names the first test that can't be told.
 func missing(j judge.Judgement) string {
 	for _, e := range j.Evidence {
-		if e.Verdict == judge.CantTell {
+		if e.Verdict == judge.CantTell && !e.Aside {
 			return e.String()
 		}
 	}
