--- a/internal/fleet/client/run.go
+++ b/internal/fleet/client/run.go
@@ -134,6 +134,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if op.Staged != nil {
+		if err := r.stages(nil); err != nil {
+			return nil, fmt.Errorf("nothing was changed: %w", err)
+		}
+	}
 	// In one order everywhere: of two who want the same, one gets the first.
 	for n, host := range r.order {
 		p := r.parts[host]
@@ -155,11 +160,6 @@
 		}
 		p.token = out.Token
 	}
-	if op.Staged != nil {
-		if err := r.stages(nil); err != nil {
-			return nil, err
-		}
-	}
 	return r.run(ctx)
 }
 
