Judge: an aside is marked in the evidence itself, not in a copy of it

Cause: Look appended the evidence before it set Aside (verdict.go), so that no evidence ever said it, the asides were not sorted last, and a hold could name the test of one zone or of a class without traffic as its reason. What was judged was right.

Change: appended once it is complete.

--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -101,6 +101,9 @@
 			if got.Verdict != c.want || !strings.HasPrefix(got.Evidence[0].String(), c.by) || !strings.Contains(got.Evidence[0].String(), c.why) {
 				t.Errorf("%s by %s; want %s by %q %q", got.Verdict, got.Evidence[0], c.want, c.by, c.why)
 			}
+			if got.Verdict == judge.CantTell && (got.Evidence[0].Zone != "" || !got.Evidence[len(got.Evidence)-1].Aside) {
+				t.Errorf("it can't be told, and an aside is named for it: %s", got.Evidence[0])
+			}
 			if (len(got.Suffering) > 0) != c.suffers {
 				t.Errorf("suffering: %+v; want any: %v", got.Suffering, c.suffers)
 			}
--- a/internal/fleet/judge/verdict.go
+++ b/internal/fleet/judge/verdict.go
@@ -104,11 +104,11 @@
 			}
 		}
 		j.rule(&e, known[t.cell])
-		out.Evidence = append(out.Evidence, e)
 		e.Aside = e.Verdict == CantTell && !j.holds(&e)
 		if e.Verdict == Worse || e.Verdict == CantTell && out.Verdict == NotWorse && !e.Aside {
 			out.Verdict = e.Verdict
 		}
+		out.Evidence = append(out.Evidence, e)
 	}
 	rank := func(e *Evidence) int {
 		if e.Aside {
