Staged change read over: one maker of evidence, one file sum, no state that nobody reads

An agent's sample is the door's with its owner added, so that a further figure can't be left out of a copy by hand. Gone: the time of the last note and a host's clock offset, which were written and not read. The judge's package comment says what it does since the expectation became a ratio.

Behaviour is meant to be the same.

--- a/internal/fleet/agent/figures.go
+++ b/internal/fleet/agent/figures.go
@@ -64,7 +64,7 @@
 	n := 0.0
 	for name, c := range b.Classes {
 		was := a.Classes[name]
-		n += float64(c.Served+c.Refused+c.Failed) - float64(was.Served+was.Refused+was.Failed)
+		n += c.All() - was.All()
 	}
 	return max(0, n/took)
 }
@@ -208,7 +208,7 @@
 	for _, name := range a.names {
 		i := a.inst[name]
 		if i.cfg.door != "" && i.proc != nil && i.prev == nil && i.row.Launch != "" {
-			jobs = append(jobs, job{api.Sample{Instance: name, Boundary: boundary, Process: i.row.Launch, Release: i.row.Running,
+			jobs = append(jobs, job{api.Sample{Instance: name, Process: i.row.Launch, Release: i.row.Running,
 				Started: i.row.Launched, Crashes: uint32(max(0, i.row.Restarts))}, i.cfg.door, i.row.PID})
 		}
 	}
@@ -225,12 +225,11 @@
 			if err != nil {
 				return // a gap, which whoever judges sees and counts
 			}
-			s := b.s
-			s.At, s.Classes, s.Tries, s.Ended, s.Declined = time.Now(), got.Classes, got.Tries, got.Ended, got.Declined
-			s.Timed, s.Slow, s.Memory, s.Files = got.Timed, got.Slow, got.Memory, got.Files
+			got.At, got.Instance, got.Boundary, got.Process = time.Now(), b.s.Instance, boundary, b.s.Process
+			got.Release, got.Started, got.Crashes = b.s.Release, b.s.Started, b.s.Crashes
 			mu.Lock()
 			defer mu.Unlock()
-			out = append(out, s)
+			out = append(out, *got)
 		})
 	}
 	wg.Wait()
--- a/internal/fleet/client/staged.go
+++ b/internal/fleet/client/staged.go
@@ -16,26 +16,59 @@
 // judged, and opens the targets of a stage once the one before has passed. What is
 // decided, it writes down at the agents before it acts on it.
 type staged struct {
+	*evidence
 	r     *runner
-	spec  *api.Staged
 	m     *stage.Machine
-	j     *judge.Judge
 	last  judge.Judgement
-	diffs []judge.Differ
 	hosts map[string]*source
 	note  api.Note
-	dirty bool      // the note is to be written before anything is done on it
-	wrote time.Time // the note, anywhere
-	busy  bool      // it is being written
-	told  string    // verdict and pause last told
+	dirty bool   // the note is to be written before anything is done on it
+	busy  bool   // it is being written
+	told  string // verdict last told
 }
 
 // source is where one host's figures have come to.
 type source struct {
-	after  int64         // the latest boundary taken over
-	heard  time.Time     // the last answer with figures
-	offset time.Duration // its clock less ours
-	why    string        // what is wrong with it
+	after int64     // the latest boundary taken over
+	heard time.Time // the last answer with figures
+	why   string    // what is wrong with it
+}
+
+// evidence makes windows of what hosts' agents tell, for a judge.
+type evidence struct {
+	spec  *api.Staged
+	j     *judge.Judge
+	place map[api.Target]int
+	diffs []judge.Differ // by place
+}
+
+// newEvidence returns none so far, of an operation whose first stage began at slot start.
+func newEvidence(op *api.Operation, start int) (*evidence, error) {
+	cfg := op.Staged.Judge
+	cfg.Start = start
+	j, err := judge.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	e := &evidence{spec: op.Staged, j: j, place: make(map[api.Target]int), diffs: make([]judge.Differ, len(op.Targets))}
+	for i, t := range op.Targets {
+		e.place[t], e.diffs[i] = i, judge.Differ{Slot: cfg.Slot, Off: cfg.Slot / 4}
+	}
+	return e, nil
+}
+
+// add takes a host's samples, in the order of their time. Those told before do no harm.
+func (e *evidence) add(host string, samples []api.Sample) {
+	for n := range samples {
+		x := &samples[n]
+		i, ok := e.place[api.Target{Host: host, Instance: x.Instance}]
+		if !ok {
+			continue
+		}
+		if w, ok := e.diffs[i].Next(x.Judged(i, e.spec.Judge.Classes), e.spec.First); ok {
+			e.j.Add(w)
+		}
+	}
 }
 
 // gathered is a host's answer to a call for figures.
@@ -56,24 +89,20 @@
 // stages sets a staged change up at the latest note that any host has.
 func (r *runner) stages(note *api.Note) error {
 	spec := r.op.Staged
-	cfg := spec.Judge
-	cfg.Start = cfg.SlotsMost // all is past so far
-	j, err := judge.New(cfg)
-	if err != nil {
-		return err
-	}
-	s := &staged{r: r, spec: spec, j: j, diffs: make([]judge.Differ, len(r.op.Targets)), hosts: make(map[string]*source)}
+	start := spec.Judge.SlotsMost // all is past so far
+	s := &staged{r: r, hosts: make(map[string]*source)}
 	if note != nil {
 		s.note = *note
 		if note.State.Stage > 0 {
-			j.Begin(note.Start)
+			start = note.Start
 		}
 	}
-	if s.m, err = stage.New(spec.Plan, s.note.State, len(r.op.Targets)); err != nil {
+	var err error
+	if s.evidence, err = newEvidence(&r.op, start); err != nil {
 		return err
 	}
-	for i := range s.diffs {
-		s.diffs[i] = judge.Differ{Slot: cfg.Slot, Off: cfg.Slot / 4}
+	if s.m, err = stage.New(spec.Plan, s.note.State, len(r.op.Targets)); err != nil {
+		return err
 	}
 	for _, host := range r.order {
 		s.hosts[host] = &source{after: spec.First - 1, heard: time.Now()}
@@ -90,11 +119,17 @@
 		return err
 	}
 	s.note.State, s.dirty = s.m.State(), true
-	s.note.Log = append(s.note.Log, api.Verdict{At: time.Now().UTC(), Stage: before.Stage, Text: "let go on by " + s.r.opt.Holder + ", which held: " + before.Held})
-	s.note.Log = s.note.Log[max(0, len(s.note.Log)-api.VerdictsMost):]
+	s.log(api.Verdict{Stage: before.Stage, Text: "let go on by " + s.r.opt.Holder + ", which held: " + before.Held})
 	return nil
 }
 
+// log keeps a verdict in the note, of which the latest stay.
+func (s *staged) log(v api.Verdict) {
+	v.At = time.Now().UTC()
+	s.note.Log = append(s.note.Log, v)
+	s.note.Log = s.note.Log[max(0, len(s.note.Log)-api.VerdictsMost):]
+}
+
 // open lets the rollout begin what the stages allow.
 func (s *staged) open() {
 	state := s.m.State()
@@ -142,33 +177,26 @@
 		return
 	}
 	// The answer's time lies between the question and now: what is outside is the clock's.
-	now := time.Now()
-	h.offset = 0
+	now, off := time.Now(), time.Duration(0)
 	if g.out.Now.Before(g.sent) {
-		h.offset = g.out.Now.Sub(g.sent)
+		off = g.out.Now.Sub(g.sent)
 	} else if g.out.Now.After(now) {
-		h.offset = g.out.Now.Sub(now)
+		off = g.out.Now.Sub(now)
 	}
-	late := h.offset.Abs() > slot/4
-	for n := range g.out.Samples {
-		x := &g.out.Samples[n]
-		i, ok := s.r.index[api.Target{Host: g.host, Instance: x.Instance}]
-		if !ok || x.Boundary <= h.after {
-			continue
-		}
-		if late {
+	late := off.Abs() > slot/4
+	if !late {
+		s.add(g.host, g.out.Samples)
+	}
+	for _, x := range g.out.Samples {
+		if _, ok := s.place[api.Target{Host: g.host, Instance: x.Instance}]; ok && late && x.Boundary > h.after {
 			s.j.Leave(judge.Clock, 1)
-			continue
-		}
-		if w, ok := s.diffs[i].Next(x.Judged(i, s.spec.Judge.Classes), s.spec.First); ok {
-			s.j.Add(w)
 		}
 	}
 	h.after = max(h.after, g.out.Last)
 	h.why = ""
 	switch {
 	case late:
-		h.why = fmt.Sprintf("its clock is %v off this one's", h.offset.Round(time.Millisecond))
+		h.why = fmt.Sprintf("its clock is %v off this one's", off.Round(time.Millisecond))
 	case g.out.Slot != slot:
 		h.why = fmt.Sprintf("it takes figures each %v, not each %v", g.out.Slot, slot)
 	case h.after >= s.boundary()-blindAfter:
@@ -261,15 +289,14 @@
 		}
 		return
 	}
-	v := api.Verdict{At: time.Now().UTC(), Slot: slot, Stage: now.Stage, Verdict: string(s.last.Verdict), Text: text}
+	v := api.Verdict{Slot: slot, Stage: now.Stage, Verdict: string(s.last.Verdict), Text: text}
 	for n, e := range s.last.Evidence {
 		if n == 4 || e.Verdict == judge.NotWorse || kind != "worse" && kind != "hold" {
 			break
 		}
 		v.Evidence = append(v.Evidence, e.String())
 	}
-	s.note.Log = append(s.note.Log, v)
-	s.note.Log = s.note.Log[max(0, len(s.note.Log)-api.VerdictsMost):]
+	s.log(v)
 	s.r.tell(Event{Kind: kind, Text: text})
 }
 
@@ -314,7 +341,7 @@
 	if hosts == 0 {
 		return
 	}
-	s.dirty, s.wrote = false, time.Now()
+	s.dirty = false
 	s.open()
 }
 
@@ -336,42 +363,23 @@
 	if spec == nil || note == nil || note.State.Stage == 0 {
 		return nil, nil, fmt.Errorf("operation %s has no stage that was judged", rep.Operation.ID)
 	}
-	cfg := spec.Judge
-	cfg.Start = note.Start
-	j, err := judge.New(cfg)
+	e, err := newEvidence(&rep.Operation, note.Start)
 	if err != nil {
 		return nil, nil, err
 	}
-	place := make(map[api.Target]int)
-	for i, t := range rep.Operation.Targets {
-		place[t] = i
-	}
 	for _, host := range hosts(&rep.Operation) {
 		a := f.Agent(host)
 		if a == nil {
 			missing = append(missing, host)
 			continue
 		}
-		diffs := make(map[int]*judge.Differ)
 		for after := spec.First - 1; ; {
 			var out api.FiguresOut
 			if err := a.Call(ctx, api.Figures, &api.FiguresIn{After: after}, &out); err != nil {
 				missing = append(missing, host)
 				break
 			}
-			for n := range out.Samples {
-				x := &out.Samples[n]
-				i, ok := place[api.Target{Host: host, Instance: x.Instance}]
-				if !ok {
-					continue
-				}
-				if diffs[i] == nil {
-					diffs[i] = &judge.Differ{Slot: cfg.Slot, Off: cfg.Slot / 4}
-				}
-				if w, ok := diffs[i].Next(x.Judged(i, cfg.Classes), spec.First); ok {
-					j.Add(w)
-				}
-			}
+			e.add(host, out.Samples)
 			if len(out.Samples) == 0 || out.Last <= after {
 				break
 			}
@@ -379,7 +387,7 @@
 		}
 	}
 	for slot := note.Start; slot <= note.State.Looked; slot++ {
-		series = append(series, j.Look(slot+1))
+		series = append(series, e.j.Look(slot+1))
 	}
 	return series, missing, nil
 }
--- a/internal/fleet/judge/coarse.go
+++ b/internal/fleet/judge/coarse.go
@@ -32,8 +32,8 @@
 	}
 	asked, served := 0.0, uint32(0)
 	for _, w := range ws {
+		asked += w.asked()
 		for _, c := range w.Classes {
-			asked += c.all()
 			served += c.Served
 		}
 	}
--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -2,9 +2,9 @@
 // that do not, from what they counted over the same time. It is pure: it does no
 // I/O and reads no clock; counts come in, verdicts with their evidence go out.
 //
-// Each instance is compared with its own past, and what is left of that with the
-// instances beside it that were not changed (difference in differences), within a
-// zone and a slot of time. So neither a bad minute at the servers nor an instance
+// Each instance is expected to be as many times as bad as the unchanged ones beside it,
+// within a zone and a slot of time, as it was in its past; what the changed ones are
+// beyond that is set against what the unchanged ones are. So neither a bad minute at the servers nor an instance
 // that was always worse looks like the change's doing. The bounds hold however
 // often they are looked at (see bound.go), over all measures together.
 //
@@ -25,7 +25,8 @@
 	Served, Refused, Failed uint32
 }
 
-func (c Counts) all() float64 { return float64(c.Served) + float64(c.Refused) + float64(c.Failed) }
+// All is how many there were.
+func (c Counts) All() float64 { return float64(c.Served) + float64(c.Refused) + float64(c.Failed) }
 
 // Window is what one process counted in one slot of time.
 type Window struct {
@@ -41,13 +42,21 @@
 	// of them that a server turned away.
 	Tries, Ended, Declined uint32
 	// Timed are requests whose time in the sidecar was taken, Slow those of them
-	// over Config.SlowOver.
+	// held for too long, which whoever reads the figures decides (package scrape).
 	Timed, Slow uint32
 	Crashes     uint32 // ends of a process that nobody asked for, since the window before
 	Memory      uint64 // resident, in bytes, at the window's end; 0: not known
 	Files       uint32 // open descriptors, likewise
 }
 
+// asked is how many requests there were.
+func (w *Window) asked() (n float64) {
+	for _, c := range w.Classes {
+		n += c.All()
+	}
+	return n
+}
+
 // Measure is one thing that is compared.
 type Measure string
 
@@ -58,7 +67,7 @@
 	Worth    Measure = "worth"    // share of the worth asked for that was not served
 	Attempts Measure = "attempts" // attempts a request
 	Declined Measure = "declined" // share of attempts that servers turned away
-	Slow     Measure = "slow"     // share of requests held in the sidecar for longer than SlowOver
+	Slow     Measure = "slow"     // share of requests held in the sidecar for too long
 	Crashes  Measure = "crashes"  // a minute
 	Memory   Measure = "memory"   // growth, MiB a minute
 	Files    Measure = "files"    // growth of open descriptors, a minute
@@ -335,28 +344,24 @@
 	for c, name := range j.cfg.Classes {
 		add(cell{Unserved, c, false, func(w *Window) (float64, float64, float64) {
 			k := w.Classes[c]
-			return float64(k.Refused) + float64(k.Failed), k.all(), k.all()
+			return float64(k.Refused) + float64(k.Failed), k.All(), k.All()
 		}}, name, true)
 		add(cell{Failed, c, false, func(w *Window) (float64, float64, float64) {
 			k := w.Classes[c]
-			return float64(k.Failed), k.all(), k.all()
+			return float64(k.Failed), k.All(), k.All()
 		}}, name, false)
 	}
 	add(cell{Worth, -1, false, func(w *Window) (x, n, n2 float64) {
 		for c, k := range w.Classes {
 			v := j.cfg.Worth[c]
 			x += v * (float64(k.Refused) + float64(k.Failed))
-			n += v * k.all()
-			n2 += v * v * k.all()
+			n += v * k.All()
+			n2 += v * v * k.All()
 		}
 		return x, n, n2
 	}}, "", true)
 	add(cell{Attempts, -1, true, func(w *Window) (float64, float64, float64) {
-		n := 0.0
-		for _, k := range w.Classes {
-			n += k.all()
-		}
-		return float64(w.Tries), n, n
+		return float64(w.Tries), w.asked(), w.asked()
 	}}, "", false)
 	add(cell{Declined, -1, false, func(w *Window) (float64, float64, float64) {
 		return float64(w.Declined), float64(w.Ended), float64(w.Ended)
@@ -467,9 +472,7 @@
 		side := 1
 		if !g.new {
 			side = 0
-			for _, c := range g.w.Classes {
-				j.asked += c.all()
-			}
+			j.asked += g.w.asked()
 		} else if beside[j.zone[i]] == 0 {
 			j.alone++
 		}
--- a/internal/fleet/release/release.go
+++ b/internal/fleet/release/release.go
@@ -47,23 +47,32 @@
 	h := sha256.New()
 	fmt.Fprintln(h, "martendrum release 1")
 	for _, path := range []string{sidecar, overlay} {
-		one := sha256.New()
-		if path != "" {
-			f, err := os.Open(path)
-			if err != nil {
-				return "", err
-			}
-			_, err = io.Copy(one, f)
-			f.Close()
-			if err != nil {
-				return "", err
-			}
+		one, err := sum(path)
+		if err != nil {
+			return "", err
 		}
-		fmt.Fprintf(h, "%x\n", one.Sum(nil))
+		fmt.Fprintf(h, "%x\n", one)
 	}
 	return hex.EncodeToString(h.Sum(nil)), nil
 }
 
+// sum is the SHA-256 of a file, of nothing where path is "".
+func sum(path string) ([]byte, error) {
+	h := sha256.New()
+	if path != "" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		_, err = io.Copy(h, f)
+		f.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return h.Sum(nil), nil
+}
+
 // CheckOverlay says what is wrong with an overlay: a JSON object, empty for none.
 func CheckOverlay(data []byte) error {
 	if len(data) == 0 {
@@ -119,21 +128,15 @@
 
 // SameProgram says whether two releases differ in their overlays alone.
 func (d *Dir) SameProgram(x, y string) (bool, error) {
-	var sums [2][]byte
-	for n, hash := range []string{x, y} {
-		f, err := os.Open(d.Path(hash, Sidecar))
-		if err != nil {
-			return false, fmt.Errorf("release: %w", err)
-		}
-		h := sha256.New()
-		_, err = io.Copy(h, f)
-		f.Close()
-		if err != nil {
-			return false, fmt.Errorf("release: %w", err)
-		}
-		sums[n] = h.Sum(nil)
+	one, err := sum(d.Path(x, Sidecar))
+	if err != nil {
+		return false, fmt.Errorf("release: %w", err)
+	}
+	other, err := sum(d.Path(y, Sidecar))
+	if err != nil {
+		return false, fmt.Errorf("release: %w", err)
 	}
-	return bytes.Equal(sums[0], sums[1]), nil
+	return bytes.Equal(one, other), nil
 }
 
 // Write adds bytes at an offset, which must be where the file ends: a repeat of
--- a/internal/record/e2e/handover_test.go
+++ b/internal/record/e2e/handover_test.go
@@ -131,19 +131,8 @@
 		})
 		return l
 	}
-	ready := func() {
-		t.Helper()
-		for deadline := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
-			if _, err := proc.Health(t.Context(), listen, time.Second); err == nil {
-				return
-			}
-			if time.Now().After(deadline) {
-				t.Fatal("nobody is ready")
-			}
-		}
-	}
 	old := run(config)
-	ready()
+	ready(t, listen)
 	q1, q2 := request{class: "activate", key: "first"}, request{class: "activate", key: "second"}
 	told := make(chan answer, 1)
 	go func() {
@@ -197,7 +186,7 @@
 	if !old.alive() && !next.alive() {
 		next = run(config)
 	}
-	ready()
+	ready(t, listen)
 	// Until its dead owner's time is over, a key is in flight.
 	settled := func(q request) (a answer) {
 		for deadline := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
--- a/internal/record/e2e/program_test.go
+++ b/internal/record/e2e/program_test.go
@@ -41,6 +41,20 @@
 	return sidecar, tool
 }
 
+// ready waits until a sidecar's health call is answered well.
+func ready(t *testing.T, listen string) proc.Healthy {
+	t.Helper()
+	for deadline := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		h, err := proc.Health(t.Context(), listen, time.Second)
+		if err == nil {
+			return h
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Two sidecars and the commands on one database: a repeat is answered at the other one,
 // a start does not need the database, and one that it may not use is said at start.
 func TestProgramsOnPostgres(t *testing.T) {
@@ -159,20 +173,8 @@
 		t.Cleanup(func() { c.Process.Kill() })
 		return c, &out
 	}
-	ready := func() proc.Healthy {
-		t.Helper()
-		for deadline := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
-			h, err := proc.Health(t.Context(), listen, time.Second)
-			if err == nil {
-				return h
-			}
-			if time.Now().After(deadline) {
-				t.Fatal(err)
-			}
-		}
-	}
 	first, _ := run()
-	if h := ready(); !strings.HasPrefix(h.Record, "sqlite; breaker=closed; queued=0") {
+	if h := ready(t, listen); !strings.HasPrefix(h.Record, "sqlite; breaker=closed; queued=0") {
 		t.Errorf("%+v", h)
 	}
 	q := request{class: "activate", key: "896210"}
@@ -206,7 +208,7 @@
 		t.Errorf("%+v", a)
 	}
 	second, log := run()
-	ready()
+	ready(t, listen)
 	if a, err := ask(listen, q, nil); err != nil || a.status != http.StatusConflict || !strings.HasPrefix(a.state, "may-have-run") {
 		t.Errorf("%+v %v", a, err)
 	}
