--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -40,6 +40,8 @@
 	// a service that serves its callers in turn after its own time-out.
 	pushWait = 1500 * time.Millisecond
 	askWait  = 5 * time.Second
+	// askSpread is over which sidecars whose watches fell silent together ask it again.
+	askSpread = time.Second
 	// New connections go on coming for a while after SIGTERM.
 	lameFor = 700 * time.Millisecond
 	// All is answered so long after SIGTERM, beside the longest deadline. SIGKILL
@@ -308,7 +310,7 @@
 	pool := upstream.New(up)
 	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
 	if c.asks {
-		watcher.Wait = askWait
+		watcher.Wait, watcher.Spread = askWait, askSpread
 	}
 	if c.known != nil {
 		c.known.Whole = true
@@ -514,6 +516,9 @@
 			}
 			srv.SetHealth(healthSum, next.sum)
 			watcher.Move(next.discovery)
+			if next.asks {
+				host.AskNow() // what has changed there counts as told soon, watch or no watch
+			}
 			slog.Info("configuration taken over", "discovery", next.discovery)
 		case <-term:
 			if succeeded := quit(c, r, old); place != nil && place.Locked() && !succeeded {
@@ -578,12 +583,18 @@
 	succeeded = old != nil && old.Leave()
 	srv.Drain(old != nil) // softly for a moment: a process may be about to take over
 	busy := func() bool { return srv.Busy() > 0 || succeeded && srv.Conns() > 0 }
-	for n := 0; ; n++ {
+	for n, closed := 0, false; ; n++ {
 		took := time.Since(began)
 		if !succeeded && took < lameFor {
 			// stays
-		} else if !busy() || took >= longest+quitAfter+100*time.Millisecond {
+		} else if took >= longest+quitAfter+100*time.Millisecond || !busy() && (succeeded || closed) {
 			break
+		} else if !busy() {
+			// Nobody may come in between the look and the end: whoever has is among the
+			// connections when this returns, and is waited for.
+			r.StopAccepting()
+			closed = true
+			continue
 		}
 		time.Sleep(10 * time.Millisecond)
 		if old == nil {
--- /dev/null
+++ b/cmd/fawnrock/standing_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// What the agent's list says counts from the first moment of a new process: a server that
+// `known` has as up and the list as draining, or no more, gets nothing.
+func TestListGoesBeforeKnown(t *testing.T) {
+	for name, entry := range map[string]string{"draining": `{"name":"s0","address":%q,"status":"draining"},`, "gone": ""} {
+		t.Run(name, func(t *testing.T) {
+			var wrong atomic.Int64
+			old := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { wrong.Add(1) }))
+			t.Cleanup(old.Close)
+			good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") }))
+			t.Cleanup(good.Close)
+			at := old.Listener.Addr().String()
+			if entry != "" {
+				entry = fmt.Sprintf(entry, at)
+			}
+			agent := lists(t, fmt.Sprintf(`{"index":9,"snapshot":true,"endpoints":[%s{"name":"s1","address":%q,"status":"up","weight":1}]}`, entry, good.Listener.Addr()))
+			s := newShop(t, 256)
+			text := replace(t, s.text(t), s.discovery, agent)
+			text = replace(t, text, `"seed"`, fmt.Sprintf(`"known":{"index":3,"snapshot":true,"endpoints":[{"name":"s0","address":%q,"status":"up","weight":1}]},"seed"`, at))
+			if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s.running()
+			for range 20 {
+				if got := ask(t, s.listen, http.MethodGet, "/look"); got != http.StatusOK {
+					t.Errorf("answered %d", got)
+				}
+			}
+			if n := wrong.Load(); n > 0 {
+				t.Errorf("%d sends to a server that the list has as %s", n, name)
+			}
+		})
+	}
+}
+
+// lists is a discovery that writes one list to each watch and keeps it open.
+func lists(t *testing.T, list string) string {
+	t.Helper()
+	end := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, list+"\n")
+		w.(http.Flusher).Flush()
+		select {
+		case <-end:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(end)
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+// Where discovery is asked, a new configuration that moves it is followed well within the
+// 4 s after which its list counts as told, also while no watch is open.
+func TestMoveIsFollowedWithoutWatch(t *testing.T) {
+	s := newShop(t, 256)
+	asked := make(chan struct{}, 100)
+	down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(down.Close)
+	text := replace(t, s.text(t), `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
+	text = replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":10000000`)
+	good, text := text, replace(t, text, s.discovery, down.Listener.Addr().String())
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := s.running()
+	select {
+	case <-asked: // and refused: the next call is seconds away
+	case <-time.After(patience):
+		t.Fatal("discovery was never asked")
+	}
+	p.retune(t, s, good)
+	began := time.Now()
+	eventually(t, "the new discovery's list", func() bool { return p.figure(t, "pool_size") == 1 })
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("after %v", took)
+	}
+}
+
+// After SIGTERM clients go on sending on every connection that they have, and on new ones
+// for longer than the platform's do. Each request is answered, or its connection closes
+// before anything of it was passed on.
+func TestStopOnKeptConnections(t *testing.T) {
+	var ran sync.Map
+	s := newShopBefore(t, func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("Req-Id"), true)
+		io.WriteString(w, "one")
+	}, 256)
+	p := s.running()
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	for n := range 8 {
+		wg.Go(func() {
+			c := &http.Client{Timeout: patience, Transport: &http.Transport{MaxConnsPerHost: 1}}
+			defer c.CloseIdleConnections()
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("k%d-%d", n, i)
+				r, err := http.NewRequest(http.MethodPost, "http://"+s.listen+"/pay", strings.NewReader("card"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.GetBody = nil // nothing is sent again unseen
+				r.Header.Set("Req-Id", id)
+				resp, err := c.Do(r)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				if err != nil {
+					if _, did := ran.Load(id); did {
+						t.Errorf("%s has run and was not answered: %v", id, err)
+					}
+					return // the connection is closed, and nobody listens any more
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	eventually(t, "clients that are served", func() bool { return answered.Load() > 100 })
+	before := answered.Load()
+	p.Process.Signal(syscall.SIGTERM)
+	wg.Wait()
+	if err := p.ends(t); err != nil {
+		t.Error(err)
+	}
+	if answered.Load() == before {
+		t.Error("nobody was answered after SIGTERM: the test shows nothing")
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,8 @@
 // Package discovery follows the list of servers.
+//
+// It owns the watch and its silence clock: a watch on which nothing comes is broken and
+// is opened anew, well before what it missed counts as told. It decides nothing about
+// servers; whoever set Listed does.
 package discovery
 
 import (
@@ -6,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -20,13 +23,9 @@
 )
 
 const (
-	lineMost = 8 << 20 // of one line of a watch
-	// An empty line comes every 2 s: a watch that is silent for longer is dead,
-	// and what it fails to tell counts as told within seconds all the same.
-	silenceMost = 2700 * time.Millisecond
-	dialMost    = time.Second
-	backoffMin  = 20 * time.Millisecond
-	backoffMax  = 500 * time.Millisecond
+	dialMost   = time.Second
+	backoffMin = 20 * time.Millisecond
+	backoffMax = 500 * time.Millisecond
 )
 
 // Entry is one server on the list.
@@ -113,13 +112,15 @@
 	Listed func(*List)   // takes a list or its changes
 	Failed func(error)   // a call has failed or a watch has ended
 	Wait   time.Duration // how long an answer may take to begin
+	Spread time.Duration // over which those whose watches fell silent together ask again
 
 	mu    sync.Mutex
 	conn  net.Conn // of the watch
+	busy  bool     // in Watch
 	shut  bool
 	moves int // how often Addr has changed
 
-	heard atomic.Int64 // Unix time in ns of the last line; 0: none yet
+	heard atomic.Int64 // Unix time in ns of the last byte of a watch; 0: none yet
 }
 
 // Age is the time since discovery was heard last, also if it had nothing to tell;
@@ -183,23 +184,53 @@
 	return w.shut
 }
 
+// ErrOpen says that a watch is open already: there is nothing to open.
+var ErrOpen = errors.New("discovery: the watch is open")
+
 // Watch opens a watch and hands on what it brings until it ends. One that a move
-// has ended goes on at the new address at once.
+// has ended goes on at the new address at once, one that fell silent soon after: it
+// is no sign that discovery has too much to do, and the clock of what it missed runs.
+// It returns ErrOpen where another call of Watch has not returned yet.
 func (w *Watcher) Watch() error {
+	w.mu.Lock()
+	if w.busy {
+		w.mu.Unlock()
+		return ErrOpen
+	}
+	w.busy = true
+	w.mu.Unlock()
 	for {
 		addr, index, moves := w.place()
 		err := w.watch(addr, index, moves)
-		if _, _, now := w.place(); now == moves || w.closed() {
+		silent, ok := errors.AsType[*SilentError](err)
+		w.mu.Lock()
+		again := w.moves != moves && !w.shut
+		if w.shut || !again && !ok {
+			w.busy = false // under one lock with the look at moves: none is overlooked
+			w.mu.Unlock()
 			return err
 		}
+		w.mu.Unlock()
+		if !again {
+			slog.Warn("discovery fell silent: asked again", "err", err, "advice", silent.Advice())
+			time.Sleep(rand.N(max(w.Spread, backoffMin)))
+		}
+	}
+}
+
+// silence is err, worded where it says that nothing came in time.
+func silence(err error, addr string, during Phase) error {
+	if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
+		return &SilentError{Addr: addr, During: during, err: err}
 	}
+	return fmt.Errorf("discovery: %s: %w", during, err)
 }
 
 func (w *Watcher) watch(addr string, index int64, moves int) error {
 	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
 	conn, err := d.Dial("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("discovery: %w", err)
+		return silence(err, addr, Connecting)
 	}
 	defer conn.Close()
 	w.mu.Lock()
@@ -215,56 +246,45 @@
 	}
 	conn.SetDeadline(time.Now().Add(w.Wait))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
-		return fmt.Errorf("discovery: %w", err)
+		return silence(err, addr, Asking)
 	}
 	br := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return fmt.Errorf("discovery: %w", err)
+		return silence(err, addr, Asking)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery: answered %s", resp.Status)
 	}
-	lines := bufio.NewReader(resp.Body)
-	for first := true; ; first = false {
-		if !first {
-			conn.SetDeadline(time.Now().Add(silenceMost))
-		}
-		line, err := readLine(lines)
-		if err == nil {
-			w.heard.Store(time.Now().UnixNano())
-		}
-		if err == nil && len(line) > 1 {
-			err = w.take(line, moves)
+	in := newStream(resp.Body, conn.SetDeadline, func() { w.heard.Store(time.Now().UnixNano()) })
+	for {
+		list, err := in.next()
+		if broken, ok := errors.AsType[*json.SyntaxError](err); ok {
+			w.distrust(moves)
+			return fmt.Errorf("discovery: no list: %w", broken)
 		}
 		if err != nil {
+			return silence(err, addr, Watching)
+		}
+		if err := w.take(list, moves); err != nil {
 			return err
 		}
 	}
 }
 
-func readLine(br *bufio.Reader) (line []byte, err error) {
-	for {
-		part, err := br.ReadSlice('\n')
-		line = append(line, part...)
-		switch {
-		case err == nil:
-			return line, nil
-		case err != bufio.ErrBufferFull:
-			if len(line) > 0 && err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, fmt.Errorf("discovery: watch ended: %w", err)
-		case len(line) > lineMost:
-			return nil, errors.New("discovery: line too long")
-		}
+// distrust sees to it that the next watch asks for the whole list.
+func (w *Watcher) distrust(moves int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moves == moves {
+		w.Index = 0
 	}
 }
 
-// take hands a line on. After one that can't be read, or that has gone back, the
+// take hands a list on. After one that can't be read, or that has gone back, the
 // next watch asks for the whole list: the one held can't be relied on to go on from.
-func (w *Watcher) take(line []byte, moves int) error {
-	l, err := Parse(line)
+func (w *Watcher) take(list []byte, moves int) error {
+	l, err := Parse(list)
 	w.mu.Lock()
 	if w.moves != moves {
 		w.mu.Unlock()
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,223 @@
+package discovery
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/standin/tcp"
+)
+
+// patience is how long a test waits for what must come; soon is well before what a silent
+// watch missed counts as told.
+const (
+	patience = 20 * time.Second
+	soon     = 5 * time.Second
+)
+
+const indented = `{
+	"index": 7,
+	"snapshot": true,
+
+	"endpoints": [
+		{
+			"name": "a", "address": "127.0.0.1:1",
+			"status": "up"
+		},
+		{"name": "b", "address": "127.0.0.1:2", "status": "draining"}
+	]
+}
+`
+
+// watched follows lists in the order in which they come.
+type watched struct {
+	*Watcher
+	lists  chan *List
+	failed chan error
+}
+
+// follow runs a Watcher before a discovery that does with the n-th call what each says.
+func follow(t *testing.T, asks bool, each func(n int, c net.Conn, r *http.Request)) *watched {
+	t.Helper()
+	addr := tcp.Requests(t, func(conn, _ int, c net.Conn, r *http.Request) bool {
+		each(conn, c, r)
+		return false
+	})
+	w := &watched{lists: make(chan *List, 100), failed: make(chan error, 100)}
+	w.Watcher = &Watcher{Addr: addr, Wait: patience, Spread: time.Second, Listed: func(l *List) { w.lists <- l }, Failed: func(err error) { w.failed <- err }}
+	t.Cleanup(w.Close)
+	if asks {
+		go func() { w.failed <- w.Watch() }()
+	} else {
+		go w.Follow()
+	}
+	return w
+}
+
+func (w *watched) next(t *testing.T, within time.Duration) *List {
+	t.Helper()
+	select {
+	case l := <-w.lists:
+		return l
+	case <-time.After(within):
+		t.Fatalf("no list within %v", within)
+		return nil
+	}
+}
+
+const answer = "HTTP/1.1 200 OK\r\n\r\n" // its body ends with the connection
+
+func hold(c net.Conn) { io.Copy(io.Discard, c) }
+
+// Lists are objects one behind the other, on as many lines and in as many pieces as
+// whoever writes them likes.
+func TestListsOverLines(t *testing.T) {
+	change := func(index int) string { return fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, index) }
+	for name, pieces := range map[string][]string{
+		"on one line each":     {strings.Join(strings.Fields(indented), "") + "\n" + change(8) + "\n\n" + change(9) + "\n"},
+		"indented":             {indented + "\n\n" + change(8) + "\n" + change(9) + "\n"},
+		"in pieces":            {indented[:20], indented[20:50], indented[50:] + change(8)[:9], change(8)[9:] + "\n" + change(9)},
+		"without a line's end": {indented + change(8) + change(9)},
+		"a list each":          {indented, "\n", change(8) + "\n", "\r\n", change(9) + "\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := follow(t, false, func(_ int, c net.Conn, _ *http.Request) {
+				io.WriteString(c, answer)
+				for _, p := range pieces {
+					io.WriteString(c, p)
+					time.Sleep(5 * time.Millisecond)
+				}
+				hold(c)
+			})
+			l := w.next(t, patience)
+			want := []Entry{
+				{chalkrack.Endpoint{Name: "a", State: chalkrack.Serving}, "127.0.0.1:1"},
+				{chalkrack.Endpoint{Name: "b", State: chalkrack.Draining}, "127.0.0.1:2"},
+			}
+			if l.Index != 7 || !l.Whole || !reflect.DeepEqual(l.Entries, want) {
+				t.Errorf("the first list was read as %+v", l)
+			}
+			for index := int64(8); index <= 9; index++ {
+				if l := w.next(t, patience); l.Index != index || l.Whole {
+					t.Errorf("list %d was read as %+v", index, l)
+				}
+			}
+		})
+	}
+}
+
+// A watch on which nothing comes, or on which a list stops half way, is opened anew well
+// before what it missed counts as told, whoever asks, and goes on from what is held.
+func TestSilentWatchIsAskedAnew(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		for name, then := range map[string]func(c net.Conn){
+			"nothing":               hold,
+			"half a list":           func(c net.Conn) { io.WriteString(c, indented[:40]); hold(c) },
+			"half, and empty lines": func(c net.Conn) { io.WriteString(c, "{\"index\":8,"); drip(c, "\n") },
+			"half, drop by drop":    func(c net.Conn) { io.WriteString(c, `{"index":8,"name":"`); drip(c, "x") },
+		} {
+			t.Run(fmt.Sprintf("%s, asks %v", name, asks), func(t *testing.T) {
+				t.Parallel()
+				after := make(chan string, 10)
+				w := follow(t, asks, func(n int, c net.Conn, r *http.Request) {
+					after <- r.URL.Query().Get("after")
+					io.WriteString(c, answer)
+					if n == 0 {
+						io.WriteString(c, indented)
+						then(c)
+					} else {
+						io.WriteString(c, strings.Replace(indented, "7", "9", 1))
+						hold(c)
+					}
+				})
+				w.next(t, patience)
+				if l := w.next(t, soon); l.Index != 9 {
+					t.Errorf("asked anew, it got %+v", l)
+				}
+				if a, b := <-after, <-after; a != "" || b != "7" {
+					t.Errorf("asked after %q, then after %q", a, b)
+				}
+				if asks && len(w.failed) > 0 {
+					t.Errorf("told of a failure: %v", <-w.failed)
+				}
+			})
+		}
+	}
+}
+
+// drip writes s ever again until the connection ends.
+func drip(c net.Conn, s string) {
+	for {
+		if _, err := io.WriteString(c, s); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// What is no list, or has no end, ends the watch; the next one asks for all.
+func TestBrokenListsAreDistrusted(t *testing.T) {
+	for name, text := range map[string]string{
+		"no JSON":     indented + "} {",
+		"no index":    indented + `{"endpoints":[]}`,
+		"gone back":   indented + `{"index":6,"snapshot":false,"endpoints":[]}`,
+		"no object":   indented + "[1, 2]",
+		"without end": indented + `{"index":8,"name":"` + strings.Repeat("x", listMost+1<<16),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			after := make(chan string, 100)
+			w := follow(t, false, func(n int, c net.Conn, r *http.Request) {
+				after <- r.URL.Query().Get("after")
+				io.WriteString(c, answer+text)
+				hold(c)
+			})
+			w.next(t, patience)
+			if err := <-w.failed; err == nil || errors.As(err, new(*SilentError)) {
+				t.Errorf("the watch ended with %v", err)
+			}
+			want := ""
+			if name == "without end" {
+				want = "7" // what is held is sound
+			}
+			if _, again := <-after, <-after; again != want {
+				t.Errorf("asked again after %q, want %q", again, want)
+			}
+		})
+	}
+}
+
+// A second call does not open a second watch, and a move is followed by the one that is
+// open, also while it waits to ask again.
+func TestOneWatchFollowsMoves(t *testing.T) {
+	held := func(index int) func(int, net.Conn, *http.Request) {
+		return func(_ int, c net.Conn, _ *http.Request) {
+			io.WriteString(c, answer+strings.Replace(indented, "7", fmt.Sprint(index), 1))
+			hold(c)
+		}
+	}
+	w := follow(t, true, held(7))
+	w.next(t, patience)
+	if err := w.Watch(); !errors.Is(err, ErrOpen) {
+		t.Errorf("a second watch: %v", err)
+	}
+	there := tcp.Requests(t, func(conn, _ int, c net.Conn, r *http.Request) bool {
+		if r.URL.Query().Get("after") != "" {
+			t.Error("versions of the old discovery mean nothing to the new one")
+		}
+		held(3)(conn, c, r)
+		return false
+	})
+	w.Move(there)
+	if l := w.next(t, soon); l.Index != 3 {
+		t.Errorf("after the move: %+v", l)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"errors"
 	"log/slog"
 	"math"
 	"runtime/debug"
@@ -491,9 +492,16 @@
 
 // Subscribe implements chalkrack.Host.
 func (h *Host) Subscribe() {
-	h.actions = append(h.actions, func() {
-		go func() { h.DiscoveryFailed(h.watcher.Watch()) }()
-	})
+	h.actions = append(h.actions, h.AskNow)
+}
+
+// AskNow opens a watch without waiting for its time, unless one is open.
+func (h *Host) AskNow() {
+	go func() {
+		if err := h.watcher.Watch(); !errors.Is(err, discovery.ErrOpen) {
+			h.DiscoveryFailed(err)
+		}
+	}()
 }
 
 // forget drops a request that needs nothing more, its deadline too.
