Peers: who lives and what is told among sidecars, merged without order, on datagrams

Need: breakers, the return from a power loss and drains rest on what processes tell each other; sidecars ignored the platform's datagrams. Change: internal/peers, a state machine without I/O: rows and facts that merge as a join-semilattice, SWIM-like probes with regard for one's own slowness, lives that go above the one before, hot facts passed on at once under a ceiling in bytes; internal/peers/link runs it on a socket; internal/fleetsim drives many in simulated time, the same to the byte with any number of workers; faultnet gets a mesh for datagrams. Nothing of it runs in a sidecar yet.

--- /dev/null
+++ b/internal/fleetsim/gossip.go
@@ -0,0 +1,72 @@
+package fleetsim
+
+import (
+	"errors"
+	"time"
+
+	"chalkrack/internal/peers"
+)
+
+// Peer is a peers.Node in a world.
+type Peer struct{ *peers.Node }
+
+// Receive implements Node.
+func (p Peer) Receive(now time.Duration, from int, data []byte) {
+	if err := p.Node.Receive(now, peers.Rank(from), data); err != nil && !errors.As(err, new(*peers.DecodeError)) {
+		panic(err) // the world gives nobody a wrong sender
+	}
+}
+
+// Out implements Node.
+func (p Peer) Out(send func(to int, data []byte)) {
+	for _, d := range p.Node.Out() {
+		send(int(d.To), d.Data)
+	}
+}
+
+// Gossip is a world of sidecars that only talk to each other.
+type Gossip struct {
+	*World
+	cfg   peers.Config
+	lives uint64
+}
+
+// NewGossip returns a world in which all sidecars start at moments drawn from within.
+func NewGossip(size int, seed uint64, net Network, workers int, cfg peers.Config) *Gossip {
+	cfg.Size = size
+	return &Gossip{World: New(size, seed, net, workers), cfg: cfg, lives: 1}
+}
+
+// Up starts a sidecar in a new life, whose number is above the one before.
+func (g *Gossip) Up(i int) Peer {
+	cfg := g.cfg
+	cfg.Self = peers.Rank(i)
+	g.lives++
+	cfg.Life = g.lives
+	n, err := peers.New(cfg, g.Now, g.Rand(i))
+	if err != nil {
+		panic(err) // of this package's own making
+	}
+	p := Peer{n}
+	g.Start(i, p)
+	return p
+}
+
+// Peer is the sidecar at a place, false if none runs there.
+func (g *Gossip) Peer(i int) (Peer, bool) {
+	p, ok := g.Node(i).(Peer)
+	return p, ok
+}
+
+// Share is the share of running sidecars for which ok holds.
+func (g *Gossip) Share(ok func(p Peer) bool) float64 {
+	n, yes := 0, 0
+	for i := range g.places {
+		if p, up := g.Peer(i); up {
+			if n++; ok(p) {
+				yes++
+			}
+		}
+	}
+	return float64(yes) / float64(max(1, n))
+}
--- /dev/null
+++ b/internal/fleetsim/gossip_test.go
@@ -0,0 +1,171 @@
+package fleetsim
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"chalkrack/internal/peers"
+)
+
+const (
+	hot, cold = 1, 2
+	settled   = 60 * time.Second
+)
+
+var kinds = []peers.Kind{{ID: hot, Life: time.Minute, Weight: 2, Hot: true}, {ID: cold, Life: time.Minute, Weight: 1}}
+
+var platform = Network{Shortest: 1400 * time.Microsecond, Longest: 34 * time.Millisecond}
+
+// lossy is the platform's network with a fifth of all datagrams lost.
+func lossy() Network {
+	n := platform
+	n.Loss, n.Double = 0.2, 0.02
+	return n
+}
+
+func gossip(size int, seed uint64, net Network, workers int) *Gossip {
+	g := NewGossip(size, seed, net, workers, peers.Config{Fleet: "test", Kinds: kinds})
+	for i := range size {
+		g.Up(i)
+	}
+	return g
+}
+
+// A run is the same to the byte with any number of workers.
+func TestSameWithAnyWorkers(t *testing.T) {
+	var want string
+	for _, workers := range []int{1, 3, 8} {
+		g := gossip(40, 5, lossy(), workers)
+		g.Run(3*time.Second, nil)
+		g.Stop(7)
+		p, _ := g.Peer(3)
+		p.Tell(g.Now, hot, 99, 1)
+		g.Run(8*time.Second, nil)
+		sum := fnv.New64a()
+		for i := range 40 {
+			if p, ok := g.Peer(i); ok {
+				n, bytes := g.Sent(i)
+				fmt.Fprintln(sum, i, n, bytes, p.Stats(), p.Count(g.Now))
+				for m := range p.Members(g.Now) {
+					fmt.Fprintln(sum, m)
+				}
+			}
+		}
+		got := fmt.Sprintf("%x", sum.Sum64())
+		if want == "" {
+			want = got
+		}
+		if got != want {
+			t.Errorf("%d workers: %s, want %s", workers, got, want)
+		}
+	}
+}
+
+// spread is how long a hot fact takes to reach nine in ten, in a fleet that has settled.
+func spread(t testing.TB, size int, net Network, workers int) (took time.Duration, bytes float64) {
+	g := gossip(size, 11, net, workers)
+	g.Run(settled, nil)
+	began := g.Now
+	p, _ := g.Peer(0)
+	p.Tell(g.Now, hot, 7, 1)
+	knows := func(p Peer) bool { _, ok := p.Fact(g.Now, 0, hot, 7); return ok }
+	g.Run(began+30*time.Second, func() bool { return g.Share(knows) >= 0.9 })
+	if s := g.Share(knows); s < 0.9 {
+		t.Errorf("after %v %.2f of %d know", g.Now-began, s, size)
+	}
+	took = g.Now - began
+	before := uint64(0)
+	for i := range size {
+		_, b := g.Sent(i)
+		before += b
+	}
+	g.Run(g.Now+30*time.Second, nil)
+	after := uint64(0)
+	for i := range size {
+		_, b := g.Sent(i)
+		after += b
+	}
+	return took, float64(after-before) / float64(size) / 30
+}
+
+// A hot fact reaches nine in ten within a second although a fifth of all is lost, and
+// what a sidecar sends does not grow with the fleet.
+func TestHotFactTravels(t *testing.T) {
+	for _, size := range []int{10, 60, 300} {
+		took, bytes := spread(t, size, lossy(), 4)
+		if took > time.Second || bytes > 600 {
+			t.Errorf("%d sidecars: %v, %.0f bytes a second each", size, took, bytes)
+		}
+		t.Logf("%d sidecars: %v, %.0f bytes a second each", size, took, bytes)
+	}
+}
+
+// BenchmarkSpread measures the same at the sizes of the design note.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{12, 300, 1000, 5000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				took, bytes := spread(b, size, lossy(), 6)
+				b.ReportMetric(float64(took.Milliseconds()), "ms-to-9-in-10")
+				b.ReportMetric(bytes, "bytes/s/sidecar")
+			}
+		})
+	}
+}
+
+// Those that die are known to, those that live are not taken for dead although a fifth of
+// all is lost, and those that come back are known again in their new life.
+func TestWhoLives(t *testing.T) {
+	const size, down = 60, 12
+	g := gossip(size, 3, lossy(), 4)
+	g.Run(10*time.Second, nil)
+	for i := range down {
+		g.Stop(i)
+	}
+	knowsDead := func(p Peer) bool {
+		for i := range down {
+			if s := p.Member(peers.Rank(i), g.Now).State; s != peers.Dead && s != peers.Silent {
+				return false
+			}
+		}
+		return true
+	}
+	g.Run(g.Now+90*time.Second, func() bool { return g.Share(knowsDead) >= 0.9 })
+	t.Logf("nine in ten know of %d deaths after %v", down, g.Now-10*time.Second)
+	g.Run(g.Now+90*time.Second, func() bool { return g.Share(knowsDead) == 1 })
+	t.Logf("all know of them after %v", g.Now-10*time.Second)
+	if s := g.Share(knowsDead); s < 1 {
+		t.Errorf("only %.2f know who is dead", s)
+	}
+	wrong := func(p Peer) bool {
+		for i := down; i < size; i++ {
+			if p.Member(peers.Rank(i), g.Now).State == peers.Dead {
+				return true
+			}
+		}
+		return false
+	}
+	if s := g.Share(wrong); s > 0 {
+		t.Errorf("%.2f take a living one for dead", s)
+	}
+	before := make([]uint64, down)
+	p, _ := g.Peer(down)
+	for i := range down {
+		before[i] = p.Member(peers.Rank(i), g.Now).Life
+		g.Up(i)
+	}
+	back := func(p Peer) bool {
+		for i := range down {
+			if m := p.Member(peers.Rank(i), g.Now); m.State != peers.Alive || m.Life <= before[i] {
+				return false
+			}
+		}
+		return true
+	}
+	g.Run(g.Now+60*time.Second, func() bool { return g.Share(back) == 1 })
+	if s := g.Share(back); s < 1 {
+		t.Errorf("only %.2f know who is back", s)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,372 @@
+package peers
+
+import (
+	"cmp"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const hot, cold = 1, 2
+
+func config(self Rank, size int) Config {
+	return Config{
+		Fleet: "test", Self: self, Size: size, Life: 1000,
+		Kinds: []Kind{{ID: hot, Life: time.Minute, Weight: 2, Hot: true}, {ID: cold, Life: time.Minute, Weight: 1}},
+	}
+}
+
+func newNode(t rapid.TB, cfg Config) *Node {
+	t.Helper()
+	n, err := New(cfg, 0, rand.New(rand.NewPCG(uint64(cfg.Self), 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// told is a datagram in which from, in a life of its own, tells rows and facts.
+func told(from Rank, size int, life uint64, now time.Duration, rows []Row, facts []Fact) []byte {
+	n := &Node{cfg: config(from, size)}
+	w := newWriter(now)
+	w.head(message{kind: kindNews, self: Row{Life: life, Born: 0}})
+	for _, r := range rows {
+		w.addRow(r)
+	}
+	for _, f := range facts {
+		w.addFact(f)
+	}
+	return w.done(n)
+}
+
+func drawRow(t *rapid.T) Row {
+	return Row{
+		Rank: 3, Life: rapid.Uint64Range(1, 3).Draw(t, "life"), Beat: rapid.Uint32Range(0, 2).Draw(t, "beat"),
+		State: State(rapid.IntRange(0, int(Left)).Draw(t, "state")), Phase: rapid.Uint8Range(0, 2).Draw(t, "phase"),
+		Traffic: rapid.Uint8Range(0, 2).Draw(t, "traffic"), Born: time.Duration(rapid.IntRange(0, 3).Draw(t, "born")),
+	}
+}
+
+func drawFact(t *rapid.T) Fact {
+	return Fact{
+		Owner: Rank(rapid.IntRange(1, 4).Draw(t, "owner")), Kind: rapid.Uint8Range(hot, cold).Draw(t, "kind"),
+		Subject: rapid.Uint64Range(1, 3).Draw(t, "subject"), Life: rapid.Uint64Range(1, 3).Draw(t, "life"),
+		Count: rapid.Uint32Range(1, 3).Draw(t, "count"), Value: rapid.Uint32Range(0, 2).Draw(t, "value"),
+		Born: time.Duration(rapid.IntRange(0, 20).Draw(t, "born")) * ageUnit,
+	}
+}
+
+// laws checks that join is that of a semilattice.
+func laws[T comparable](t *rapid.T, join func(a, b T) T, a, b, c T) {
+	switch {
+	case join(a, b) != join(b, a):
+		t.Errorf("order matters: %+v, %+v", join(a, b), join(b, a))
+	case join(join(a, b), c) != join(a, join(b, c)):
+		t.Errorf("grouping matters: %+v, %+v", join(join(a, b), c), join(a, join(b, c)))
+	case join(a, a) != a || join(join(a, b), b) != join(a, b):
+		t.Errorf("repetition matters: %+v", join(a, b))
+	}
+}
+
+func TestJoinLaws(t *testing.T) {
+	t.Run("rows", rapid.MakeCheck(func(t *rapid.T) { laws(t, Row.Join, drawRow(t), drawRow(t), drawRow(t)) }))
+	t.Run("facts", rapid.MakeCheck(func(t *rapid.T) {
+		a, b, c := drawFact(t), drawFact(t), drawFact(t)
+		b.Owner, b.Kind, b.Subject, c.Owner, c.Kind, c.Subject = a.Owner, a.Kind, a.Subject, a.Owner, a.Kind, a.Subject
+		laws(t, Fact.Join, a, b, c)
+	}))
+}
+
+// state is all that a node holds, without how it came by it.
+func state(n *Node, now time.Duration) (rows []Row, facts []Fact) {
+	for r := range n.members {
+		if Rank(r) != n.cfg.Self {
+			rows = append(rows, n.members[r].row)
+		}
+	}
+	for _, kind := range []uint8{hot, cold} {
+		for f := range n.Facts(now, kind) {
+			f.Direct = false
+			facts = append(facts, f)
+		}
+	}
+	slices.SortFunc(facts, func(a, b Fact) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+	})
+	return rows, facts
+}
+
+// Whatever the order and the repetition, and with a loss that a later word makes good,
+// those who have heard the same hold the same, and nothing of an old life.
+func TestSameNewsSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size, now = 6, 10 * time.Second
+		var grams [][]byte
+		var from []Rank
+		for range rapid.IntRange(1, 12).Draw(t, "datagrams") {
+			teller := Rank(rapid.IntRange(1, 5).Draw(t, "teller"))
+			var rows []Row
+			if r := drawRow(t); r.Rank != teller {
+				rows = append(rows, r)
+			}
+			grams = append(grams, told(teller, size, uint64(rapid.IntRange(1, 3).Draw(t, "own life")), now, rows, []Fact{drawFact(t), drawFact(t)}))
+			from = append(from, teller)
+		}
+		hear := func(order []int) *Node {
+			n := newNode(t, config(0, size))
+			for _, i := range order {
+				if err := n.Receive(now, from[i], grams[i]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			return n
+		}
+		order := make([]int, len(grams))
+		for i := range order {
+			order[i] = i
+		}
+		other := rapid.Permutation(append(slices.Clone(order), order...)).Draw(t, "order")
+		ra, fa := state(hear(order), now)
+		rb, fb := state(hear(other), now)
+		if !slices.Equal(ra, rb) {
+			t.Errorf("rows differ:\n%+v\n%+v", ra, rb)
+		}
+		if !slices.Equal(fa, fb) {
+			t.Errorf("facts differ:\n%+v\n%+v", fa, fb)
+		}
+		for _, f := range fa {
+			if f.Life < ra[f.Owner-1].Life {
+				t.Errorf("an old life's news: %+v, its owner lives life %d", f, ra[f.Owner-1].Life)
+			}
+		}
+	})
+}
+
+// A liar can't give others lives or beats out of their reach, can't speak in another's
+// name, and what it passes on is nobody's direct word.
+func TestLiarHasOneVoice(t *testing.T) {
+	const size, liar, victim, now = 5, 4, 2, 20 * time.Second
+	n := newNode(t, config(0, size))
+	honest := newNode(t, config(victim, size))
+	meet := func(to, by *Node, at time.Duration) {
+		by.send(at, to.cfg.Self, message{kind: kindNews}, true)
+		for _, d := range by.Out() {
+			if d.To == to.cfg.Self {
+				if err := to.Receive(at, by.cfg.Self, d.Data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	meet(n, honest, now)
+	lies := told(liar, size, 1000, now, []Row{
+		{Rank: victim, Life: lifeMost - 1},
+		{Rank: victim, Life: 1000, Beat: 1 << 30, State: Left},
+		{Rank: victim, Life: 1000, Beat: 0, State: Suspect, Born: -1000 * time.Hour},
+		{Rank: 0, Life: lifeMost - 2},
+		{Rank: liar, Life: 7, State: Left},
+	}, []Fact{
+		{Owner: victim, Kind: hot, Subject: 5, Life: 1000, Count: 9, Value: 1, Born: now},
+		{Owner: 1, Kind: hot, Subject: 5, Life: 1, Count: 9, Value: 1, Born: now},
+		{Owner: 0, Kind: hot, Subject: 6, Life: 1000, Count: 1<<32 - 1, Value: 1, Born: now},
+		{Owner: liar, Kind: hot, Subject: 5, Life: 1000, Count: 1, Value: 1, Born: now},
+	})
+	for range 3 {
+		if err := n.Receive(now, liar, lies); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m := n.Member(victim, now); m.Life != 1000 || m.State == Left || m.State == Dead || m.Age > now {
+		t.Errorf("the victim is held to be %+v", m)
+	}
+	if n.Life() > 1001 {
+		t.Errorf("one voice moved this sidecar's life to %d", n.Life())
+	}
+	direct := 0
+	for f := range n.Facts(now, hot) {
+		if f.Direct {
+			direct++
+		}
+		if f.Owner == 0 && f.Value != 0 {
+			t.Errorf("words were put into this sidecar's mouth: %+v", f)
+		}
+	}
+	if direct != 2 { // its own, and this sidecar's denial
+		t.Errorf("%d facts count as direct words", direct)
+	}
+	for step := range 4 { // the victim hears of it, and speaks for itself
+		meet(honest, n, now+time.Duration(step)*time.Second)
+		meet(n, honest, now+time.Duration(step)*time.Second)
+	}
+	if m := n.Member(victim, now+4*time.Second); m.State != Alive {
+		t.Errorf("the victim spoke up and is held to be %v", m.State)
+	}
+}
+
+// A life whose number is below that of the life before it (a clock that went back by
+// years) goes above it once two have told so.
+func TestClockWentBack(t *testing.T) {
+	const size, far = 4, 50 * 365 * 24 * 3600_000
+	cfg := config(1, size)
+	n := newNode(t, cfg)
+	for _, c := range []struct {
+		teller Rank
+		want   uint64
+	}{{2, 1000}, {2, 1000}, {3, far + 1}} {
+		n.Receive(time.Second, c.teller, told(c.teller, size, 5, time.Second, []Row{{Rank: 1, Life: far, Beat: 7, Phase: 3}}, nil))
+		if n.Life() != c.want {
+			t.Errorf("after a word of %d it goes on as life %d, want %d", c.teller, n.Life(), c.want)
+		}
+	}
+	n.Receive(time.Second, 2, told(2, size, 5, time.Second, []Row{{Rank: 1, Life: far + 10}}, nil))
+	if n.Life() != far+11 {
+		t.Errorf("a life just ahead: it goes on as life %d", n.Life())
+	}
+}
+
+// Phases never go back but by a new life, whatever is tried and told.
+func TestPhasesNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 3
+		n, other := newNode(t, config(1, size)), newNode(t, config(0, size))
+		seen := Row{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now := time.Duration(i) * 100 * time.Millisecond
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				n.SetPhase(now, rapid.Uint8Range(0, 5).Draw(t, "phase"))
+			case 1:
+				r := drawRow(t)
+				r.Rank, r.Life = 1, 1000+r.Life-1
+				n.Receive(now, 2, told(2, size, 5, now, []Row{r}, nil))
+			case 2:
+				n.send(now, 0, message{kind: kindNews}, true)
+			}
+			grams := n.Out()
+			if len(grams) > 0 && rapid.Bool().Draw(t, "late") {
+				slices.Reverse(grams)
+			}
+			for _, d := range grams {
+				if d.To == 0 {
+					other.Receive(now, 1, d.Data)
+				}
+			}
+			row := other.members[1].row
+			if row.Life == seen.Life && row.Phase < seen.Phase && row.Beat <= seen.Beat {
+				t.Fatalf("from %+v back to %+v", seen, row)
+			}
+			seen = row
+		}
+	})
+}
+
+// However much there is to say, a datagram holds 256 bytes, and what is sent and kept
+// keeps to its bounds.
+func TestBounds(t *testing.T) {
+	const size = 400
+	n := newNode(t, config(0, size))
+	sent := 0
+	for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
+		for range 3 {
+			owner := Rank(1 + n.rng.IntN(size-1))
+			if n.rng.IntN(2) == 0 {
+				owner = 1
+			}
+			f := Fact{Owner: owner, Kind: hot, Subject: n.rng.Uint64(), Life: 5, Count: n.rng.Uint32(), Value: n.rng.Uint32(), Born: now}
+			n.Receive(now, owner, told(owner, size, 5, now, []Row{{Rank: Rank(1 + n.rng.IntN(size-1)), Life: n.rng.Uint64N(1000) + 1}}, []Fact{f}))
+		}
+		n.Tell(now, cold, n.rng.Uint64(), 1)
+		if now >= n.Due() {
+			n.Tick(now)
+		}
+		for _, d := range n.Out() {
+			if len(d.Data) > DatagramMost {
+				t.Fatalf("a datagram of %d bytes", len(d.Data))
+			}
+			sent += len(d.Data)
+		}
+	}
+	if most := int(60*n.cfg.Rate + 2*n.cfg.Burst); sent > most {
+		t.Errorf("%d bytes sent in a minute, the ceiling allows %d", sent, most)
+	}
+	switch {
+	case len(n.facts.byKey) > factsMost, n.facts.byOwner[1] > factsOfOne, n.facts.byOwner[0] > factsOfOne:
+		t.Errorf("%d facts, %d of one, %d of its own", len(n.facts.byKey), n.facts.byOwner[1], n.facts.byOwner[0])
+	case len(n.facts.order) != len(n.facts.byKey), len(n.own) > factsOfOne, len(n.pending) > pendingMost, len(n.aside) > asideMost:
+		t.Errorf("%d in order of %d, %d own, %d pending, %d aside", len(n.facts.order), len(n.facts.byKey), len(n.own), len(n.pending), len(n.aside))
+	}
+}
+
+// A process that hung suspects itself, not those whose answers it slept through.
+func TestHungProcessBlamesItself(t *testing.T) {
+	n := newNode(t, config(0, 3))
+	n.Receive(0, 1, told(1, 3, 5, 0, nil, nil))
+	n.Receive(0, 2, told(2, 3, 5, 0, nil, nil))
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Second { // each tick comes late
+		n.Tick(now)
+	}
+	if n.Stats().Suspected > 0 || n.Health() == 0 {
+		t.Errorf("%d suspected by a process that hung, its health %d", n.Stats().Suspected, n.Health())
+	}
+}
+
+// A configuration that can't be, and a datagram that can't be read, say what and what to do.
+func TestErrorsAdvise(t *testing.T) {
+	type advised interface {
+		error
+		Advice() string
+	}
+	n := newNode(t, config(0, 3))
+	good := told(1, 3, 5, 0, nil, nil)
+	errs := []error{
+		n.Receive(0, 1, nil),
+		n.Receive(0, 1, make([]byte, 300)),
+		n.Receive(0, 1, append(slices.Clone(good), 1)),
+		n.Receive(0, 1, told(1, 3, 0, 0, nil, nil)),
+	}
+	for _, edit := range []func(*Config){func(c *Config) { c.Size = 0 }, func(c *Config) { c.Self = 3 }, func(c *Config) { c.Life = 0 }} {
+		cfg := config(0, 3)
+		edit(&cfg)
+		_, err := New(cfg, 0, rand.New(rand.NewPCG(1, 1)))
+		errs = append(errs, err)
+	}
+	for i, err := range errs {
+		var a advised
+		if !errors.As(err, &a) || a.Advice() == "" || a.Error() == "" {
+			t.Errorf("error %d, %v, says not what to do", i, err)
+		}
+	}
+	if n.Stats().Damaged != 4 {
+		t.Errorf("%d counted as damaged", n.Stats().Damaged)
+	}
+	if err := n.Receive(0, 0, good); !errors.Is(err, errSelf) {
+		t.Errorf("a datagram from oneself: %v", err)
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	rows, facts := []Row{{Rank: 2, Life: 9, State: Suspect}}, []Fact{{Owner: 2, Kind: hot, Subject: 1, Life: 9, Count: 1, Value: 1}}
+	f.Add(told(1, 3, 5, 0, rows, facts)[4:])
+	f.Add([]byte{Version, byte(kindAsk)})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		n := newNode(t, config(0, 3))
+		sum := n.checksum(body)
+		data := append([]byte{byte(sum >> 24), byte(sum >> 16), byte(sum >> 8), byte(sum)}, body...)
+		if n.Receive(0, 1, data) != nil {
+			return
+		}
+		n.Tick(time.Second)
+		for _, d := range n.Out() {
+			if len(d.Data) > DatagramMost {
+				t.Fatalf("%d bytes", len(d.Data))
+			}
+			if _, err := n.decode(time.Second, d.Data); err != nil {
+				t.Fatalf("what it sends can't be read: %v", err)
+			}
+		}
+	})
+}
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -37,8 +37,8 @@
 	Stall Way
 	// Delay holds back each piece for so long, and up to Jitter more. Order is kept.
 	Delay, Jitter time.Duration
-	// Loss is the share of datagrams lost.
-	Loss float64
+	// Loss is the share of datagrams lost, Double of those that come twice (in a Mesh).
+	Loss, Double float64
 }
 
 // Step is one step of a script: once its event has come, its fault is set.
@@ -58,6 +58,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	links  map[string]*Link
+	meshes []*Mesh
 	script []Step
 	marks  map[string]int
 	wg     sync.WaitGroup
@@ -163,8 +164,11 @@
 func (n *Net) Close() {
 	n.mu.Lock()
 	n.closed = true
-	links := n.links
+	links, meshes := n.links, n.meshes
 	n.mu.Unlock()
+	for _, m := range meshes {
+		m.close()
+	}
 	for _, l := range links {
 		if l.ln != nil {
 			l.ln.Close()
