--- a/admit.go
+++ b/admit.go
@@ -34,6 +34,7 @@
 type admitter struct {
 	cfg     *Config
 	level   float64
+	least   float64       // shed in any case: see Bounds
 	at      time.Duration // of the last change of level
 	share   []float64     // of arrivals, by rank: twice the class, and 1 more above the tenant's share
 	ranked  []int         // ranks, cheapest first
@@ -104,7 +105,7 @@
 
 // odds is the probability with which a request of the rank is shed now.
 func (a *admitter) odds(rank int, now time.Duration) float64 {
-	left := a.faded(now) - shedSlack
+	left := max(a.faded(now)-shedSlack, a.least)
 	for _, r := range a.ranked {
 		if left <= 0 {
 			return 0
@@ -124,7 +125,6 @@
 
 // outcome feeds the level with one attempt's end; rate is of sends a second.
 func (a *admitter) outcome(full, late bool, rate float64, now time.Duration) {
-	a.level, a.at = a.faded(now), now
 	gain := max(1, min(calmRate/max(rate, 0.1), gainMax))
 	step := -calmStep
 	if late {
@@ -132,5 +132,5 @@
 	} else if full {
 		step = fullStep
 	}
-	a.level = max(0, min(a.level+gain*step, 1))
+	a.level, a.at = max(0, min(a.faded(now)+gain*step, 1)), now
 }
--- a/balancer.go
+++ b/balancer.go
@@ -194,11 +194,11 @@
 	admit    admitter
 	requests map[RequestID]*request
 	timers   map[uint64]*request
-	cookies  uint64
 	retries  float64 // further attempts in the budget
+	bounds   Bounds
 
-	askCookie uint64 // the timer of the next call to discovery
-	askBack   time.Duration
+	cookies, askCookie uint64 // the last timer's; that of the next call to discovery
+	askBack            time.Duration
 }
 
 // New returns a Balancer for cfg that draws its random numbers from seed.
@@ -296,7 +296,7 @@
 		b.end(q)
 		return
 	}
-	if b.cfg.Probes {
+	if b.cfg.Probes && !b.bounds.Spare {
 		b.fleet.refresh(now)
 		for range probesEach {
 			if s := b.fleet.draw(); s != nil {
@@ -373,7 +373,7 @@
 
 // hedge sends q's copy if it is still unanswered and the budget allows.
 func (b *Balancer) hedge(q *request, now time.Duration) {
-	if q.out == 1 && b.reissue.tokens >= 1 && b.admit.faded(now) < shedSlack && b.try(q, now, true) {
+	if q.out == 1 && !b.bounds.Spare && b.reissue.tokens >= 1 && b.admit.faded(now) < shedSlack && b.try(q, now, true) {
 		b.reissue.tokens--
 		q.wholePair = b.rng.Float64() < pairShare
 	}
--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -27,6 +27,7 @@
 	settings          *settings.Settings
 	asks              bool          // discovery must be asked
 	record            *recordConfig // of the store of record; nil: off
+	fleet             fleetConfig   // what it does together with others
 	sum               string        // of the file
 	keys              any           // those that the file has, as a tree
 }
@@ -123,6 +124,8 @@
 	}
 	var raw struct {
 		Listen, Discovery string
+		PeerListen        string `json:"peer_listen"`
+		Peers             []string
 		Mgmt              string
 		Seed              string
 		Limits            struct {
@@ -211,5 +214,8 @@
 			return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
 		}
 	}
+	if c.fleet, err = loadFleet(getenv("MARTENDRUM_FLEET"), s, raw.PeerListen, raw.Peers); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
--- /dev/null
+++ b/cmd/fawnrock/fleet.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/figures"
+	"chalkrack/internal/peers"
+	"chalkrack/internal/peers/link"
+	"chalkrack/internal/recovery"
+	"chalkrack/internal/settings"
+	"chalkrack/internal/sidecar"
+)
+
+// fleetConfig is what a sidecar does together with the others of its tier, by the words
+// of MARTENDRUM_FLEET. The zero value is nothing.
+type fleetConfig struct {
+	comeBack bool         // careful after a start while servers are cold
+	share    *link.Config // nil: it neither tells nor hears
+}
+
+// The words of MARTENDRUM_FLEET.
+const (
+	wordReturn = "return"
+	wordPeers  = "peers"
+)
+
+// FleetError says what of MARTENDRUM_FLEET can't be.
+type FleetError struct{ What, Do string }
+
+// Error implements error.
+func (e *FleetError) Error() string { return "MARTENDRUM_FLEET: " + e.What }
+
+// Advice says what an operator can do.
+func (e *FleetError) Advice() string { return e.Do }
+
+func loadFleet(words string, s *settings.Settings, listen string, addrs []string) (c fleetConfig, err error) {
+	for _, w := range strings.FieldsFunc(words, func(r rune) bool { return r == ',' || r == ' ' }) {
+		switch w {
+		case wordReturn:
+			c.comeBack = true
+		case wordPeers:
+			if !s.Peers || listen == "" || len(addrs) == 0 {
+				return c, &FleetError{"peers: the configuration has no peers to tell anything", "give peers, peer_listen and settings.caps.peers, or leave the word out"}
+			}
+			c.share = &link.Config{Listen: listen, Peers: addrs, Node: peers.Config{Fleet: s.Fleet, Self: peers.Rank(s.Rank)}}
+			if s.Rank < 0 || s.Rank >= len(addrs) {
+				return c, &FleetError{fmt.Sprintf("peers: settings.rank is %d of %d peers", s.Rank, len(addrs)), "number the sidecars of the tier from 0 in settings.rank, in the order of peers"}
+			}
+		default:
+			return c, &FleetError{fmt.Sprintf("unknown word %q", w), fmt.Sprintf("use %s, %s or both, with a comma between", wordReturn, wordPeers)}
+		}
+	}
+	return c, nil
+}
+
+// fleet is the part of a sidecar that acts together with others: it brings what they tell
+// and what the host knows to the machines that decide, and carries out what these want.
+type fleet struct {
+	host  *sidecar.Host
+	stop  chan struct{}
+	wg    sync.WaitGroup
+	begun time.Time
+
+	mu      sync.Mutex
+	link    *link.Link // nil: off, or its address is an old process's still
+	closed  bool
+	machine *recovery.Machine // nil: off; the loop's
+	orders  recovery.Orders
+}
+
+// bindEach is how often the address of an old process is looked at.
+const bindEach = 100 * time.Millisecond
+
+// startFleet starts what the configuration asks for. beside says that an old process
+// serves beside this one, which may have the address for datagrams still.
+func startFleet(c *config, host *sidecar.Host, figs *figures.Set, beside bool) (*fleet, error) {
+	f := &fleet{host: host, stop: make(chan struct{}), begun: time.Now()}
+	size := 1
+	if share := c.fleet.share; share != nil {
+		share.Seed = c.seed
+		size = len(share.Peers)
+		l, err := link.Open(*share)
+		switch {
+		case err == nil:
+			f.link = l
+		case beside && errors.Is(err, syscall.EADDRINUSE):
+			f.wg.Go(func() { f.bind(*share) })
+		default:
+			return nil, err
+		}
+		f.gauges(figs)
+	}
+	if c.fleet.comeBack {
+		f.machine = recovery.New(recovery.Config{Size: size}, 0)
+		figs.Gauge("phase", "", func() float64 { return float64(f.now().Phase) })
+		figs.Gauge("bound_shed", "", func() float64 { return f.now().Bounds.Shed })
+		f.wg.Go(f.steer)
+	}
+	return f, nil
+}
+
+// bind waits until the old process has given up the address for datagrams.
+func (f *fleet) bind(share link.Config) {
+	t := time.NewTicker(bindEach)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-t.C:
+		}
+		l, err := link.Open(share)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			slog.Warn("nothing is told to other sidecars, nor heard", "err", err)
+			return
+		}
+		f.mu.Lock()
+		if f.link = l; f.closed {
+			f.link = nil
+		}
+		f.mu.Unlock()
+		if f.peers() == nil {
+			l.Close()
+		}
+		return
+	}
+}
+
+// peers is the link, nil if there is none.
+func (f *fleet) peers() *link.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.link
+}
+
+// now is what was decided last.
+func (f *fleet) now() recovery.Orders {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.orders
+}
+
+// steer looks at the fleet whenever the machine wants it.
+func (f *fleet) steer() {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-t.C:
+		}
+		f.look()
+		t.Reset(max(f.machine.Due()-time.Since(f.begun), time.Millisecond))
+	}
+}
+
+// look brings the machine what is known, and carries out what it decides.
+func (f *fleet) look() {
+	l := f.peers()
+	before := f.now()
+	if l != nil && before.Phase != recovery.Serving {
+		l.Do(func(now time.Duration, n *peers.Node) {
+			for m := range n.Members(now) {
+				if m.Direct && m.Rank != n.Self() && (m.State == peers.Alive || m.State == peers.Suspect) {
+					f.machine.Hear(int(m.Rank), recovery.Word{Phase: recovery.Phase(m.Phase), Age: m.Age})
+				}
+			}
+		})
+	}
+	var o recovery.Orders
+	f.host.Steer(func(now time.Duration, arrivals uint64, b *chalkrack.Balancer) {
+		f.machine.Arrived(arrivals)
+		f.machine.Room(b.Room(now))
+		o = f.machine.Tick(time.Since(f.begun))
+		b.Bound(o.Bounds)
+	})
+	f.mu.Lock()
+	f.orders = o
+	f.mu.Unlock()
+	if l != nil {
+		l.Do(func(now time.Duration, n *peers.Node) { n.SetPhase(now, uint8(o.Phase)) })
+	}
+	if o.Phase != before.Phase {
+		slog.Info("phase", "phase", o.Phase, "verdict", o.Verdict, "after", time.Since(f.begun).Round(time.Millisecond), "shed", o.Bounds.Shed)
+	} else if shed := o.Bounds.Shed > 0; shed != (before.Bounds.Shed > 0) {
+		slog.Info("cold servers", "bounded", shed, "shed", o.Bounds.Shed, "demand", o.Bounds.Nominal)
+	}
+}
+
+// gauges adds the figures of what is told.
+func (f *fleet) gauges(figs *figures.Set) {
+	ask := func(read func(now time.Duration, n *peers.Node) float64) func() float64 {
+		return func() float64 {
+			v := math.NaN()
+			if l := f.peers(); l != nil {
+				l.Do(func(now time.Duration, n *peers.Node) { v = read(now, n) })
+			}
+			return v
+		}
+	}
+	count := func(name, labels string, of func(peers.Stats) uint64) {
+		figs.Gauge(name, labels, ask(func(_ time.Duration, n *peers.Node) float64 { return float64(of(n.Stats())) }))
+	}
+	figs.Gauge("peers", `state="living"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Living) }))
+	figs.Gauge("peers", `state="known"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Known) }))
+	figs.Gauge("peers", `state="all"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Size) }))
+	figs.Gauge("peer_life", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Life()) }))
+	figs.Gauge("peer_health", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Health()) }))
+	count("peer_bytes", `way="out"`, func(s peers.Stats) uint64 { return s.SentBytes })
+	count("peer_bytes", `way="in"`, func(s peers.Stats) uint64 { return s.ReceivedBytes })
+	count("peer_dropped", `why="damaged"`, func(s peers.Stats) uint64 { return s.Damaged })
+	count("peer_dropped", `why="refused"`, func(s peers.Stats) uint64 { return s.Refused })
+	count("peer_dropped", `why="ceiling"`, func(s peers.Stats) uint64 { return s.Withheld })
+	figs.Gauge("peer_dropped", `why="stranger"`, func() float64 {
+		if l := f.peers(); l != nil {
+			return float64(l.Counts().Strays)
+		}
+		return math.NaN()
+	})
+}
+
+// close ends all of it. Others are told that this sidecar leaves.
+func (f *fleet) close() {
+	close(f.stop)
+	f.mu.Lock()
+	f.closed = true
+	l := f.link
+	f.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+	f.wg.Wait()
+}
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -379,6 +379,11 @@
 			return name
 		})
 	}
+	steer, err := startFleet(c, host, figs, began != nil && began.Shared())
+	if err != nil {
+		return err
+	}
+	defer steer.close()
 	var alone <-chan struct{}
 	var late <-chan []*net.TCPListener
 	var failed <-chan error
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -26,16 +26,23 @@
 	// Due is when Tick wants to be called, Never if not.
 	Due() time.Duration
 	Tick(now time.Duration)
-	Receive(now time.Duration, from int, data []byte)
+	Receive(now time.Duration, from int, msg any)
 	// Out hands over what is to be sent.
-	Out(send func(to int, data []byte))
+	Out(send func(Message))
+}
+
+// Message is one on its way from a node.
+type Message struct {
+	To   int
+	Body any // not changed once sent
+	Size int // bytes that a datagram has; 0: it goes over a connection, and is not lost
 }
 
 // Network is what lies between the nodes.
 type Network struct {
 	Shortest, Longest time.Duration // of a datagram's way; Shortest must be above 0
 	Loss, Double      float64       // shares of datagrams
-	// Cut says whether a datagram that is sent now is lost on this way; nil: none is.
+	// Cut says whether a message that is sent now is lost on this way; nil: none is.
 	// It is called from several goroutines and must only read.
 	Cut func(now time.Duration, from, to int) bool
 }
@@ -56,15 +63,16 @@
 	inbox inbox
 	out   []letter
 	sent  uint64
-	bytes uint64
+	grams uint64 // datagrams among them
+	bytes uint64 // of these
 }
 
-// letter is a datagram on its way.
+// letter is a message on its way.
 type letter struct {
 	at       time.Duration
 	from, to int
 	seq      uint64
-	data     []byte
+	body     any
 }
 
 // inbox is a heap of letters by the time at which they arrive.
@@ -114,7 +122,7 @@
 func (w *World) Node(i int) Node { return w.places[i].node }
 
 // Sent is how many datagrams and bytes a place has sent so far.
-func (w *World) Sent(i int) (datagrams, bytes uint64) { return w.places[i].sent, w.places[i].bytes }
+func (w *World) Sent(i int) (datagrams, bytes uint64) { return w.places[i].grams, w.places[i].bytes }
 
 // SetNetwork replaces the network for what is sent from now on.
 func (w *World) SetNetwork(n Network) { w.net = n }
@@ -195,27 +203,31 @@
 		now = max(now, w.Now)
 		if len(p.inbox) > 0 && p.inbox[0].at <= now {
 			l := heap.Pop(&p.inbox).(letter)
-			p.node.Receive(now, l.from, l.data)
+			p.node.Receive(now, l.from, l.body)
 		} else {
 			p.node.Tick(now)
 		}
-		p.node.Out(func(to int, data []byte) { w.send(p, at, now, to, data) })
+		p.node.Out(func(m Message) { w.send(p, at, now, m) })
 	}
 }
 
-func (w *World) send(p *place, at int, now time.Duration, to int, data []byte) {
+func (w *World) send(p *place, at int, now time.Duration, m Message) {
 	p.sent++
-	p.bytes += uint64(len(data))
-	copies := 1
-	if w.net.Double > 0 && p.rng.Float64() < w.net.Double {
-		copies = 2
+	copies, loss := 1, 0.0
+	if m.Size > 0 {
+		p.grams++
+		p.bytes += uint64(m.Size)
+		loss = w.net.Loss
+		if w.net.Double > 0 && p.rng.Float64() < w.net.Double {
+			copies = 2
+		}
 	}
 	for range copies {
 		way := w.net.Shortest + time.Duration(p.rng.Float64()*float64(w.net.Longest-w.net.Shortest))
-		lost := w.net.Loss > 0 && p.rng.Float64() < w.net.Loss
-		if lost || w.net.Cut != nil && w.net.Cut(now, at, to) {
+		lost := loss > 0 && p.rng.Float64() < loss
+		if lost || w.net.Cut != nil && w.net.Cut(now, at, m.To) {
 			continue
 		}
-		p.out = append(p.out, letter{at: now + way, from: at, to: to, seq: p.sent, data: data})
+		p.out = append(p.out, letter{at: now + way, from: at, to: m.To, seq: p.sent, body: m.Body})
 	}
 }
--- a/internal/fleetsim/gossip.go
+++ b/internal/fleetsim/gossip.go
@@ -11,16 +11,18 @@
 type Peer struct{ *peers.Node }
 
 // Receive implements Node.
-func (p Peer) Receive(now time.Duration, from int, data []byte) {
-	if err := p.Node.Receive(now, peers.Rank(from), data); err != nil && !errors.As(err, new(*peers.DecodeError)) {
+func (p Peer) Receive(now time.Duration, from int, msg any) {
+	if err := p.Node.Receive(now, peers.Rank(from), msg.([]byte)); err != nil && !errors.As(err, new(*peers.DecodeError)) {
 		panic(err) // the world gives nobody a wrong sender
 	}
 }
 
 // Out implements Node.
-func (p Peer) Out(send func(to int, data []byte)) {
-	for _, d := range p.Node.Out() {
-		send(int(d.To), d.Data)
+func (p Peer) Out(send func(Message)) { datagrams(p.Node, send) }
+
+func datagrams(n *peers.Node, send func(Message)) {
+	for _, d := range n.Out() {
+		send(Message{To: int(d.To), Body: d.Data, Size: len(d.Data)})
 	}
 }
 
--- /dev/null
+++ b/internal/fleetsim/powerloss.go
@@ -0,0 +1,174 @@
+package fleetsim
+
+import (
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/peers"
+)
+
+// Loss is a power loss and what comes back from it.
+type Loss struct {
+	Sidecars, Servers int
+	Zones             int
+	Load              float64       // demand by what all warm servers can carry
+	Spread            time.Duration // over which sidecars come back, and servers
+	Ramp              Ramp
+	Clients           Clients // Rate: of each sidecar
+	Share             bool    // sidecars tell each other
+	Guided            bool    // they come back as package recovery says
+	Network           Network
+	Seed              uint64
+	Workers           int
+	Until             time.Duration
+}
+
+// Site is what the model's fleet serves: a class that is safe, a keyed and an unsafe one,
+// by worth.
+func Site(instances int, ramp Ramp) (chalkrack.Config, []time.Duration) {
+	return chalkrack.Config{
+		Instances: instances,
+		Classes: []chalkrack.Class{
+			{Aim: 800 * time.Millisecond, Worth: 1, Effect: chalkrack.Safe},
+			{Aim: time.Second, Worth: 3, Effect: chalkrack.Keyed, Window: 1500 * time.Millisecond},
+			{Aim: 750 * time.Millisecond, Worth: 10, Effect: chalkrack.Unsafe},
+		},
+		MaxAttempts: 5, MayCancel: true, SecondCopies: true, MaxRetryAfter: 2 * time.Second, WasteCost: 0.2, CrossZoneCost: 0.03,
+		ColdFrom: ramp.From, ColdFor: ramp.For, OverloadFactor: ramp.Factor, OverloadFor: ramp.Window,
+	}, []time.Duration{3 * time.Second, 2500 * time.Millisecond, 2500 * time.Millisecond}
+}
+
+// Return is how a fleet came back.
+type Return struct {
+	Loss
+	Offered, Served [][]float64 // by class, then second, over all sidecars
+	Worth           []float64   // of the classes
+	Fallen          int         // cold servers that fell
+	Sends           int
+	Bytes           float64 // of datagrams, for each sidecar and second
+}
+
+// Play plays it from the moment at which the power is back: servers and sidecars come up
+// within Spread, all servers cold, all clients at once.
+func (l Loss) Play() Return {
+	w := New(l.Sidecars+l.Servers, l.Seed, l.Network, l.Workers)
+	cfg, limits := Site(l.Sidecars, l.Ramp)
+	each := l.Load / l.Clients.Rate // servers' capacity for each sidecar
+	work := time.Duration(4 * float64(time.Second) * each * float64(l.Servers) / float64(l.Sidecars))
+	var list []chalkrack.Endpoint
+	var places []int
+	servers := make([]*Server, l.Servers)
+	zones := []string{"a", "b", "c", "d", "e", "f"}[:max(1, l.Zones)]
+	up := make([]time.Duration, l.Sidecars)
+	for i := range servers {
+		at := l.Sidecars + i
+		s := &Server{Ramp: l.Ramp, Workers: 4, Work: work, Queue: 40}
+		rng := w.Rand(at)
+		s.Up(time.Duration(rng.Float64()*float64(l.Spread)), rng)
+		servers[i] = s
+		w.Start(at, s)
+		list = append(list, chalkrack.Endpoint{Name: serverName(at), Zone: zones[i%len(zones)], Hint: 1, Started: Epoch + s.started})
+		places = append(places, at)
+	}
+	for i := range up {
+		up[i] = l.Spread + time.Duration(w.Rand(i).Float64()*float64(l.Spread))
+	}
+	// All have come back by the time that servers have; the list tells of them.
+	for step := l.Spread; step <= 2*l.Spread; step += 50 * time.Millisecond {
+		w.Run(step, nil)
+		for i := range up {
+			if w.Node(i) == nil && up[i] <= step {
+				l.start(w, i, cfg, limits, list, places, zones)
+			}
+		}
+	}
+	w.Run(l.Until, nil)
+	r := Return{Loss: l}
+	for _, c := range cfg.Classes {
+		r.Worth = append(r.Worth, c.Worth)
+	}
+	bytes := uint64(0)
+	for i := range l.Sidecars {
+		s := w.Node(i).(*Sidecar)
+		r.Offered, r.Served = sum(r.Offered, s.Tally.Offered), sum(r.Served, s.Tally.Served)
+		r.Sends += s.Tally.Sends
+		_, b := w.Sent(i)
+		bytes += b
+	}
+	for _, s := range servers {
+		r.Fallen += s.Fallen
+	}
+	r.Bytes = float64(bytes) / float64(l.Sidecars) / l.Until.Seconds()
+	return r
+}
+
+func (l Loss) start(w *World, i int, cfg chalkrack.Config, limits []time.Duration, list []chalkrack.Endpoint, places []int, zones []string) {
+	cfg.Zone = zones[i%len(zones)]
+	rng := w.Rand(i)
+	var peer *peers.Node
+	if l.Share {
+		var err error
+		peer, err = peers.New(peers.Config{Fleet: "model", Self: peers.Rank(i), Size: l.Sidecars, Life: 1}, w.Now, rng)
+		if err != nil {
+			panic(err) // of this package's own making
+		}
+	}
+	var guide Guide
+	if l.Guided {
+		guide = NewRecovery(w.Now, l.Sidecars, peer)
+	}
+	s := NewSidecar(w.Now, cfg, limits, l.Clients, rng, peer, guide)
+	s.Listed(time.Duration(rng.Float64()*float64(100*time.Millisecond)), list, places)
+	w.Start(i, s)
+}
+
+func sum(a, b [][]float64) [][]float64 {
+	for c := range b {
+		for len(a) <= c {
+			a = append(a, nil)
+		}
+		for s, v := range b[c] {
+			for len(a[c]) <= s {
+				a[c] = append(a[c], 0)
+			}
+			a[c][s] += v
+		}
+	}
+	return a
+}
+
+func at(list [][]float64, class, second int) float64 {
+	if class >= len(list) || second >= len(list[class]) {
+		return 0
+	}
+	return list[class][second]
+}
+
+// Share is the share of the worth offered from second on, for so many seconds, that was
+// served in time; of one class, or of all for -1.
+func (r Return) Share(class, second, seconds int) float64 {
+	offered, served := 0.0, 0.0
+	for s := second; s < second+seconds; s++ {
+		for c, worth := range r.Worth {
+			if class < 0 || c == class {
+				offered += worth * at(r.Offered, c, s)
+				served += worth * at(r.Served, c, s)
+			}
+		}
+	}
+	if offered == 0 {
+		return 0
+	}
+	return served / offered
+}
+
+// Back is the first second from which on, for three seconds, the share of worth served is
+// at least least; -1 if there is none.
+func (r Return) Back(class int, least float64) int {
+	for s := 0; time.Duration(s+5)*time.Second < r.Until; s++ {
+		if r.Share(class, s, 3) >= least {
+			return s
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/fleetsim/powerloss_test.go
@@ -0,0 +1,86 @@
+package fleetsim
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// platformLoss is a loss of everything on a site like the platform's.
+func platformLoss(sidecars, servers int, seed uint64) Loss {
+	return Loss{
+		Sidecars: sidecars, Servers: servers, Zones: 3, Load: 0.6, Spread: 2 * time.Second, Seed: seed, Workers: 6,
+		Ramp:    Ramp{From: 0.14, For: 23 * time.Second, Factor: 4, Window: 2 * time.Second},
+		Clients: Clients{Rate: 5, Mix: []float64{0.5, 0.3, 0.2}, Burst: 2, Returns: 0.9},
+		Network: platform, Until: 45 * time.Second,
+	}
+}
+
+// staged is a loss after which the sidecars come back as package recovery says.
+func (l Loss) staged() Loss {
+	l.Share, l.Guided, l.Network.Loss = true, true, 0.2
+	return l
+}
+
+// After a power loss in which all servers are cold, a fleet that comes back in stages
+// serves nine tenths of the worth well before one that comes back at once, the dear
+// classes first, and no cold server falls in either.
+func TestPowerLossInStages(t *testing.T) {
+	l := platformLoss(60, 12, 1)
+	once, staged := l.Play(), l.staged().Play()
+	if once.Fallen > 0 || staged.Fallen > 0 {
+		t.Errorf("cold servers that fell: %d at once, %d in stages", once.Fallen, staged.Fallen)
+	}
+	a, b := once.Back(-1, 0.9), staged.Back(-1, 0.9)
+	if a < 0 || b < 0 || b > a*3/4 {
+		t.Errorf("nine tenths of the worth from second %d at once, %d in stages", a, b)
+	}
+	for c := 1; c < 3; c++ {
+		if cheap, dear := staged.Share(c-1, 0, 15), staged.Share(c, 0, 15); dear < cheap {
+			t.Errorf("in the first 15 s %.2f of class %d and %.2f of the dearer class %d", cheap, c-1, dear, c)
+		}
+	}
+}
+
+// A run is the same with any number of workers.
+func TestPowerLossSameWithAnyWorkers(t *testing.T) {
+	l := platformLoss(20, 6, 3).staged()
+	l.Until, l.Workers = 12*time.Second, 1
+	one := l.Play()
+	l.Workers = 7
+	seven := l.Play()
+	one.Workers = 7
+	if !reflect.DeepEqual(one, seven) {
+		t.Errorf("one worker: %+v\nseven: %+v", one, seven)
+	}
+}
+
+// BenchmarkPowerLoss gives the figures of the design note.
+func BenchmarkPowerLoss(b *testing.B) {
+	for _, size := range []int{300, 1000, 5000} {
+		for _, load := range []float64{0.4, 0.6, 0.8} {
+			for _, staged := range []bool{false, true} {
+				if size > 300 && load != 0.6 {
+					continue
+				}
+				b.Run(fmt.Sprintf("sidecars=%d/load=%.1f/staged=%v", size, load, staged), func(b *testing.B) {
+					for b.Loop() {
+						l := platformLoss(size, size/5, 1)
+						l.Load = load
+						if staged {
+							l = l.staged()
+						}
+						r := l.Play()
+						b.ReportMetric(float64(r.Back(-1, 0.9)), "s-to-9/10")
+						b.ReportMetric(float64(r.Back(2, 0.9)), "s-to-9/10-dearest")
+						b.ReportMetric(r.Share(-1, 0, 10), "share-0-10s")
+						b.ReportMetric(r.Share(-1, 10, 10), "share-10-20s")
+						b.ReportMetric(float64(r.Fallen), "fallen")
+						b.ReportMetric(r.Bytes, "peer-bytes/s")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -323,3 +323,6 @@
 
 // errSelf is for datagrams in one's own name.
 var errSelf = errors.New("peers: a datagram from oneself")
+
+// Self is this sidecar's rank.
+func (n *Node) Self() Rank { return n.cfg.Self }
--- /dev/null
+++ b/internal/recovery/recovery_test.go
@@ -0,0 +1,150 @@
+package recovery
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chalkrack"
+)
+
+const ms = time.Millisecond
+
+var (
+	upWord    = Word{Serving, time.Hour}
+	youngWord = Word{Returning, 200 * ms}
+)
+
+// run lets a Machine of a fleet look every 100 ms until the end, and returns its orders.
+// each brings it what it learns before each look.
+func run(size int, end time.Duration, each func(now time.Duration, m *Machine)) (all []Orders) {
+	m := New(Config{Size: size}, 0)
+	for now := time.Duration(0); now <= end; now += 100 * ms {
+		each(now, m)
+		all = append(all, m.Tick(now))
+	}
+	return all
+}
+
+// The others' words make the verdict, in time, and no single one does.
+func TestVerdicts(t *testing.T) {
+	for name, c := range map[string]struct {
+		size    int
+		words   map[int]Word // by rank
+		at      time.Duration
+		verdict Verdict
+		by      time.Duration // when it has come
+	}{
+		"alone":                     {60, map[int]Word{1: upWord, 2: upWord, 3: upWord}, 0, Alone, 0},
+		"everybody":                 {60, map[int]Word{1: youngWord, 2: youngWord, 3: youngWord}, 0, Everybody, 0},
+		"one liar says all is up":   {60, map[int]Word{1: youngWord, 2: youngWord, 3: upWord}, 0, Everybody, 300 * ms},
+		"one liar says all are new": {60, map[int]Word{1: upWord, 2: upWord, 3: youngWord}, 0, Alone, 300 * ms},
+		"one word is none":          {60, map[int]Word{1: upWord}, 0, Unsure, 300 * ms},
+		"nobody speaks":             {60, nil, 0, Unsure, 300 * ms},
+		"they speak late":           {60, map[int]Word{1: upWord, 2: upWord, 3: upWord}, 2 * time.Second, Alone, 2 * time.Second},
+		"two in all":                {2, map[int]Word{1: upWord}, 0, Alone, 0},
+		"nobody else":               {1, nil, 0, Unsure, 0},
+		"up, but young":             {4, map[int]Word{1: {Serving, time.Second}, 2: youngWord, 3: youngWord}, 0, Everybody, 0},
+		"half and half":             {5, map[int]Word{1: upWord, 2: upWord, 3: youngWord, 4: youngWord}, 0, Everybody, 300 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := run(c.size, 3*time.Second, func(now time.Duration, m *Machine) {
+				if now >= c.at {
+					for r, w := range c.words {
+						m.Hear(r, w)
+					}
+				}
+			})
+			if o := all[c.by/(100*ms)]; o.Verdict != c.verdict {
+				t.Errorf("after %v the verdict is %v, want %v", c.by, o.Verdict, c.verdict)
+			}
+			if o := all[3]; o.Verdict == Open || o.Phase == Asking {
+				t.Errorf("after 300 ms it still asks: %+v", o)
+			}
+		})
+	}
+}
+
+// While servers are warm nothing is refused, whatever the verdict; while they are cold the
+// share that they don't bear is, and it ends when they are warm.
+func TestBoundsFollowServers(t *testing.T) {
+	warm := run(60, 5*time.Second, func(now time.Duration, m *Machine) { m.Arrived(uint64(now / (200 * ms))) })
+	for i, o := range warm {
+		if o.Bounds.Shed != 0 || o.Bounds.Nominal != 0 {
+			t.Fatalf("look %d, warm servers: %+v", i, o)
+		}
+	}
+	ramp := func(now time.Duration) float64 { return min(1, 0.14+0.86*now.Seconds()/23) }
+	cold := run(60, 40*time.Second, func(now time.Duration, m *Machine) {
+		m.Arrived(10 + uint64(now/(200*ms))) // five a second, and ten that waited
+		m.Room(ramp(now))
+	})
+	for i, o := range cold {
+		now := time.Duration(i) * 100 * ms
+		room := ramp(now)
+		switch {
+		case room < roomLow && o.Bounds.Shed != 1-room:
+			t.Fatalf("at %v servers bear %.2f, and %.2f is shed", now, room, o.Bounds.Shed)
+		case room >= roomEnough && (o.Bounds != chalkrack.Bounds{} || o.Phase != Serving):
+			t.Fatalf("at %v all is warm: %+v", now, o)
+		case room < roomLow && now > 4*time.Second && (o.Bounds.Nominal < 1.5 || o.Bounds.Nominal > 7):
+			t.Fatalf("at %v five a second come, taken for %.1f", now, o.Bounds.Nominal)
+		case room < roomLow && o.Bounds.Nominal > 9:
+			t.Fatalf("at %v those that waited count for %.1f a second", now, o.Bounds.Nominal)
+		}
+	}
+}
+
+// Clients that are turned away and come again don't raise the demand that cold servers
+// are given by: whether none or nine in ten do, it stays within a factor of two.
+func TestReturningClientsAreNotDemand(t *testing.T) {
+	for _, back := range []float64{0, 0.5, 0.9} {
+		total, due := 0.0, make([]float64, 1000)
+		var last Orders
+		m := New(Config{Size: 1}, 0)
+		for i := range 300 {
+			come := 2 + due[i] // twenty a second, and those who come again
+			total += come
+			due[i+15] += come * last.Bounds.Shed * back
+			m.Arrived(uint64(total))
+			m.Room(0.3)
+			last = m.Tick(time.Duration(i) * 100 * ms)
+			if i > 60 && (last.Bounds.Nominal < 10 || last.Bounds.Nominal > 40) {
+				t.Fatalf("%.1f of those turned away come again: look %d takes 20 a second for %.1f", back, i, last.Bounds.Nominal)
+			}
+		}
+	}
+}
+
+// Phases only go up, each ends in time, and the bounds stay within theirs, whatever comes.
+func TestAnythingComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 6).Draw(t, "size")
+		m := New(Config{Size: size}, 0)
+		phase, total := Asking, uint64(0)
+		for now := time.Duration(0); now < 70*time.Second; now += time.Duration(rapid.IntRange(50, 2000).Draw(t, "step")) * ms {
+			for range rapid.IntRange(0, 2).Draw(t, "words") {
+				m.Hear(rapid.IntRange(1, 100).Draw(t, "rank"), Word{Phase(rapid.IntRange(0, 9).Draw(t, "phase")), time.Duration(rapid.IntRange(0, 10).Draw(t, "age")) * time.Second})
+			}
+			total += rapid.Uint64Range(0, 50).Draw(t, "came")
+			m.Arrived(total)
+			m.Room(rapid.Float64Range(-1, 2).Draw(t, "room"))
+			o := m.Tick(now)
+			switch {
+			case o.Phase < phase:
+				t.Fatalf("from %v back to %v", phase, o.Phase)
+			case o.Phase == Asking && now >= askUsual, o.Phase < Serving && now >= returnUsual:
+				t.Fatalf("%v at %v", o.Phase, now)
+			case o.Bounds.Shed < 0 || o.Bounds.Shed > 1 || o.Bounds.Nominal < 0:
+				t.Fatalf("bounds %+v", o.Bounds)
+			case m.Due() <= now:
+				t.Fatalf("due at %v, and it is %v", m.Due(), now)
+			}
+			phase = o.Phase
+		}
+		if len(m.words) > wordsMost {
+			t.Fatalf("%d words kept", len(m.words))
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	DialTimeout time.Duration
 	DrainGrace  time.Duration // sends to a server that drains must stop within it
 	MostHeld    int           // requests held at once
+	Rank        int           // this sidecar's number among those of its tier
+	Peers       bool          // sidecars may tell each other
+	Fleet       string        // names the tier
 
 	classes, tenants map[string]int
 	names            []string // of classes by place; empty: dropped
@@ -128,6 +131,7 @@
 		ConnIdleUs      int64
 		DialTimeoutUs   int64
 		MostHeld        int
+		Peers           bool
 	}
 	Classes []struct {
 		Name           string
@@ -156,6 +160,10 @@
 	}
 	RegistryMode string
 	ReplicasOfMe int
+	Rank         int
+	Family       string
+	Tier         int
+	Tiers        []string
 	Zone         string
 }
 
@@ -174,6 +182,9 @@
 		DialTimeout: micros(e.Caps.DialTimeoutUs),
 		DrainGrace:  micros(e.Guarantees.DrainGraceUs),
 		MostHeld:    e.Caps.MostHeld,
+		Rank:        e.Rank,
+		Peers:       e.Caps.Peers,
+		Fleet:       fmt.Sprintf("%s/%d/%s", e.Family, e.Tier, strings.Join(e.Tiers, ",")),
 		classes:     make(map[string]int),
 		tenants:     make(map[string]int),
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -324,6 +324,12 @@
 	h.locked(func(now time.Duration) { h.b.Learn(now, l, age) })
 }
 
+// Steer lets f see the Balancer and set its bounds; arrivals is how many requests have
+// come so far. f must not block.
+func (h *Host) Steer(f func(now time.Duration, arrivals uint64, b *chalkrack.Balancer)) {
+	h.locked(func(now time.Duration) { f(now, uint64(h.last), h.b) })
+}
+
 // Held is the number of requests held.
 func (h *Host) Held() int {
 	h.mu.Lock()
--- a/pick.go
+++ b/pick.go
@@ -85,10 +85,11 @@
 	dirty   bool          // membership or ejections changed
 	ejected []*server
 	sent    float64 // fading count of sends
+	nominal float64 // sends a second, were all taken: see Bounds
 	taken   float64 // running share of sends that were not turned away
 	sentAt  time.Duration
-	perHeld float64 // running median of latency by requests held
-	meanLat float64 // running mean of latencies, in fractions of the aim
+	// The running median of latency by requests held, the mean in fractions of the aim.
+	perHeld, meanLat float64
 }
 
 // update takes over what discovery says of one server. Members stay sorted: in a
@@ -173,8 +174,7 @@
 	if size := f.setSize(now); f.dirty || size > len(f.set) || size < len(f.set)*2/3 {
 		f.chooseSet(size, now)
 	}
-	f.dirty, f.fresh = false, now
-	f.weights = f.weights[:0]
+	f.dirty, f.fresh, f.weights = false, now, f.weights[:0]
 	sum := 0.0
 	for _, s := range f.set {
 		w := s.hint * s.learned * f.warmth(s, now)
@@ -333,7 +333,7 @@
 		return now >= s.warmAt
 	}
 	// what a warm server gets in a second, times what this one can stand
-	rate := f.taken * f.rate(now) / float64(max(1, len(f.set))) * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
+	rate := max(f.taken*f.rate(now), f.nominal) / float64(max(1, len(f.set))) * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
 	s.cold.refill(rate, rate*f.cfg.OverloadFor.Seconds(), now)
 	return s.cold.tokens >= 1
 }
