Agents bring a host back in waves after a power loss; operations hold until resumed

Need: an agent started all it had at once after a loss of power, took each lost sidecar for a crash, and a command whose leases were from before went on. Change: an agent that finds all its sidecars gone (and the machine rebooted, or more than one lost) voids every lease for good before anything starts, so that no token from before is in force whatever the clocks say; a run that held one gets no other (LostError), a resume does. A sidecar's Returning lasts a second at least, by then its list has come.

--- a/cmd/fawnrock/fleet.go
+++ b/cmd/fawnrock/fleet.go
@@ -193,7 +193,7 @@
 		l.Do(func(now time.Duration, n *peers.Node) { n.SetPhase(now, uint8(o.Phase)) })
 	}
 	if o.Phase != before.Phase {
-		slog.Info("phase", "phase", o.Phase, "verdict", o.Verdict, "after", time.Since(f.begun).Round(time.Millisecond), "shed", o.Bounds.Shed)
+		slog.Info("phase "+o.Phase.String(), "verdict", o.Verdict, "after", time.Since(f.begun).Round(time.Millisecond), "shed", o.Bounds.Shed)
 	} else if shed := o.Bounds.Shed > 0; shed != (before.Bounds.Shed > 0) {
 		slog.Info("cold servers", "bounded", shed, "shed", o.Bounds.Shed, "demand", o.Bounds.Nominal)
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -111,6 +111,7 @@
 	heldAt     map[string]time.Time // of open staged operations: when somebody last held them
 	boundary   int64                // up to which figures were taken
 	leases     lease.Table
+	back       *comeback // of the instances after a power loss; nil: all may start
 	change     int64
 	changed    chan struct{} // closed at the next change
 	unwritable string        // why the last write of the record failed
@@ -218,6 +219,7 @@
 		return !strings.HasPrefix(launch[strings.LastIndexByte(launch, '/')+1:], a.id+".")
 	})
 	boot, now := a.machine.Boot(), time.Now()
+	loss := &loss{}
 	limits := life.Config{
 		KillAfter:  time.Duration(a.cfg.Limits.KillAfter),
 		BackoffMin: time.Duration(a.cfg.Limits.BackoffMin), BackoffMax: time.Duration(a.cfg.Limits.BackoffMax),
@@ -234,6 +236,7 @@
 			begin.Instances = append(begin.Instances, row)
 		}
 		delete(rows, c.Name)
+		ran, booted := row.Launch != "" && row.PID != 0 && row.Desired == api.Running, row.Boot == boot
 		i := &instance{cfg: c, row: row, life: life.New(limits, now), wake: make(chan struct{}, 1), ring: ring{most: a.keepSlots()}}
 		a.inst[c.Name] = i
 		a.names = append(a.names, c.Name)
@@ -242,6 +245,7 @@
 		if a.findOld(i, launch, found, boot, now) || changed {
 			begin.Instances = append(begin.Instances, i.row)
 		}
+		loss.saw(i, ran, booted)
 	}
 	for name, row := range rows {
 		// No longer in the file. One that runs must not be forgotten.
@@ -261,7 +265,8 @@
 			begin.Steps = append(begin.Steps, *s)
 		}
 	}
-	if len(begin.Instances)+len(begin.DropInstances)+len(begin.Steps) == 0 {
+	a.comeBack(loss, begin, now)
+	if len(begin.Instances)+len(begin.DropInstances)+len(begin.Steps)+len(begin.Leases) == 0 {
 		return nil
 	}
 	return a.store.Commit(a.ctx, begin)
@@ -430,6 +435,7 @@
 		a.rewrite()
 		a.endAborted()
 		a.alone(time.Now())
+		a.steady(time.Since(a.started))
 		var used []string
 		for _, i := range a.inst {
 			used = append(used, i.row.Release, i.row.Previous, i.row.Running, i.prevRow.Running)
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -42,7 +42,17 @@
 		Overlay string `toml:"overlay"`
 		// HandOver lets an upgrade start the new process beside the old one.
 		HandOver bool `toml:"hand_over"`
+		// Fleet is what sidecars do together, the words of MARTENDRUM_FLEET.
+		Fleet string `toml:"fleet"`
 	} `toml:"sidecar"`
+	// Recovery is how instances come back after the host lost its power.
+	Recovery struct {
+		WaveLeast   units.Duration `toml:"wave_least"`
+		WaveLongest units.Duration `toml:"wave_longest"`
+		WaveMost    int            `toml:"wave_most"` // instances in a wave; 0: no bound
+		Shop        string         `toml:"shop"`      // names of labels
+		Zone        string         `toml:"zone"`
+	} `toml:"recovery"`
 	// Figures are taken of each instance that has a door, at the multiples of Slot.
 	Figures struct {
 		Slot units.Duration `toml:"slot"` // 0: never
@@ -103,6 +113,8 @@
 	c.Figures.Slot, c.Figures.Keep = units.Duration(10*time.Second), units.Duration(time.Hour)
 	c.Listen.PlainRole, c.Sidecar.HandOver = api.View, true
 	c.Record.Store, c.Record.Statement, c.Record.Connect = SQLite, units.Duration(2*time.Second), units.Duration(2*time.Second)
+	c.Recovery.WaveLeast, c.Recovery.WaveLongest = units.Duration(300*time.Millisecond), units.Duration(10*time.Second)
+	c.Recovery.Shop, c.Recovery.Zone = "shop", "zone"
 	if err := units.Load(path, c); err != nil {
 		return nil, err
 	}
@@ -158,6 +170,10 @@
 		return fmt.Errorf("figures.slot: %v; 200ms at least, or 0s for none", time.Duration(c.Figures.Slot))
 	case c.Figures.Slot > 0 && (c.Figures.Keep < c.Figures.Slot || c.Figures.Keep/c.Figures.Slot > keepMost):
 		return fmt.Errorf("figures.keep: %v; want 1 to %d slots of %v", time.Duration(c.Figures.Keep), keepMost, time.Duration(c.Figures.Slot))
+	case c.Recovery.WaveLeast < 0 || c.Recovery.WaveLongest < c.Recovery.WaveLeast || c.Recovery.WaveLongest > units.Duration(time.Hour):
+		return fmt.Errorf("recovery.wave_least and wave_longest: %v and %v; want 0 <= least <= longest <= 1h", time.Duration(c.Recovery.WaveLeast), time.Duration(c.Recovery.WaveLongest))
+	case c.Recovery.WaveMost < 0:
+		return fmt.Errorf("recovery.wave_most: %d; want 0 (no bound) or more", c.Recovery.WaveMost)
 	case len(c.Instances) > MostInstances:
 		return fmt.Errorf("instance: %d of them; an agent looks after %d at most", len(c.Instances), MostInstances)
 	}
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -89,7 +89,8 @@
 			kinds = append(kinds, i.life.GiveUp(now, i.late)...)
 			i.late = ""
 		}
-		if now.Before(i.retryAt) {
+		held := a.back.holds(now.Sub(a.started), i)
+		if now.Before(i.retryAt) || held {
 			kinds = withoutLaunch(kinds) // asked for again then
 		}
 		a.mu.Unlock()
@@ -98,7 +99,7 @@
 
 		a.mu.Lock()
 		p, next := i.proc, i.life.Next()
-		near := i.step != nil || i.life.Phase() == life.Starting
+		near := held || i.step != nil || i.life.Phase() == life.Starting
 		a.mu.Unlock()
 		if p != nil && !time.Now().Before(healthAt) {
 			a.health(i, p)
@@ -258,7 +259,7 @@
 		return nil, err
 	}
 	env := append(os.Environ(), "BALANCER_NAME="+row.Name, "BALANCER_LISTEN="+i.cfg.listen, "BALANCER_CONFIG="+a.configPath(row.Name),
-		"MARTENDRUM_RECORD="+i.cfg.Record) // also where it has none: not the agent's own
+		"MARTENDRUM_RECORD="+i.cfg.Record, "MARTENDRUM_FLEET="+a.cfg.Sidecar.Fleet) // also where it has none: not the agent's own
 	if a.cfg.Sidecar.HandOver {
 		env = append(env, "TMPDIR="+a.meetPath())
 	}
--- /dev/null
+++ b/internal/fleet/agent/loss.go
@@ -0,0 +1,187 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/life"
+	"chalkrack/internal/fleet/store"
+	"chalkrack/internal/recovery"
+)
+
+// loss is what an agent's start shows of the host: whether it lost its power.
+type loss struct {
+	lost     []*instance // ran, and have no process
+	alive    int
+	rebooted bool
+}
+
+// saw takes one instance: whether a process of it ran by the record, and in this boot.
+func (l *loss) saw(i *instance, ran, booted bool) {
+	switch {
+	case i.proc != nil:
+		l.alive++
+	case ran:
+		l.lost = append(l.lost, i)
+		l.rebooted = l.rebooted || !booted
+	}
+}
+
+// power says that the host lost its power, or all its sidecars at once, which is the same
+// to the fleet: everything that ran is gone, and it is not just one that crashed.
+// returning says that the agent before this one had not come to the end of a return.
+func (l *loss) power(returning bool) bool {
+	return l.alive == 0 && (returning || len(l.lost) > 0 && (l.rebooted || len(l.lost) > 1))
+}
+
+// steadyAfter is how long an agent must run for a later loss not to count as one of a
+// power that flaps.
+const steadyAfter = 10 * time.Minute
+
+// comeback is the return of a host's instances. The agent's lock guards it.
+type comeback struct {
+	pace  *recovery.Pace
+	epoch int64
+}
+
+// losses is the file that counts the host's power losses. No clock is in it.
+type losses struct {
+	Version int   `json:"version"`
+	Epoch   int64 `json:"epoch"` // losses ever
+	Recent  int   `json:"recent"`
+	// Returning: the waves of the last one have not all begun.
+	Returning bool `json:"returning"`
+}
+
+func (a *Agent) lossesPath() string { return filepath.Join(a.cfg.StateDir, "losses.json") }
+
+// readLosses reads the file. One that can't be read counts as one recent loss: careful,
+// and nothing else rests on it.
+func (a *Agent) readLosses() losses {
+	data, err := os.ReadFile(a.lossesPath())
+	if errors.Is(err, fs.ErrNotExist) {
+		return losses{Version: 1}
+	}
+	var l losses
+	if err == nil {
+		err = json.Unmarshal(data, &l)
+	}
+	if err == nil && (l.Version != 1 || l.Epoch < 0 || l.Recent < 0) {
+		err = fmt.Errorf("version %d, epoch %d, recent %d", l.Version, l.Epoch, l.Recent)
+	}
+	if err != nil {
+		slog.Warn("the count of power losses is not trusted", "file", a.lossesPath(), "err", err, "advice", "nothing: it is written anew; tokens in the record fence by themselves")
+		return losses{Version: 1, Recent: 1}
+	}
+	return l
+}
+
+func (a *Agent) writeLosses(l losses) {
+	data, err := json.Marshal(l)
+	if err == nil {
+		err = renameio.WriteFile(a.lossesPath(), data, 0o640)
+	}
+	if err != nil {
+		slog.Warn("the count of power losses is not kept", "err", err)
+	}
+}
+
+// comeBack looks whether there was a loss and readies the return: all leases from before
+// are void, for good and whatever the clocks say, so that operations hold; what was lost
+// did not crash; and the instances start in waves. begin is written before anything
+// starts. An agent killed before that finds the same loss again, one killed later goes on
+// with the waves.
+func (a *Agent) comeBack(l *loss, begin *store.Change, now time.Time) {
+	n := a.readLosses()
+	if !l.power(n.Returning) {
+		if n.Returning {
+			a.wave(n)
+		}
+		return
+	}
+	n.Epoch++
+	n.Recent++
+	n.Returning = true
+	a.writeLosses(n)
+	begin.Leases = a.leases.Void()
+	a.leases.Put(begin.Leases)
+	for _, i := range l.lost {
+		i.gone = 0
+		i.row.LastExit = "lost with the host's power"
+	}
+	for k := range begin.Instances {
+		if i := a.inst[begin.Instances[k].Name]; i != nil {
+			begin.Instances[k] = i.row
+		}
+	}
+	held := 0
+	for _, o := range a.ops {
+		if o.State == api.OpOpened {
+			held++
+		}
+	}
+	begin.Audit = append(begin.Audit, api.AuditEntry{At: now, Who: "agent", What: "power loss", Target: a.cfg.Name,
+		Result: fmt.Sprintf("epoch %d: %d instances lost, %d leases void, %d operations hold", n.Epoch, len(l.lost), len(begin.Leases), held)})
+	slog.Warn("the host lost its power: instances come back in waves", "epoch", n.Epoch, "recent", n.Recent, "lost", len(l.lost), "operations_held", held)
+	a.wave(n)
+}
+
+// wave has the instances that are wanted come in waves.
+func (a *Agent) wave(n losses) {
+	var places []recovery.Place
+	for _, name := range a.names {
+		if i := a.inst[name]; i.row.Desired == api.Running {
+			places = append(places, recovery.Place{Name: name, Shop: i.cfg.Labels[a.cfg.Recovery.Shop], Zone: i.cfg.Labels[a.cfg.Recovery.Zone]})
+		}
+	}
+	waves := recovery.Waves(places, a.cfg.Recovery.WaveMost)
+	a.back = &comeback{epoch: n.Epoch, pace: recovery.NewPace(recovery.PaceConfig{
+		Least: time.Duration(a.cfg.Recovery.WaveLeast), Longest: time.Duration(a.cfg.Recovery.WaveLongest), Losses: n.Recent,
+	}, waves, 0)}
+}
+
+// holds says whether an instance has to wait for its wave, and takes how it stands. A nil
+// comeback holds nothing.
+func (b *comeback) holds(now time.Duration, i *instance) bool {
+	if b == nil || b.pace == nil {
+		return false
+	}
+	switch i.life.Phase() {
+	case life.Ready, life.Unready, life.Backoff, life.Crashloop, life.Draining:
+		b.pace.Done(i.cfg.Name)
+	case life.Stopped:
+		if i.row.Desired != api.Running {
+			b.pace.Done(i.cfg.Name)
+		}
+	}
+	return !b.pace.May(now, i.cfg.Name)
+}
+
+// steady ends the return once it is over, and later the memory of recent losses.
+func (a *Agent) steady(up time.Duration) {
+	if a.back == nil {
+		return
+	}
+	if a.back.pace != nil && a.back.pace.Over(up) {
+		a.back.pace = nil
+		n := a.readLosses()
+		n.Returning = false
+		a.writeLosses(n)
+		slog.Info("all waves have begun", "epoch", a.back.epoch, "after", up.Round(time.Millisecond))
+	}
+	if up >= steadyAfter {
+		n := a.readLosses()
+		n.Recent = 0
+		a.writeLosses(n)
+		a.back = nil
+	}
+}
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -437,6 +437,9 @@
 		}
 		return ""
 	})
+	if lost, ok := errors.AsType[*lease.LostError](err); ok {
+		return nil, api.Errorf(api.Held, "agent %s: %v: %s", a.cfg.Name, lost, lost.Advice())
+	}
 	if held, ok := errors.AsType[*lease.HeldError](err); ok {
 		return nil, api.Errorf(api.Held, "agent %s: %v", a.cfg.Name, held)
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -32,6 +32,22 @@
 	return !now.Before(l.Granted) && now.Before(l.Expires)
 }
 
+// Void says that it was ended by Table.Void.
+func (l Lease) Void() bool { return l.Token > 0 && l.Expires.Equal(l.Granted) }
+
+// LostError tells a run of a command that what it held was voided: the host lost its power
+// in the midst of its operation.
+type LostError struct{ Lease }
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("%s: the host lost its power in the midst of operation %s, which holds", e.Instance, e.Op)
+}
+
+// Advice says what an operator can do.
+func (e *LostError) Advice() string {
+	return "look at what came back, then resume the operation or abort it; evidence from before the loss is old"
+}
+
 // HeldError tells who is in the way.
 type HeldError struct {
 	Lease
@@ -82,6 +98,9 @@
 		if l, ok := t.ByInstance[name]; ok && l.Live(now) && (l.Op != op || l.Holder != holder) {
 			return nil, &HeldError{Lease: l}
 		}
+		if l := t.ByInstance[name]; l.Void() && l.Op == op && l.Holder == holder {
+			return nil, &LostError{l}
+		}
 		if why := busy(name); why != "" {
 			return nil, &HeldError{Lease: Lease{Instance: name}, Why: why}
 		}
@@ -117,6 +136,17 @@
 	return out, nil
 }
 
+// Void returns all leases ended for good, whatever the clocks say: after a power loss. No
+// token from before is in force again, and a run that held one does not get another: a
+// new run, an operator's resume, does. The caller records them and Puts them.
+func (t *Table) Void() (out []Lease) {
+	for _, l := range t.ByInstance {
+		l.Expires = l.Granted
+		out = append(out, l)
+	}
+	return out
+}
+
 // Put takes granted or renewed leases over.
 func (t *Table) Put(ls []Lease) {
 	if t.ByInstance == nil {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -70,6 +70,8 @@
 	// wordsEnough others' words decide at once, if they agree; a single one never does
 	// where there are more, so that no liar makes a verdict.
 	wordsEnough = 3
+	// returnLeast is the least time of Returning: by then the list of servers has come.
+	returnLeast = time.Second
 	// settled is the age from which a sidecar's word that it serves shows that it was not
 	// part of this loss.
 	settled = 5 * time.Second
@@ -116,7 +118,6 @@
 	total uint64 // arrivals
 	seen  uint64 // of these, at the last look
 	looks []look // of the last demandOver
-	some  bool   // a request has come
 }
 
 // look is how many requests came, since the look before, that were nobody's second try.
@@ -178,7 +179,7 @@
 	if m.phase == Asking && m.verdict != Open {
 		m.phase = Returning
 	}
-	if m.phase == Returning && (m.verdict == Alone || m.verdict != Open && !m.cold && m.some || now-m.began >= m.cfg.ReturnMost) {
+	if m.phase == Returning && (m.verdict == Alone || m.verdict != Open && !m.cold && now-m.began >= returnLeast || now-m.began >= m.cfg.ReturnMost) {
 		m.phase, m.words = Serving, nil
 	}
 	if m.due = now + m.cfg.Each; m.phase == Serving && !m.cold {
@@ -221,7 +222,6 @@
 
 // measure notes what has come since the last look.
 func (m *Machine) measure(now time.Duration) {
-	m.some = m.some || m.total > 0
 	m.looks = append(m.looks, look{now, float64(m.total-m.seen) * (1 - returns*m.shed())})
 	m.seen = m.total
 	for len(m.looks) > 1 && now-m.looks[0].at > demandOver {
