Checkpoints that are trusted as hints; a loss at each write; the model against 60 processes

Need: what a sidecar learned was kept for 30 s at a planned stop only; a loss in the midst of a return, and how true the model is, were not shown. Change: internal/checkpoint, a file written whole, with version, checksum and owner; recovery.Trusted and Kept say item by item what of it still holds (nothing of the moment; servers' weights only where the others stayed up; the usual demand bounds what clients that come back at once seem to be). Off unless MARTENDRUM_CHECKPOINT, or recovery.checkpoint of an agent. TestPowerLossAtEveryWrite, TestCheckpointsNotTrusted, every byte of a file cut and spoilt.

--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -217,5 +217,8 @@
 	if c.fleet, err = loadFleet(getenv("MARTENDRUM_FLEET"), s, raw.PeerListen, raw.Peers); err != nil {
 		return nil, err
 	}
+	if c.fleet.keep = getenv("MARTENDRUM_CHECKPOINT"); c.fleet.keep != "" && !c.fleet.comeBack {
+		return nil, &FleetError{"MARTENDRUM_CHECKPOINT is set, and nothing reads it", "add " + wordReturn + " to MARTENDRUM_FLEET, or unset the file"}
+	}
 	return c, nil
 }
--- a/cmd/fawnrock/fleet.go
+++ b/cmd/fawnrock/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/checkpoint"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/peers"
 	"chalkrack/internal/peers/link"
@@ -24,6 +25,7 @@
 type fleetConfig struct {
 	comeBack bool         // careful after a start while servers are cold
 	share    *link.Config // nil: it neither tells nor hears
+	keep     string       // the checkpoint's file; empty: none
 }
 
 // The words of MARTENDRUM_FLEET.
@@ -74,6 +76,11 @@
 	closed  bool
 	machine *recovery.Machine // nil: off; the loop's
 	orders  recovery.Orders
+
+	keep, name string // the checkpoint's file and whose it is
+	before     *checkpoint.Checkpoint
+	age        time.Duration // of before
+	savedAt    time.Time
 }
 
 // bindEach is how often the address of an old process is looked at.
@@ -82,10 +89,17 @@
 // startFleet starts what the configuration asks for. beside says that an old process
 // serves beside this one, which may have the address for datagrams still.
 func startFleet(c *config, host *sidecar.Host, figs *figures.Set, beside bool) (*fleet, error) {
-	f := &fleet{host: host, stop: make(chan struct{}), begun: time.Now()}
+	f := &fleet{host: host, stop: make(chan struct{}), begun: time.Now(), keep: c.fleet.keep, name: c.listen}
+	f.savedAt = f.begun
 	size := 1
+	if f.keep != "" {
+		f.recall()
+	}
 	if share := c.fleet.share; share != nil {
 		share.Seed = c.seed
+		if f.before != nil { // whatever the clock says
+			share.Node.Life = max(f.before.Life+1, uint64(max(1, f.begun.UnixMilli())))
+		}
 		size = len(share.Peers)
 		l, err := link.Open(*share)
 		switch {
@@ -100,6 +114,10 @@
 	}
 	if c.fleet.comeBack {
 		f.machine = recovery.New(recovery.Config{Size: size}, 0)
+		if f.before != nil {
+			_, weight := recovery.Kept(f.before.Learned, f.age, recovery.Open)
+			f.machine.Usual(f.before.Demand, weight)
+		}
 		figs.Gauge("phase", "", func() float64 { return float64(f.now().Phase) })
 		figs.Gauge("bound_shed", "", func() float64 { return f.now().Bounds.Shed })
 		f.wg.Go(f.steer)
@@ -107,6 +125,48 @@
 	return f, nil
 }
 
+// recall reads the checkpoint of the life before this one.
+func (f *fleet) recall() {
+	var err error
+	f.before, f.age, err = checkpoint.Load(f.keep, f.name, f.begun)
+	if bad, ok := errors.AsType[*checkpoint.NotTrustedError](err); ok {
+		slog.Warn("checkpoint not trusted", "err", err, "advice", bad.Advice())
+		if bad.Why == checkpoint.Foreign {
+			f.keep = "" // it is not this one's to write
+		}
+	}
+}
+
+// warm has the host learn what of the checkpoint still holds. It is called when the list
+// has come, before the first request.
+func (f *fleet) warm() {
+	if f.before == nil {
+		return
+	}
+	l, weight := recovery.Kept(f.before.Learned, f.age, f.now().Verdict)
+	f.host.Learn(l, f.age)
+	slog.Info("checkpoint taken as a hint", "age", f.age, "times", len(l.Primary), "servers", len(l.Servers), "demand", f.before.Demand, "weight", weight)
+}
+
+// saveEach is how often the checkpoint is written.
+const saveEach = 10 * time.Second
+
+// save writes the checkpoint while the sidecar serves as usual, if it is time or last says
+// that the life ends.
+func (f *fleet) save(now time.Time, last bool) {
+	if f.keep == "" || f.machine == nil || f.now().Phase != recovery.Serving || !last && now.Sub(f.savedAt) < saveEach {
+		return
+	}
+	f.savedAt = now
+	c := checkpoint.Checkpoint{Name: f.name, Saved: now.UnixMilli(), Demand: f.machine.Demand(), Learned: f.host.Learned()}
+	if l := f.peers(); l != nil {
+		l.Do(func(_ time.Duration, n *peers.Node) { c.Life = n.Life() })
+	}
+	if err := checkpoint.Save(f.keep, c); err != nil {
+		slog.Warn("the checkpoint is not kept", "err", err, "advice", "look at the disk; the sidecar serves on")
+	}
+}
+
 // bind waits until the old process has given up the address for datagrams.
 func (f *fleet) bind(share link.Config) {
 	t := time.NewTicker(bindEach)
@@ -162,6 +222,7 @@
 		case <-t.C:
 		}
 		f.look()
+		f.save(time.Now(), false)
 		t.Reset(max(f.machine.Due()-time.Since(f.begun), time.Millisecond))
 	}
 }
@@ -234,6 +295,8 @@
 // close ends all of it. Others are told that this sidecar leaves.
 func (f *fleet) close() {
 	close(f.stop)
+	f.wg.Wait()
+	f.save(time.Now(), true)
 	f.mu.Lock()
 	f.closed = true
 	l := f.link
@@ -241,5 +304,4 @@
 	if l != nil {
 		l.Close()
 	}
-	f.wg.Wait()
 }
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -424,8 +424,8 @@
 	}
 	ready := func() {
 		wait.Stop()
-		if began != nil {
-			warm(c, host, place, began)
+		if began == nil || !warm(c, host, place, began) {
+			steer.warm()
 		}
 		accept()
 		host.SetReady(true)
@@ -629,25 +629,26 @@
 }
 
 // warm takes over what the process before this one had learned, told by itself or left
-// in the place. Nothing depends on it: what is of no use is left aside.
-func warm(c *config, host *sidecar.Host, place *link.Place, began *link.New) {
+// in the place, and says whether it did. Nothing depends on it: what is of no use is left aside.
+func warm(c *config, host *sidecar.Host, place *link.Place, began *link.New) (did bool) {
 	data, from := began.Snapshot(), "the old process"
 	if len(data) == 0 && place.Locked() {
 		var err error
 		if data, err = place.Saved(); err != nil {
 			slog.Warn("cold start", "err", err)
-			return
+			return false
 		}
 		from = "a process that has ended"
 	}
 	if len(data) == 0 {
-		return
+		return false
 	}
 	l, age, err := handover.Decode(data, c.listen, time.Now())
 	if err != nil {
 		slog.Warn("cold start", "err", err)
-		return
+		return false
 	}
 	host.Learn(l, age)
 	slog.Info("warm start", "from", from, "age", age, "servers", len(l.Servers))
+	return true
 }
--- a/cmd/fawnrock/standing_test.go
+++ b/cmd/fawnrock/standing_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -148,3 +150,68 @@
 		t.Error("nobody was answered after SIGTERM: the test shows nothing")
 	}
 }
+
+// What a sidecar has learned is a hint for its next life; a file that is torn, empty or
+// another's is told for what it is, and the sidecar serves all the same.
+func TestCheckpointsNotTrusted(t *testing.T) {
+	s := newShop(t, 256)
+	keep := filepath.Join(t.TempDir(), "checkpoint")
+	t.Setenv("MARTENDRUM_FLEET", "return")
+	t.Setenv("MARTENDRUM_CHECKPOINT", keep)
+	life := func(want string) {
+		t.Helper()
+		s.dir = t.TempDir() // nothing is left of the process before but the checkpoint
+		p := s.running()
+		if want != "" {
+			eventually(t, want, func() bool { return strings.Contains(p.log.String(), want) })
+		}
+		for range 5 {
+			if err := visit(http.DefaultClient, s.listen); err != nil {
+				t.Error(err)
+			}
+		}
+		eventually(t, "the end of its return", func() bool { return strings.Contains(p.log.String(), "phase serving") })
+		p.Process.Signal(syscall.SIGTERM)
+		p.ends(t)
+	}
+	life("")
+	good, err := os.ReadFile(keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	life("checkpoint taken as a hint")
+	for want, data := range map[string][]byte{"empty": nil, "torn or damaged": good[:len(good)/2]} {
+		if err := os.WriteFile(keep, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		life(want)
+		if now, _ := os.ReadFile(keep); len(now) < len(good)/2 {
+			t.Errorf("%s: the file was not written anew", want)
+		}
+	}
+	listen := s.listen
+	s.listen = freeAddr(t)
+	text := replace(t, s.text(t), listen, s.listen)
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := os.ReadFile(keep)
+	life("of another sidecar")
+	if now, _ := os.ReadFile(keep); string(now) != string(before) {
+		t.Error("another's file was written over")
+	}
+}
+
+// A word that MARTENDRUM_FLEET does not know, and peers that can't be, are told with what
+// to do.
+func TestFleetWords(t *testing.T) {
+	s := newShop(t, 256)
+	for words, keep := range map[string]string{"retrun": "", "peers": "", "return, breakers": "", "": "somewhere"} {
+		_, err := load(func(name string) string {
+			return map[string]string{"BALANCER_CONFIG": s.config, "MARTENDRUM_FLEET": words, "MARTENDRUM_CHECKPOINT": keep}[name]
+		})
+		if e, ok := errors.AsType[*FleetError](err); !ok || e.Advice() == "" {
+			t.Errorf("%q: %v", words, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/checkpoint/checkpoint.go
@@ -0,0 +1,161 @@
+// Package checkpoint keeps what one sidecar has learned on a disk that lasts, for its next
+// life, also after a power loss. It owns one file: written whole by a rename after a sync,
+// with a version, a checksum and the sidecar's name. A file that is torn, empty, too old,
+// of another version or another sidecar is told for what it is and left aside; nothing
+// depends on one. What of it is still true is not decided here, see recovery.Kept.
+package checkpoint
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"os"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"chalkrack"
+	"chalkrack/internal/handover"
+)
+
+const (
+	// Version changes with the meaning of any field.
+	Version = 1
+	// Most is the longest file, in bytes.
+	Most = handover.SnapshotMost + 4<<10
+	// Oldest is how old a file may be: past it a start from nothing knows as much.
+	Oldest = 24 * time.Hour
+)
+
+// Checkpoint is what is kept.
+type Checkpoint struct {
+	Name    string            `json:"name"`   // of the sidecar, by its address
+	Saved   int64             `json:"saved"`  // Unix time in ms
+	Life    uint64            `json:"life"`   // its number among peers
+	Demand  float64           `json:"demand"` // requests a second that usually come
+	Learned chalkrack.Learned `json:"learned"`
+}
+
+// Why a file is not trusted.
+type Why string
+
+// The reasons.
+const (
+	Empty   Why = "empty"
+	Torn    Why = "torn or damaged"
+	Old     Why = "too old, or of a time to come"
+	Foreign Why = "of another sidecar"
+	Other   Why = "of another version"
+	Unread  Why = "not readable"
+)
+
+// NotTrustedError says why a file was left aside.
+type NotTrustedError struct {
+	Path string
+	Why  Why
+	err  error
+}
+
+// Error implements error.
+func (e *NotTrustedError) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("checkpoint %s: %s", e.Path, e.Why)
+	}
+	return fmt.Sprintf("checkpoint %s: %s: %v", e.Path, e.Why, e.err)
+}
+
+// Unwrap returns the cause, nil if there is none.
+func (e *NotTrustedError) Unwrap() error { return e.err }
+
+// Advice says what an operator can do.
+func (e *NotTrustedError) Advice() string {
+	switch e.Why {
+	case Foreign:
+		return "give each sidecar a file of its own; this one starts from nothing and leaves the file as it is"
+	case Unread:
+		return "look at the file's owner and mode, and at the disk; the sidecar starts from nothing"
+	}
+	return "nothing: the sidecar starts from nothing and writes the file anew"
+}
+
+// file is the form on the disk. Sum is the CRC-32C of Body as it stands.
+type file struct {
+	Version int             `json:"version"`
+	Sum     uint32          `json:"sum"`
+	Body    json.RawMessage `json:"body"`
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Save writes c in place of what was there, whole or not at all.
+func Save(path string, c Checkpoint) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return fmt.Errorf("checkpoint: %w", err)
+	}
+	data, err := json.Marshal(file{Version, crc32.Checksum(body, castagnoli), body})
+	if err != nil {
+		return fmt.Errorf("checkpoint: %w", err)
+	}
+	if len(data) > Most {
+		return fmt.Errorf("checkpoint: %d bytes, %d at most", len(data), Most)
+	}
+	if err := renameio.WriteFile(path, data, 0o600); err != nil {
+		return fmt.Errorf("checkpoint: %w", err)
+	}
+	return nil
+}
+
+// Load reads the file of the sidecar of that name, and how old it is; nil if there is
+// none. Whatever can't be trusted is a *NotTrustedError.
+func Load(path, name string, now time.Time) (*Checkpoint, time.Duration, error) {
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, 0, nil
+	}
+	not := func(why Why, err error) (*Checkpoint, time.Duration, error) {
+		return nil, 0, &NotTrustedError{path, why, err}
+	}
+	if err != nil {
+		return not(Unread, err)
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, Most+1))
+	if err != nil {
+		return not(Unread, err)
+	}
+	var in file
+	var c Checkpoint
+	switch err := json.Unmarshal(data, &in); {
+	case len(data) == 0:
+		return not(Empty, nil)
+	case len(data) > Most:
+		return not(Torn, fmt.Errorf("over %d bytes", Most))
+	case err != nil:
+		return not(Torn, err)
+	case in.Version != Version:
+		return not(Other, fmt.Errorf("version %d, and this is %d", in.Version, Version))
+	case crc32.Checksum(in.Body, castagnoli) != in.Sum:
+		return not(Torn, errors.New("the checksum is wrong"))
+	}
+	if err := json.Unmarshal(in.Body, &c); err != nil {
+		return not(Torn, err)
+	}
+	if c.Name != name {
+		return not(Foreign, fmt.Errorf("of %q", c.Name))
+	}
+	age := now.Sub(time.UnixMilli(c.Saved))
+	if age < -time.Second || age > Oldest {
+		return not(Old, fmt.Errorf("saved %v ago", age.Round(time.Second)))
+	}
+	if !(c.Demand >= 0) {
+		return not(Torn, fmt.Errorf("a demand of %v", c.Demand))
+	}
+	if err := handover.Check(&c.Learned); err != nil {
+		return not(Torn, err)
+	}
+	return &c, max(0, age), nil
+}
--- /dev/null
+++ b/internal/checkpoint/checkpoint_test.go
@@ -0,0 +1,104 @@
+package checkpoint
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"chalkrack"
+)
+
+var now = time.UnixMilli(1_800_000_000_000)
+
+func good() Checkpoint {
+	return Checkpoint{Name: "10.0.0.4:8081", Saved: now.Add(-time.Minute).UnixMilli(), Life: 7, Demand: 4.5, Learned: chalkrack.Learned{
+		Delay: 0.4, Odds: 0.2, Taken: 1, Primary: []chalkrack.LearnedTime{{At: 0.3}},
+		Servers: []chalkrack.LearnedServer{{Name: "s1", Weight: 1, Started: time.Hour}},
+	}}
+}
+
+func saved(t *testing.T, c Checkpoint) (path string, data []byte) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "checkpoint")
+	if err := Save(path, c); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path, data
+}
+
+func TestSaveAndLoad(t *testing.T) {
+	path, _ := saved(t, good())
+	c, age, err := Load(path, good().Name, now)
+	if err != nil || age != time.Minute || !reflect.DeepEqual(*c, good()) {
+		t.Errorf("loaded %+v, %v, %v", c, age, err)
+	}
+	if c, _, err := Load(path+"x", good().Name, now); c != nil || err != nil {
+		t.Errorf("no file: %+v, %v", c, err)
+	}
+}
+
+// Each thing that can be wrong is told for what it is, with what to do.
+func TestNotTrusted(t *testing.T) {
+	edit := func(f func(*Checkpoint)) Checkpoint {
+		c := good()
+		f(&c)
+		return c
+	}
+	for name, c := range map[string]struct {
+		keep Checkpoint
+		mar  func([]byte) []byte
+		why  Why
+	}{
+		"empty":         {good(), func([]byte) []byte { return nil }, Empty},
+		"no JSON":       {good(), func([]byte) []byte { return []byte("what is this") }, Torn},
+		"too long":      {good(), func(b []byte) []byte { return append(b, bytes.Repeat([]byte(" "), Most)...) }, Torn},
+		"version":       {good(), func(b []byte) []byte { return bytes.Replace(b, []byte(`"version":1`), []byte(`"version":2`), 1) }, Other},
+		"another's":     {edit(func(c *Checkpoint) { c.Name = "10.0.0.5:8081" }), nil, Foreign},
+		"days old":      {edit(func(c *Checkpoint) { c.Saved -= 48 * time.Hour.Milliseconds() }), nil, Old},
+		"of tomorrow":   {edit(func(c *Checkpoint) { c.Saved += 24 * time.Hour.Milliseconds() }), nil, Old},
+		"can't be true": {edit(func(c *Checkpoint) { c.Learned.Odds = 3 }), nil, Torn},
+		"no demand":     {edit(func(c *Checkpoint) { c.Demand = -1 }), nil, Torn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path, data := saved(t, c.keep)
+			if c.mar != nil {
+				if err := os.WriteFile(path, c.mar(data), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got, _, err := Load(path, good().Name, now)
+			if bad, ok := errors.AsType[*NotTrustedError](err); !ok || bad.Why != c.why || bad.Advice() == "" || got != nil {
+				t.Errorf("%+v, %v; want it %s", got, err, c.why)
+			}
+		})
+	}
+}
+
+// Wherever a write is cut off, and whichever byte is spoilt, nothing else is read than was
+// written.
+func TestEveryByte(t *testing.T) {
+	path, data := saved(t, good())
+	try := func(what string, at int, data []byte) {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, _, err := Load(path, good().Name, now)
+		if err == nil && !reflect.DeepEqual(*c, good()) {
+			t.Fatalf("%s at %d was read as %+v", what, at, c)
+		}
+	}
+	for i := range data {
+		try("cut off", i, data[:i])
+		spoilt := bytes.Clone(data)
+		spoilt[i] ^= 1 << (i % 8)
+		try("spoilt", i, spoilt)
+	}
+}
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"regexp"
+	"strings"
 	"time"
 
 	"chalkrack/internal/fleet/api"
@@ -52,6 +53,8 @@
 		WaveMost    int            `toml:"wave_most"` // instances in a wave; 0: no bound
 		Shop        string         `toml:"shop"`      // names of labels
 		Zone        string         `toml:"zone"`
+		// Checkpoint has each sidecar keep what it learns in a file in state_dir.
+		Checkpoint bool `toml:"checkpoint"`
 	} `toml:"recovery"`
 	// Figures are taken of each instance that has a door, at the multiples of Slot.
 	Figures struct {
@@ -172,6 +175,8 @@
 		return fmt.Errorf("figures.keep: %v; want 1 to %d slots of %v", time.Duration(c.Figures.Keep), keepMost, time.Duration(c.Figures.Slot))
 	case c.Recovery.WaveLeast < 0 || c.Recovery.WaveLongest < c.Recovery.WaveLeast || c.Recovery.WaveLongest > units.Duration(time.Hour):
 		return fmt.Errorf("recovery.wave_least and wave_longest: %v and %v; want 0 <= least <= longest <= 1h", time.Duration(c.Recovery.WaveLeast), time.Duration(c.Recovery.WaveLongest))
+	case c.Recovery.Checkpoint && !strings.Contains(c.Sidecar.Fleet, "return"):
+		return fmt.Errorf("recovery.checkpoint: only a sidecar that comes back by rules reads one: add \"return\" to sidecar.fleet, or leave it out")
 	case c.Recovery.WaveMost < 0:
 		return fmt.Errorf("recovery.wave_most: %d; want 0 (no bound) or more", c.Recovery.WaveMost)
 	case len(c.Instances) > MostInstances:
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -263,6 +263,11 @@
 	if a.cfg.Sidecar.HandOver {
 		env = append(env, "TMPDIR="+a.meetPath())
 	}
+	keep := ""
+	if a.cfg.Recovery.Checkpoint {
+		keep = filepath.Join(a.cfg.StateDir, "instances", row.Name+".checkpoint")
+	}
+	env = append(env, "MARTENDRUM_CHECKPOINT="+keep)
 	return a.machine.Start(proc.Spec{
 		Launch: row.Launch, Path: a.releases.Path(row.Release, release.Sidecar), Dir: a.cfg.StateDir, Env: env, Log: a.logPath(row.Name),
 	})
--- a/internal/fleet/e2e/powerloss_test.go
+++ b/internal/fleet/e2e/powerloss_test.go
@@ -610,3 +610,72 @@
 		}
 	}
 }
+
+// The power goes again at each write of the record that an agent makes while its host
+// comes back, before and after it: the next start ends as if nothing had been.
+func TestPowerLossAtEveryWrite(t *testing.T) {
+	if testing.Short() {
+		t.Skip("longer: not in CI")
+	}
+	p := newPlant(t, 1, 3, "return")
+	p.startAll()
+	h := p.hosts[0]
+	op := p.op(api.ActRestart, nil)
+	opt := options()
+	opt.TTL = time.Minute // longer than the test: only the loss ends it
+	var token int64
+	for at := 1; at <= 8; at++ {
+		for _, after := range []string{"", "1"} {
+			t.Logf("write %d, after it %q", at, after)
+			if token == 0 {
+				token = p.opened(op, opt.Holder)
+			}
+			p.off(nil, h)
+			h.start("E2E_AGENT="+h.config, fmt.Sprint("E2E_CRASH_AT=", at), "E2E_CRASH_AFTER="+after)
+			died := h.ends(3 * time.Second)
+			p.off(nil, h)
+			h.start()
+			states := p.ready()
+			p.observed(states)
+			for _, i := range states[0].Instances {
+				if i.Generation != 1 || i.Holder != "" || i.Operation != op.ID {
+					t.Errorf("%s: generation %d, held by %q, operation %q", i.Name, i.Generation, i.Holder, i.Operation)
+				}
+			}
+			agent, ctx := p.fleet.Agents[0], context.Background()
+			if err := agent.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: token, Instance: h.insts[0], Kind: api.Change}, nil); code(err) != api.Fenced {
+				t.Errorf("a step by a token of before the loss: %v", err)
+			}
+			if err := agent.Call(ctx, api.OpOpen, &api.OpenIn{Operation: op, Holder: opt.Holder, TTL: time.Minute}, nil); code(err) != api.Held || !strings.Contains(err.Error(), "lost its power") {
+				t.Errorf("the run of before the loss asks again: %v", err)
+			}
+			if !died {
+				return // there is no such write: all were tried
+			}
+		}
+	}
+	t.Error("the return has more writes than were tried")
+}
+
+// opened opens an operation at the one agent and returns its token.
+func (p *plant) opened(op api.Operation, holder string) int64 {
+	p.t.Helper()
+	var out api.OpenOut
+	if err := p.fleet.Agents[0].Call(context.Background(), api.OpOpen, &api.OpenIn{Operation: op, Holder: holder, TTL: time.Minute}, &out); err != nil {
+		p.t.Fatal(err)
+	}
+	return out.Token
+}
+
+// ends waits for the agent's end, and says whether it came.
+func (h *host) ends(within time.Duration) bool {
+	h.mu.Lock()
+	end := h.end
+	h.mu.Unlock()
+	select {
+	case <-end:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
--- a/internal/fleetsim/powerloss.go
+++ b/internal/fleetsim/powerloss.go
@@ -11,9 +11,11 @@
 type Loss struct {
 	Sidecars, Servers int
 	Zones             int
+	Queue             int           // of a server
 	Load              float64       // demand by what all warm servers can carry
 	Spread            time.Duration // over which sidecars come back, and servers
 	Ramp              Ramp
+	Even              bool    // each request is the same work
 	Clients           Clients // Rate: of each sidecar
 	Share             bool    // sidecars tell each other
 	Guided            bool    // they come back as package recovery says
@@ -62,7 +64,7 @@
 	up := make([]time.Duration, l.Sidecars)
 	for i := range servers {
 		at := l.Sidecars + i
-		s := &Server{Ramp: l.Ramp, Workers: 4, Work: work, Queue: 40}
+		s := &Server{Ramp: l.Ramp, Workers: 4, Work: work, Queue: l.Queue, Even: l.Even}
 		rng := w.Rand(at)
 		s.Up(time.Duration(rng.Float64()*float64(l.Spread)), rng)
 		servers[i] = s
--- a/internal/fleetsim/powerloss_test.go
+++ b/internal/fleetsim/powerloss_test.go
@@ -10,7 +10,7 @@
 // platformLoss is a loss of everything on a site like the platform's.
 func platformLoss(sidecars, servers int, seed uint64) Loss {
 	return Loss{
-		Sidecars: sidecars, Servers: servers, Zones: 3, Load: 0.6, Spread: 2 * time.Second, Seed: seed, Workers: 6,
+		Sidecars: sidecars, Servers: servers, Zones: 3, Queue: 40, Load: 0.6, Spread: 2 * time.Second, Seed: seed, Workers: 6,
 		Ramp:    Ramp{From: 0.14, For: 23 * time.Second, Factor: 4, Window: 2 * time.Second},
 		Clients: Clients{Rate: 5, Mix: []float64{0.5, 0.3, 0.2}, Burst: 2, Returns: 0.9},
 		Network: platform, Until: 45 * time.Second,
@@ -84,3 +84,29 @@
 		}
 	}
 }
+
+// BenchmarkSixty is the loss that TestPowerLossWholeFleet of internal/fleet/e2e plays with
+// 60 real sidecars, for comparison.
+func BenchmarkSixty(b *testing.B) {
+	for _, staged := range []bool{false, true} {
+		b.Run(fmt.Sprintf("staged=%v", staged), func(b *testing.B) {
+			for b.Loop() {
+				l := platformLoss(60, 12, 1)
+				l.Load, l.Spread, l.Until = 0.5, 200*time.Millisecond, 20*time.Second
+				l.Ramp = Ramp{From: 0.14, For: 6 * time.Second, Factor: 4, Window: time.Second}
+				l.Clients.Rate, l.Clients.Burst, l.Clients.Patient, l.Even, l.Queue, l.Zones = 10, 0.5, true, true, 20, 1
+				l.Network.Shortest, l.Network.Longest = 50*time.Microsecond, 500*time.Microsecond
+				if staged {
+					l = l.staged()
+					l.Network.Loss = 0
+				}
+				r := l.Play()
+				b.ReportMetric(float64(r.Back(-1, 0.9)), "s-to-9/10")
+				for c, name := range []string{"status", "register", "activate"} {
+					b.ReportMetric(r.Share(c, 0, 3), name+"-0-3s")
+				}
+				b.ReportMetric(r.Share(-1, 0, 3), "all-0-3s")
+			}
+		})
+	}
+}
--- a/internal/fleetsim/server.go
+++ b/internal/fleetsim/server.go
@@ -33,6 +33,7 @@
 	Workers int
 	Work    time.Duration // mean, of a warm one
 	Queue   int           // requests that may wait
+	Even    bool          // each takes just the mean
 
 	Fallen int // how often it fell while cold
 	Ran    int // requests that it has carried out
@@ -111,7 +112,10 @@
 }
 
 func (s *Server) begin(now time.Duration, j job) {
-	took := s.rng.ExpFloat64() * float64(s.Work) / s.Ramp.warmth(now-s.started)
+	took := float64(s.Work) / s.Ramp.warmth(now-s.started)
+	if !s.Even {
+		took *= s.rng.ExpFloat64()
+	}
 	j.ends = now + max(time.Microsecond, time.Duration(took))
 	s.running = append(s.running, j)
 }
--- a/internal/fleetsim/sidecar.go
+++ b/internal/fleetsim/sidecar.go
@@ -17,6 +17,7 @@
 	Mix     []float64 // shares of the classes
 	Burst   float64   // seconds' worth of requests that wait when it starts
 	Returns float64   // share of those turned away who come back when told, within their time
+	Patient bool      // an answer after the aim counts as one in time
 }
 
 // Sidecar hosts a real Balancer, and a real peers.Node where it has one.
@@ -194,7 +195,7 @@
 	q.out--
 	if o == chalkrack.OK && !q.over {
 		q.over = true
-		if s.now-q.began <= s.cfg.Classes[q.class].Aim {
+		if s.now-q.began <= s.cfg.Classes[q.class].Aim || s.clients.Patient {
 			s.Tally.add(&s.Tally.Served, q.class, q.began)
 		} else {
 			s.Tally.Late++
--- a/internal/handover/snapshot.go
+++ b/internal/handover/snapshot.go
@@ -82,14 +82,14 @@
 	if age = now.Sub(time.Unix(0, s.Saved)); age < -time.Second || age > FreshMost {
 		return l, 0, fmt.Errorf("%w: %v", ErrStale, age)
 	}
-	if err := check(&s.Learned); err != nil {
+	if err := Check(&s.Learned); err != nil {
 		return l, 0, fmt.Errorf("%w: %w", ErrDamaged, err)
 	}
 	return s.Learned, max(0, age), nil
 }
 
-// check names the first value that can't be.
-func check(l *chalkrack.Learned) error {
+// Check names the first value that no Balancer could have learned.
+func Check(l *chalkrack.Learned) error {
 	var err error
 	within := func(name string, v, least, most float64) {
 		if err == nil && !(v >= least && v <= most) { // a NaN is not
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -78,6 +78,10 @@
 	// demandOver is what arrivals are averaged over. The first ones count as if they had
 	// come in all of it: clients that waited come at once.
 	demandOver = 3 * time.Second
+	// usualOver times the usual demand is the most that is taken for true of what comes.
+	usualOver = 1.5
+	// slowOver is what the usual demand is averaged over.
+	slowOver = time.Minute
 	// returns is the share of those turned away who are taken to come again, so that
 	// they are not counted as new ones.
 	returns = 0.7
@@ -118,6 +122,10 @@
 	total uint64 // arrivals
 	seen  uint64 // of these, at the last look
 	looks []look // of the last demandOver
+
+	usual, weight float64 // from before this life
+	slow          float64 // the usual demand of this one
+	learned       time.Duration
 }
 
 // look is how many requests came, since the look before, that were nobody's second try.
@@ -163,6 +171,13 @@
 // Arrived takes how many requests have come in all.
 func (m *Machine) Arrived(total uint64) { m.total = total }
 
+// Usual takes the demand that usually came before this life, by requests a second, and how
+// much that is still worth, from 0 to 1.
+func (m *Machine) Usual(perSecond, weight float64) { m.usual, m.weight = perSecond, weight }
+
+// Demand is how many requests a second usually come: 0 until it is known.
+func (m *Machine) Demand() float64 { return m.slow }
+
 // Room takes the share of what comes that the servers may take now.
 func (m *Machine) Room(share float64) { m.room = max(0, min(share, 1)) }
 
@@ -170,6 +185,7 @@
 func (m *Machine) Tick(now time.Duration) Orders {
 	m.judge(now)
 	m.measure(now)
+	m.learn(now)
 	switch {
 	case m.room < roomLow:
 		m.cold = true
@@ -242,5 +258,21 @@
 	for _, l := range m.looks {
 		sum += l.fresh
 	}
-	return sum / demandOver.Seconds()
+	now := sum / demandOver.Seconds()
+	if m.usual > 0 {
+		return m.weight*min(now, usualOver*m.usual) + (1-m.weight)*now
+	}
+	return now
+}
+
+// learn keeps the usual demand up to date, while nothing is unusual.
+func (m *Machine) learn(now time.Duration) {
+	if m.phase != Serving || m.cold || now-m.began < demandOver {
+		return
+	}
+	if m.slow == 0 {
+		m.slow = m.demand()
+	}
+	m.slow += (m.demand() - m.slow) * min(1, (now-m.learned).Seconds()/slowOver.Seconds())
+	m.learned = now
 }
--- /dev/null
+++ b/internal/recovery/trust.go
@@ -0,0 +1,68 @@
+package recovery
+
+import (
+	"math"
+	"time"
+
+	"chalkrack"
+)
+
+// Trust is what becomes, after a restart, of something known before it.
+type Trust string
+
+// The kinds of trust.
+const (
+	Outright Trust = "outright"
+	Hint     Trust = "as a hint that fades with age"
+	Anew     Trust = "asked for anew"
+	Nothing  Trust = "thrown away"
+)
+
+// Trusted is what is trusted of all that was known before, item by item; the design note
+// has the same table.
+var Trusted = []struct {
+	Item string
+	How  Trust
+	Why  string
+}{
+	{"configuration", Outright, "it is an operator's word, checked whole at the start"},
+	{"known list of servers", Hint, "it may be old: discovery's list goes before it as soon as it comes"},
+	{"record of keys", Outright, "it is written before it is acted on, and checked at its opening"},
+	{"response times, d and q", Hint, "they are the site's more than the moment's"},
+	{"servers' weights and latencies", Hint, "of servers that have not started since; after a loss of everything, of none"},
+	{"ejections, shed level, trips", Nothing, "they are of the moment before"},
+	{"budgets for cold servers", Nothing, "two who count the same sends would spend twice"},
+	{"usual demand", Hint, "clients that come back at once are taken for more than they are without it"},
+	{"leases", Nothing, "everything fenced before is void, whatever the clocks say"},
+	{"operations under way", Anew, "they hold until an operator resumes them"},
+	{"evidence of a change", Hint, "it is of before, and marked by its time"},
+	{"releases by hash", Outright, "each is verified before it is started"},
+	{"own life's number", Hint, "the next one goes above it, and above what others tell"},
+	{"a peer's word on itself", Hint, "with its age, and never a single one for a verdict"},
+	{"a peer's word on others", Hint, "as hearsay: no decision counts it as a voice"},
+}
+
+const (
+	// timesMemory is how fast response times from before lose their worth, demandMemory
+	// the usual demand.
+	timesMemory  = time.Hour
+	demandMemory = 6 * time.Hour
+)
+
+// Kept is what of a checkpoint is still a hint: what was learned, less what is of the
+// moment, and the usual demand with its weight from 0 to 1.
+func Kept(l chalkrack.Learned, age time.Duration, v Verdict) (_ chalkrack.Learned, weight float64) {
+	k := chalkrack.Learned{Delay: l.Delay, Odds: l.Odds, Taken: 1}
+	fresh := func(n int) int { return int(float64(n) * math.Exp(-float64(age)/float64(timesMemory))) }
+	k.Primary = l.Primary[len(l.Primary)-fresh(len(l.Primary)):]
+	k.Copies = l.Copies[len(l.Copies)-fresh(len(l.Copies)):]
+	k.Pairs = l.Pairs[len(l.Pairs)-fresh(len(l.Pairs)):]
+	if v == Alone {
+		k.MeanTime = l.MeanTime
+		for _, s := range l.Servers {
+			s.Failures, s.Ejections, s.EjectedAbout = 0, 0, 0
+			k.Servers = append(k.Servers, s)
+		}
+	}
+	return k, math.Exp(-float64(age) / float64(demandMemory))
+}
