--- a/cmd/martendrum/view.go
+++ b/cmd/martendrum/view.go
@@ -208,6 +208,9 @@
 			if h.Error != "" {
 				fmt.Fprintf(os.Stderr, "%s: %s\n", h.Host.Name, h.Error)
 			}
+			if h.Returning != "" {
+				fmt.Fprintf(os.Stderr, "%s comes back from a power loss: %s\n", h.Host.Name, h.Returning)
+			}
 			if h.Unwritable != "" {
 				fmt.Fprintf(os.Stderr, "%s: its record can't be written: %s\n", h.Host.Name, h.Unwritable)
 			}
--- a/internal/fleet/agent/loss.go
+++ b/internal/fleet/agent/loss.go
@@ -166,6 +166,26 @@
 	return !b.pace.May(now, i.cfg.Name)
 }
 
+// returning says how far the return is, "" if there is none; the lock is held.
+func (a *Agent) returning() (how string, epoch int64) {
+	if a.back == nil {
+		return "", 0
+	}
+	if a.back.pace == nil || a.back.pace.Over(time.Since(a.started)) {
+		return "", a.back.epoch
+	}
+	up, of := 0, 0
+	for _, i := range a.inst {
+		if i.row.Desired == api.Running {
+			of++
+			if i.life.Phase() == life.Ready {
+				up++
+			}
+		}
+	}
+	return fmt.Sprintf("loss %d, %d of %d instances are ready", a.back.epoch, up, of), a.back.epoch
+}
+
 // steady ends the return once it is over, and later the memory of recent losses.
 func (a *Agent) steady(up time.Duration) {
 	if a.back == nil {
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -259,6 +259,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := &api.ListOut{Agent: a.cfg.Name, Now: time.Now(), Unwritable: a.unwritable}
+	out.Returning, out.Epoch = a.returning()
 	for _, name := range a.names {
 		out.Instances = append(out.Instances, a.status(a.inst[name]))
 	}
@@ -417,6 +418,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if how, _ := a.returning(); how != "" {
+		e := &api.ReturningError{Host: a.cfg.Name, How: how}
+		return nil, api.Errorf(api.Held, "%v: %s", e, e.Advice())
+	}
 	have := a.ops[o.ID]
 	if have != nil {
 		if have.State != api.OpOpened {
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -80,6 +80,19 @@
 	return &Error{Code: code, Message: fmt.Sprintf(format, a...)}
 }
 
+// ReturningError tells that a host comes back from a power loss: nothing is taken away
+// from a fleet that is not whole.
+type ReturningError struct{ Host, How string }
+
+func (e *ReturningError) Error() string {
+	return fmt.Sprintf("host %s comes back from a power loss: %s", e.Host, e.How)
+}
+
+// Advice says what an operator can do.
+func (e *ReturningError) Advice() string {
+	return "wait until all its waves have begun, see `martendrum list`, and say it again"
+}
+
 // Desired states of an instance.
 const (
 	Running = "running"
@@ -167,6 +180,10 @@
 	Now        time.Time  `msgpack:"now"`
 	Unwritable string     `msgpack:"unwritable"` // why the record can't be written
 	Instances  []Instance `msgpack:"instances"`
+	// Returning tells, while the host's instances come back from a power loss, how far they
+	// are; Epoch counts its losses since the agent began, if there was one.
+	Returning string `msgpack:"returning,omitempty"`
+	Epoch     int64  `msgpack:"epoch,omitempty"`
 }
 
 type InstanceIn struct {
--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -230,6 +230,8 @@
 	Host       inventory.Host `json:"host"`
 	Error      string         `json:"error,omitempty"` // it gave no answer
 	Unwritable string         `json:"unwritable,omitempty"`
+	Returning  string         `json:"returning,omitempty"` // from a power loss: how far it is
+	Epoch      int64          `json:"epoch,omitempty"`     // its last loss, of late
 	Instances  []api.Instance `json:"instances"`
 }
 
@@ -250,7 +252,7 @@
 			out[n].Error = err.Error()
 			return err
 		}
-		out[n].Unwritable = l.Unwritable
+		out[n].Unwritable, out[n].Returning, out[n].Epoch = l.Unwritable, l.Returning, l.Epoch
 		for _, i := range l.Instances {
 			if sel.Fits(a.Host, &i) {
 				out[n].Instances = append(out[n].Instances, i)
--- a/internal/fleet/client/run.go
+++ b/internal/fleet/client/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chalkrack/internal/fleet/api"
+	"chalkrack/internal/fleet/inventory"
 	"chalkrack/internal/fleet/judge"
 	"chalkrack/internal/fleet/rollout"
 )
@@ -139,6 +140,9 @@
 			return nil, fmt.Errorf("nothing was changed: %w", err)
 		}
 	}
+	if err := f.whole(ctx); err != nil {
+		return nil, fmt.Errorf("nothing was changed: %w", err)
+	}
 	// In one order everywhere: of two who want the same, one gets the first.
 	for n, host := range r.order {
 		p := r.parts[host]
@@ -163,6 +167,24 @@
 	return r.run(ctx)
 }
 
+// lookMost is how long the fleet is asked whether it is whole. Who is silent for longer is
+// down, which is no return.
+const lookMost = time.Second
+
+// whole says whether no host of the fleet comes back from a power loss, those that the
+// operation does not touch among them.
+func (f *Fleet) whole(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lookMost)
+	defer cancel()
+	for _, h := range f.List(ctx, &inventory.Select{}) {
+		if h.Returning != "" {
+			e := &api.ReturningError{Host: h.Host.Name, How: h.Returning}
+			return fmt.Errorf("%w; %s", e, e.Advice())
+		}
+	}
+	return nil
+}
+
 // Find looks for an operation at all hosts.
 func (f *Fleet) Find(ctx context.Context, id string) (op api.Operation, outs map[string]*api.OpOut, errs map[string]error) {
 	outs, errs = make(map[string]*api.OpOut), make(map[string]error)
--- a/internal/fleet/e2e/powerloss_test.go
+++ b/internal/fleet/e2e/powerloss_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -45,12 +46,18 @@
 }
 
 func newPlant(t *testing.T, hosts, each int, parts string) *plant {
+	t.Helper()
+	return newSlowPlant(t, hosts, each, parts, 100*time.Millisecond)
+}
+
+// newSlowPlant has so long between the waves of a return.
+func newSlowPlant(t *testing.T, hosts, each int, parts string, wave time.Duration) *plant {
 	t.Helper()
 	p := &plant{rank: make(map[string]int), ramp: &shop.Ramp{
 		Workers: 4, Work: 40 * time.Millisecond, Queue: 20, From: 0.14, For: 6 * time.Second, Factor: 4, Window: time.Second,
 	}}
 	servers := max(4, hosts*each/5)
-	p.world = newWorldBefore(t, hosts, each, fmt.Sprintf("fleet = %q\n[recovery]\nwave_least = \"100ms\"\n", parts), func() (*shop.Shop, error) {
+	p.world = newWorldBefore(t, hosts, each, fmt.Sprintf("fleet = %q\n[recovery]\nwave_least = %q\n", parts, wave), func() (*shop.Shop, error) {
 		return shop.NewWith(servers, p.ramp.Serve)
 	})
 	var homes, names []string
@@ -589,6 +596,7 @@
 	p.on(rand.New(rand.NewPCG(3, 3)), p.hosts...)
 	p.ready()
 	rep := <-done
+	p.settled(p.hosts...)
 	if rep.Result == rollout.Succeeded {
 		t.Errorf("the run went on as if nothing had been: %s, %+v", rep.Result, rep.Rows)
 	}
@@ -611,6 +619,43 @@
 	}
 }
 
+// While one host comes back nothing is begun on any: not by its agent, and not by a command
+// for another host. It may be once all waves have begun.
+func TestDrainDuringRecoveryHolds(t *testing.T) {
+	p := newSlowPlant(t, 2, 4, "return", 2*time.Second)
+	p.startAll()
+	p.off(nil, p.hosts[0])
+	p.on(rand.New(rand.NewPCG(1, 1)), p.hosts[0])
+	var h client.HostState
+	eventually(t, "a host that says that it comes back", func() bool {
+		h = p.fleet.List(context.Background(), &inventory.Select{})[0]
+		return h.Returning != ""
+	})
+	drain := p.op(api.ActDrain, func(o *api.Operation) {
+		o.Targets = []api.Target{{Host: p.hosts[1].name, Instance: p.hosts[1].insts[0]}}
+	})
+	_, err := p.fleet.Start(context.Background(), drain, options())
+	if e, ok := errors.AsType[*api.ReturningError](err); !ok || e.Host != p.hosts[0].name {
+		t.Errorf("a drain of another host: %v", err)
+	}
+	own := p.op(api.ActRestart, func(o *api.Operation) {
+		o.Targets = []api.Target{{Host: p.hosts[0].name, Instance: p.hosts[0].insts[0]}}
+	})
+	if err := p.fleet.Agents[0].Call(context.Background(), api.OpOpen, &api.OpenIn{Operation: own, Holder: "me", TTL: time.Second}, nil); code(err) != api.Held || !strings.Contains(err.Error(), "power loss") {
+		t.Errorf("an operation there: %v", err)
+	}
+	states := p.ready()
+	p.settled(p.hosts[0])
+	p.inWaves(states)
+	if states[0].Epoch != 1 || states[1].Epoch != 0 {
+		t.Errorf("losses told: %d and %d", states[0].Epoch, states[1].Epoch)
+	}
+	rep, err := p.fleet.Start(context.Background(), drain, options())
+	if err != nil || rep.Result != rollout.Succeeded {
+		t.Errorf("a drain after it: %v, %+v", err, rep)
+	}
+}
+
 // The power goes again at each write of the record that an agent makes while its host
 // comes back, before and after it: the next start ends as if nothing had been.
 func TestPowerLossAtEveryWrite(t *testing.T) {
@@ -642,6 +687,7 @@
 					t.Errorf("%s: generation %d, held by %q, operation %q", i.Name, i.Generation, i.Holder, i.Operation)
 				}
 			}
+			p.settled(h)
 			agent, ctx := p.fleet.Agents[0], context.Background()
 			if err := agent.Call(ctx, api.StepStart, &api.StepIn{Op: op.ID, Token: token, Instance: h.insts[0], Kind: api.Change}, nil); code(err) != api.Fenced {
 				t.Errorf("a step by a token of before the loss: %v", err)
@@ -657,6 +703,21 @@
 	t.Error("the return has more writes than were tried")
 }
 
+// settled waits until no wave of the hosts is to come.
+func (p *plant) settled(hosts ...*host) {
+	p.t.Helper()
+	eventually(p.t, "the end of the waves", func() bool {
+		for _, s := range p.fleet.List(context.Background(), &inventory.Select{}) {
+			for _, h := range hosts {
+				if s.Host.Name == h.name && (s.Error != "" || s.Returning != "") {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 // opened opens an operation at the one agent and returns its token.
 func (p *plant) opened(op api.Operation, holder string) int64 {
 	p.t.Helper()
