Warm servers bear more while others are cold; cold ones are paced by demand beside them

Ruled out: copies that go on while nothing is shed (within chance). Change: Balancer.Room tells warmth and what is borne apart (bounds.go); recovery sheds by the one and paces by the other. TestPowerLossFellsNobody.

--- a/bounds.go
+++ b/bounds.go
@@ -22,19 +22,28 @@
 	b.admit.least = x.Shed
 }
 
-// Room is the share of what warm servers would take that those of the working set bear
-// now: 1 where all are warm, less while some are cold. Without servers it is 1, since
-// nothing can be said.
-func (b *Balancer) Room(now time.Duration) float64 {
+// warmOver times its usual share is what a warm server is taken to bear while others are
+// cold. It may do harm where all are near their limits: then late answers tell.
+const warmOver = 1.5
+
+// Room tells of the servers of the working set their mean warmth, and the share of what
+// usually comes that they bear now: 1 where all are warm, less while many are cold. Without
+// servers both are 1, since nothing can be said.
+func (b *Balancer) Room(now time.Duration) (warmth, share float64) {
 	f := &b.fleet
 	f.refresh(now)
-	all, room := 0.0, 0.0
+	all, warm, room := 0.0, 0.0, 0.0
 	for _, s := range f.set {
 		all += s.hint
-		room += s.hint * f.warmth(s, now)
+		w := f.warmth(s, now)
+		warm += s.hint * w
+		if w == 1 {
+			w = warmOver
+		}
+		room += s.hint * w
 	}
 	if all == 0 {
-		return 1
+		return 1, 1
 	}
-	return room / all
+	return warm / all, min(1, room/all)
 }
--- a/internal/fleetsim/powerloss_test.go
+++ b/internal/fleetsim/powerloss_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// No cold server falls where clients have waited for long, more comes than all servers can
+// carry, and the rule allows little.
+func TestPowerLossFellsNobody(t *testing.T) {
+	for _, factor := range []float64{1.5, 4} {
+		for _, load := range []float64{0.5, 1.2} {
+			l := platformLoss(60, 12, 2).staged()
+			l.Load, l.Ramp.Factor, l.Clients.Burst, l.Until = load, factor, 5, 25*time.Second
+			if r := l.Play(); r.Fallen > 0 {
+				t.Errorf("load %.1f, %.1f times a cold server's capacity allowed: %d fell", load, factor, r.Fallen)
+			}
+		}
+	}
+}
+
 // A run is the same with any number of workers.
 func TestPowerLossSameWithAnyWorkers(t *testing.T) {
 	l := platformLoss(20, 6, 3).staged()
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -85,10 +85,10 @@
 	// returns is the share of those turned away who are taken to come again, so that
 	// they are not counted as new ones.
 	returns = 0.7
-	// roomEnough is the share that servers take from which on nothing is bounded;
-	// roomLow below which it is again: not the same, so that it does not flap.
-	roomEnough = 0.98
-	roomLow    = 0.9
+	// warmEnough is the servers' mean warmth from which on nothing is bounded; warmLow
+	// below which it is again: not the same, so that it does not flap.
+	warmEnough = 0.98
+	warmLow    = 0.9
 )
 
 // Word is what another sidecar says of itself.
@@ -117,11 +117,11 @@
 	phase   Phase
 	verdict Verdict
 
-	cold  bool // the servers take less than comes
-	room  float64
-	total uint64 // arrivals
-	seen  uint64 // of these, at the last look
-	looks []look // of the last demandOver
+	cold         bool // the servers take less than comes
+	warmth, room float64
+	total        uint64 // arrivals
+	seen         uint64 // of these, at the last look
+	looks        []look // of the last demandOver
 
 	usual, weight float64 // from before this life
 	slow          float64 // the usual demand of this one
@@ -140,7 +140,7 @@
 	setDefault(&cfg.ReturnMost, returnUsual)
 	setDefault(&cfg.Each, eachUsual)
 	setDefault(&cfg.Rest, restUsual)
-	m := &Machine{cfg: cfg, began: now, due: now, words: make(map[int]Word), phase: Asking, room: 1}
+	m := &Machine{cfg: cfg, began: now, due: now, words: make(map[int]Word), phase: Asking, warmth: 1, room: 1}
 	if cfg.Size < 2 {
 		m.verdict, m.phase = Unsure, Returning // nobody to ask
 	}
@@ -178,8 +178,10 @@
 // Demand is how many requests a second usually come: 0 until it is known.
 func (m *Machine) Demand() float64 { return m.slow }
 
-// Room takes the share of what comes that the servers may take now.
-func (m *Machine) Room(share float64) { m.room = max(0, min(share, 1)) }
+// Room takes the servers' mean warmth and the share of what usually comes that they bear.
+func (m *Machine) Room(warmth, share float64) {
+	m.warmth, m.room = max(0, min(warmth, 1)), max(0, min(share, 1))
+}
 
 // Tick decides.
 func (m *Machine) Tick(now time.Duration) Orders {
@@ -187,9 +189,9 @@
 	m.measure(now)
 	m.learn(now)
 	switch {
-	case m.room < roomLow:
+	case m.warmth < warmLow:
 		m.cold = true
-	case m.room >= roomEnough:
+	case m.warmth >= warmEnough:
 		m.cold = false
 	}
 	if m.phase == Asking && m.verdict != Open {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -78,19 +78,19 @@
 	ramp := func(now time.Duration) float64 { return min(1, 0.14+0.86*now.Seconds()/23) }
 	cold := run(60, 40*time.Second, func(now time.Duration, m *Machine) {
 		m.Arrived(10 + uint64(now/(200*ms))) // five a second, and ten that waited
-		m.Room(ramp(now))
+		m.Room(ramp(now), ramp(now))
 	})
 	for i, o := range cold {
 		now := time.Duration(i) * 100 * ms
 		room := ramp(now)
 		switch {
-		case room < roomLow && o.Bounds.Shed != 1-room:
+		case room < warmLow && o.Bounds.Shed != 1-room:
 			t.Fatalf("at %v servers bear %.2f, and %.2f is shed", now, room, o.Bounds.Shed)
-		case room >= roomEnough && (o.Bounds != chalkrack.Bounds{} || o.Phase != Serving):
+		case room >= warmEnough && (o.Bounds != chalkrack.Bounds{} || o.Phase != Serving):
 			t.Fatalf("at %v all is warm: %+v", now, o)
-		case room < roomLow && now > 4*time.Second && (o.Bounds.Nominal < 1.5 || o.Bounds.Nominal > 7):
+		case room < warmLow && now > 4*time.Second && (o.Bounds.Nominal < 1.5 || o.Bounds.Nominal > 7):
 			t.Fatalf("at %v five a second come, taken for %.1f", now, o.Bounds.Nominal)
-		case room < roomLow && o.Bounds.Nominal > 9:
+		case room < warmLow && o.Bounds.Nominal > 9:
 			t.Fatalf("at %v those that waited count for %.1f a second", now, o.Bounds.Nominal)
 		}
 	}
@@ -108,7 +108,7 @@
 			total += come
 			due[i+15] += come * last.Bounds.Shed * back
 			m.Arrived(uint64(total))
-			m.Room(0.3)
+			m.Room(0.3, 0.3)
 			last = m.Tick(time.Duration(i) * 100 * ms)
 			if i > 60 && (last.Bounds.Nominal < 10 || last.Bounds.Nominal > 40) {
 				t.Fatalf("%.1f of those turned away come again: look %d takes 20 a second for %.1f", back, i, last.Bounds.Nominal)
@@ -129,7 +129,7 @@
 			}
 			total += rapid.Uint64Range(0, 50).Draw(t, "came")
 			m.Arrived(total)
-			m.Room(rapid.Float64Range(-1, 2).Draw(t, "room"))
+			m.Room(rapid.Float64Range(-1, 2).Draw(t, "warmth"), rapid.Float64Range(-1, 2).Draw(t, "room"))
 			o := m.Tick(now)
 			switch {
 			case o.Phase < phase:
