--- a/internal/fleet/e2e/powerloss_test.go
+++ b/internal/fleet/e2e/powerloss_test.go
@@ -646,7 +646,7 @@
 	}
 	states := p.ready()
 	p.settled(p.hosts[0])
-	p.inWaves(states)
+	p.inWaves(states[:1]) // the other started as ever, all at once
 	if states[0].Epoch != 1 || states[1].Epoch != 0 {
 		t.Errorf("losses told: %d and %d", states[0].Epoch, states[1].Epoch)
 	}
