--- a/cmd/fawnrock/fleet.go
+++ b/cmd/fawnrock/fleet.go
@@ -72,8 +72,7 @@
 	begun time.Time
 
 	mu      sync.Mutex
-	link    *link.Link // nil: off, or its address is an old process's still
-	closed  bool
+	link    *link.Link        // nil: off, or its address is an old process's still
 	machine *recovery.Machine // nil: off; the loop's
 	orders  recovery.Orders
 
@@ -83,9 +82,6 @@
 	savedAt    time.Time
 }
 
-// bindEach is how often the address of an old process is looked at.
-const bindEach = 100 * time.Millisecond
-
 // startFleet starts what the configuration asks for. beside says that an old process
 // serves beside this one, which may have the address for datagrams still.
 func startFleet(c *config, host *sidecar.Host, figs *figures.Set, beside bool) (*fleet, error) {
@@ -159,9 +155,7 @@
 	}
 	f.savedAt = now
 	c := checkpoint.Checkpoint{Name: f.name, Saved: now.UnixMilli(), Demand: f.machine.Demand(), Learned: f.host.Learned()}
-	if l := f.peers(); l != nil {
-		l.Do(func(_ time.Duration, n *peers.Node) { c.Life = n.Life() })
-	}
+	f.tell(func(_ time.Duration, n *peers.Node) { c.Life = n.Life() })
 	if err := checkpoint.Save(f.keep, c); err != nil {
 		slog.Warn("the checkpoint is not kept", "err", err, "advice", "look at the disk; the sidecar serves on")
 	}
@@ -169,32 +163,20 @@
 
 // bind waits until the old process has given up the address for datagrams.
 func (f *fleet) bind(share link.Config) {
-	t := time.NewTicker(bindEach)
-	defer t.Stop()
-	for {
-		select {
-		case <-f.stop:
-			return
-		case <-t.C:
-		}
+	until(f.stop, func() bool {
 		l, err := link.Open(share)
 		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
+			return false
 		}
 		if err != nil {
 			slog.Warn("nothing is told to other sidecars, nor heard", "err", err)
-			return
+			return true
 		}
 		f.mu.Lock()
-		if f.link = l; f.closed {
-			f.link = nil
-		}
-		f.mu.Unlock()
-		if f.peers() == nil {
-			l.Close()
-		}
-		return
-	}
+		defer f.mu.Unlock()
+		f.link = l
+		return true
+	})
 }
 
 // peers is the link, nil if there is none.
@@ -204,6 +186,13 @@
 	return f.link
 }
 
+// tell lets do use the peers.Node, if there is one.
+func (f *fleet) tell(do func(now time.Duration, n *peers.Node)) {
+	if l := f.peers(); l != nil {
+		l.Do(do)
+	}
+}
+
 // now is what was decided last.
 func (f *fleet) now() recovery.Orders {
 	f.mu.Lock()
@@ -229,14 +218,11 @@
 
 // look brings the machine what is known, and carries out what it decides.
 func (f *fleet) look() {
-	l := f.peers()
 	before := f.now()
-	if l != nil && before.Phase != recovery.Serving {
-		l.Do(func(now time.Duration, n *peers.Node) {
-			for m := range n.Members(now) {
-				if m.Direct && m.Rank != n.Self() && (m.State == peers.Alive || m.State == peers.Suspect) {
-					f.machine.Hear(int(m.Rank), recovery.Word{Phase: recovery.Phase(m.Phase), Age: m.Age})
-				}
+	if before.Phase != recovery.Serving {
+		f.tell(func(now time.Duration, n *peers.Node) {
+			for m := range n.Speaking(now) {
+				f.machine.Hear(int(m.Rank), recovery.Word{Phase: recovery.Phase(m.Phase), Age: m.Age})
 			}
 		})
 	}
@@ -250,9 +236,7 @@
 	f.mu.Lock()
 	f.orders = o
 	f.mu.Unlock()
-	if l != nil {
-		l.Do(func(now time.Duration, n *peers.Node) { n.SetPhase(now, uint8(o.Phase)) })
-	}
+	f.tell(func(now time.Duration, n *peers.Node) { n.SetPhase(now, uint8(o.Phase)) })
 	if o.Phase != before.Phase {
 		slog.Info("phase "+o.Phase.String(), "verdict", o.Verdict, "after", time.Since(f.begun).Round(time.Millisecond), "shed", o.Bounds.Shed)
 	} else if shed := o.Bounds.Shed > 0; shed != (before.Bounds.Shed > 0) {
@@ -265,9 +249,7 @@
 	ask := func(read func(now time.Duration, n *peers.Node) float64) func() float64 {
 		return func() float64 {
 			v := math.NaN()
-			if l := f.peers(); l != nil {
-				l.Do(func(now time.Duration, n *peers.Node) { v = read(now, n) })
-			}
+			f.tell(func(now time.Duration, n *peers.Node) { v = read(now, n) })
 			return v
 		}
 	}
@@ -297,11 +279,7 @@
 	close(f.stop)
 	f.wg.Wait()
 	f.save(time.Now(), true)
-	f.mu.Lock()
-	f.closed = true
-	l := f.link
-	f.mu.Unlock()
-	if l != nil {
+	if l := f.peers(); l != nil {
 		l.Close()
 	}
 }
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -56,8 +56,9 @@
 	// and so many once one has come.
 	softLeast = 2
 	softMost  = 30
-	// doorEach is how often a new process looks whether the old one's door is closed.
-	doorEach = 100 * time.Millisecond
+	// lateEach is how often a new process looks whether the old one has given up an
+	// address.
+	lateEach = 100 * time.Millisecond
 	// healthSum tells in answers to the health call which file is in force: its
 	// SHA-256. An agent sees by it whether a reload was taken over.
 	healthSum = "Config-Sum"
@@ -538,16 +539,27 @@
 
 // openLate opens the operators' door once its address is free, unless gone is closed before.
 func openLate(addr string, ops *door.Door, gone <-chan struct{}) {
-	t := time.NewTicker(doorEach)
+	until(gone, func() bool {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			ops.Serve(ln)
+		}
+		return err == nil
+	})
+}
+
+// until tries again each lateEach until done says so, or stop is closed: for what an old
+// process has to give up first.
+func until(stop <-chan struct{}, done func() bool) {
+	t := time.NewTicker(lateEach)
 	defer t.Stop()
 	for {
 		select {
-		case <-gone:
+		case <-stop:
 			return
 		case <-t.C:
 		}
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			ops.Serve(ln)
+		if done() {
 			return
 		}
 	}
--- a/internal/fleet/agent/loss.go
+++ b/internal/fleet/agent/loss.go
@@ -10,8 +10,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"chalkrack/internal/fleet/api"
 	"chalkrack/internal/fleet/life"
 	"chalkrack/internal/fleet/store"
@@ -88,7 +86,7 @@
 func (a *Agent) writeLosses(l losses) {
 	data, err := json.Marshal(l)
 	if err == nil {
-		err = renameio.WriteFile(a.lossesPath(), data, 0o640)
+		err = writeFile(a.lossesPath(), data)
 	}
 	if err != nil {
 		slog.Warn("the count of power losses is not kept", "err", err)
--- a/internal/fleet/e2e/powerloss_test.go
+++ b/internal/fleet/e2e/powerloss_test.go
@@ -166,12 +166,8 @@
 
 // log is what an instance's sidecars have written, from the last start on.
 func (p *plant) log(name string) string {
-	dir := filepath.Dir(p.hostOf(name).config)
-	text, _ := os.ReadFile(filepath.Join(dir, "s", "logs", name+".log"))
-	if i := strings.LastIndex(string(text), began); i >= 0 {
-		return string(text[i:])
-	}
-	return string(text)
+	text := p.whole(name)
+	return text[max(0, strings.LastIndex(text, began)):]
 }
 
 // verdict is what a sidecar has decided about its start, "" if it has not.
@@ -490,6 +486,7 @@
 	}
 }
 
+// whole is all that an instance's sidecars have written.
 func (p *plant) whole(name string) string {
 	text, _ := os.ReadFile(filepath.Join(filepath.Dir(p.hostOf(name).config), "s", "logs", name+".log"))
 	return string(text)
--- a/internal/fleetsim/gossip.go
+++ b/internal/fleetsim/gossip.go
@@ -33,7 +33,7 @@
 	lives uint64
 }
 
-// NewGossip returns a world in which all sidecars start at moments drawn from within.
+// NewGossip returns a world of size places for sidecars, none of which runs yet: see Up.
 func NewGossip(size int, seed uint64, net Network, workers int, cfg peers.Config) *Gossip {
 	cfg.Size = size
 	return &Gossip{World: New(size, seed, net, workers), cfg: cfg, lives: 1}
--- a/internal/fleetsim/guide.go
+++ b/internal/fleetsim/guide.go
@@ -22,10 +22,8 @@
 // Tick implements Guide.
 func (r *Recovery) Tick(now time.Duration, s *Sidecar) {
 	if r.peer != nil && r.Last.Phase != recovery.Serving {
-		for m := range r.peer.Members(now) {
-			if m.Direct && m.Rank != r.peer.Self() && (m.State == peers.Alive || m.State == peers.Suspect) {
-				r.Hear(int(m.Rank), recovery.Word{Phase: recovery.Phase(m.Phase), Age: m.Age})
-			}
+		for m := range r.peer.Speaking(now) {
+			r.Hear(int(m.Rank), recovery.Word{Phase: recovery.Phase(m.Phase), Age: m.Age})
 		}
 	}
 	r.Arrived(s.Arrivals())
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -17,12 +17,15 @@
 	sent   int
 }
 
+// same says that both are news of the same row or fact.
+func (p pending) same(q pending) bool {
+	return q.isFact == p.isFact && q.fact == p.fact && q.rank == p.rank
+}
+
 // queue makes something news, in place of what was news of it before. What is hot leaves
 // soon.
 func (n *Node) queue(now time.Duration, p pending) {
-	n.pending = slices.DeleteFunc(n.pending, func(q pending) bool {
-		return q.isFact == p.isFact && q.fact == p.fact && q.rank == p.rank
-	})
+	n.pending = slices.DeleteFunc(n.pending, p.same)
 	if len(n.pending) >= pendingMost { // the one that was passed on most often, the lightest first
 		least := 0
 		for i, q := range n.pending {
@@ -45,7 +48,7 @@
 // news to nobody (rumour mongering with a counter, Demers and others 1987).
 func (n *Node) known(p pending) {
 	for i := range n.pending {
-		if q := &n.pending[i]; q.isFact == p.isFact && q.fact == p.fact && q.rank == p.rank {
+		if q := &n.pending[i]; p.same(*q) {
 			q.sent += 1 + n.sentMost()/knownMost
 			return
 		}
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -63,8 +63,8 @@
 	wg       sync.WaitGroup
 	strays   atomic.Uint64 // datagrams from no address of the fleet
 	unsent   atomic.Uint64 // the socket did not take them
-	damaged  atomic.Uint64 // since the last one logged
-	loggedAt time.Time     // the reader's
+	damaged  int           // since the last one logged; the reader's, as is loggedAt
+	loggedAt time.Time
 }
 
 // Open begins the life of a sidecar among its peers. The number of the life is drawn from
@@ -181,7 +181,7 @@
 
 // complain logs datagrams that were dropped, not each.
 func (l *Link) complain(from peers.Rank, err error) {
-	l.damaged.Add(1)
+	l.damaged++
 	if time.Since(l.loggedAt) < logAgain {
 		return
 	}
@@ -190,5 +190,6 @@
 	if d, ok := errors.AsType[*peers.DecodeError](err); ok {
 		advice = d.Advice()
 	}
-	slog.Warn("datagrams dropped", "from", from, "count", l.damaged.Swap(0), "err", err, "advice", advice)
+	slog.Warn("datagrams dropped", "from", from, "count", l.damaged, "err", err, "advice", advice)
+	l.damaged = 0
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,6 +18,7 @@
 package peers
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -156,11 +157,9 @@
 	case cfg.Life == 0 || cfg.Life >= lifeMost:
 		return nil, &ConfigError{"the life's number", fmt.Sprintf("from 1 to %d", uint64(lifeMost-1))}
 	}
-	setDefault(&cfg.Period, periodUsual)
-	setDefault(&cfg.Timeout, min(timeoutUsual, cfg.Period/3))
-	setDefault(&cfg.Rate, rateUsual)
-	setDefault(&cfg.Burst, burstUsual)
-	setDefault(&cfg.Fan, fanUsual)
+	cfg.Period = cmp.Or(cfg.Period, periodUsual)
+	cfg.Timeout = cmp.Or(cfg.Timeout, min(timeoutUsual, cfg.Period/3))
+	cfg.Rate, cfg.Burst, cfg.Fan = cmp.Or(cfg.Rate, rateUsual), cmp.Or(cfg.Burst, burstUsual), cmp.Or(cfg.Fan, fanUsual)
 	n := &Node{
 		cfg:     cfg,
 		rng:     rng,
@@ -190,12 +189,6 @@
 	return n, nil
 }
 
-func setDefault[T int | float64 | time.Duration](v *T, usual T) {
-	if *v <= 0 {
-		*v = usual
-	}
-}
-
 // Due is when Tick is to be called next.
 func (n *Node) Due() time.Duration {
 	due := n.due
@@ -323,6 +316,3 @@
 
 // errSelf is for datagrams in one's own name.
 var errSelf = errors.New("peers: a datagram from oneself")
-
-// Self is this sidecar's rank.
-func (n *Node) Self() Rank { return n.cfg.Self }
--- a/internal/peers/row.go
+++ b/internal/peers/row.go
@@ -140,6 +140,18 @@
 	}
 }
 
+// Speaking yields the others that live and told of this life of theirs themselves: whose
+// word is a voice.
+func (n *Node) Speaking(now time.Duration) iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for m := range n.Members(now) {
+			if m.Direct && m.Rank != n.cfg.Self && (m.State == Alive || m.State == Suspect) && !yield(m) {
+				return
+			}
+		}
+	}
+}
+
 // Count is how many sidecars there are.
 type Count struct {
 	Size   int // in the fleet
--- a/internal/record/e2e/handover_test.go
+++ b/internal/record/e2e/handover_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/standin/shop"
 )
 
 // logged is a process whose log can be waited on.
@@ -93,17 +92,7 @@
 	hold := make(chan struct{})
 	release := sync.OnceFunc(func() { close(hold) })
 	defer release()
-	w := &world{runs: make(map[string]int), act: func(hit int) act {
-		if hit == 1 {
-			return act{hold: hold}
-		}
-		return act{}
-	}}
-	s, err := shop.NewWith(2, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
+	w, s := holdsFirst(t, hold)
 	config, listen, err := s.Config(dir, "n1", place)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/record/e2e/program_test.go
+++ b/internal/record/e2e/program_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// holdsFirst is servers of which the first request waits for hold; they end with the test.
+func holdsFirst(t *testing.T, hold <-chan struct{}) (*world, *shop.Shop) {
+	t.Helper()
+	w := &world{runs: make(map[string]int), act: func(hit int) act {
+		if hit == 1 {
+			return act{hold: hold}
+		}
+		return act{}
+	}}
+	s, err := shop.NewWith(2, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return w, s
+}
+
 // Two sidecars and the commands on one database: a repeat is answered at the other one,
 // a start does not need the database, and one that it may not use is said at start.
 func TestProgramsOnPostgres(t *testing.T) {
@@ -144,17 +161,7 @@
 	dir := t.TempDir()
 	sidecar, tool := build(t, dir)
 	hold := make(chan struct{})
-	w := &world{runs: make(map[string]int), act: func(hit int) act {
-		if hit == 1 {
-			return act{hold: hold}
-		}
-		return act{}
-	}}
-	s, err := shop.NewWith(2, func(_ *shop.Shop, _ string, rw http.ResponseWriter, r *http.Request) { w.serve(rw, r) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
+	w, s := holdsFirst(t, hold)
 	defer close(hold)
 	config, listen, err := s.Config(dir, "n1", 60001)
 	if err != nil {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -16,6 +16,7 @@
 package recovery
 
 import (
+	"cmp"
 	"time"
 
 	"chalkrack"
@@ -136,10 +137,8 @@
 
 // New returns the Machine of a sidecar that starts at now.
 func New(cfg Config, now time.Duration) *Machine {
-	setDefault(&cfg.AskMost, askUsual)
-	setDefault(&cfg.ReturnMost, returnUsual)
-	setDefault(&cfg.Each, eachUsual)
-	setDefault(&cfg.Rest, restUsual)
+	cfg.AskMost, cfg.ReturnMost = cmp.Or(cfg.AskMost, askUsual), cmp.Or(cfg.ReturnMost, returnUsual)
+	cfg.Each, cfg.Rest = cmp.Or(cfg.Each, eachUsual), cmp.Or(cfg.Rest, restUsual)
 	m := &Machine{cfg: cfg, began: now, due: now, words: make(map[int]Word), phase: Asking, warmth: 1, room: 1}
 	if cfg.Size < 2 {
 		m.verdict, m.phase = Unsure, Returning // nobody to ask
@@ -147,12 +146,6 @@
 	return m
 }
 
-func setDefault(v *time.Duration, usual time.Duration) {
-	if *v <= 0 {
-		*v = usual
-	}
-}
-
 // Due is when Tick is to be called next.
 func (m *Machine) Due() time.Duration { return m.due }
 
@@ -272,9 +265,8 @@
 	if m.phase != Serving || m.cold || now-m.began < demandOver {
 		return
 	}
-	if m.slow == 0 {
-		m.slow = m.demand()
-	}
-	m.slow += (m.demand() - m.slow) * min(1, (now-m.learned).Seconds()/slowOver.Seconds())
+	d := m.demand()
+	m.slow = cmp.Or(m.slow, d) // starts at the first
+	m.slow += (d - m.slow) * min(1, (now-m.learned).Seconds()/slowOver.Seconds())
 	m.learned = now
 }
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -37,7 +37,7 @@
 	Stall Way
 	// Delay holds back each piece for so long, and up to Jitter more. Order is kept.
 	Delay, Jitter time.Duration
-	// Loss is the share of datagrams lost, Double of those that come twice (in a Mesh).
+	// Loss is the share of datagrams lost, Double of those that come twice.
 	Loss, Double float64
 }
 
--- a/internal/standin/faultnet/mesh.go
+++ b/internal/standin/faultnet/mesh.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
 )
 
 // Mesh carries datagrams between named members, each of which has one public address in
@@ -100,26 +99,8 @@
 		m.net.mu.Lock()
 		f := m.faults[from][to]
 		m.carried[from] += int64(n)
-		lost := f.Drop || f.Stall != 0 || f.Loss > 0 && m.net.rng.Float64() < f.Loss
-		wait := f.Delay + time.Duration(float64(f.Jitter)*m.net.rng.Float64())
-		copies := 1
-		if f.Double > 0 && m.net.rng.Float64() < f.Double {
-			copies = 2
-		}
 		m.net.mu.Unlock()
-		if lost {
-			continue
-		}
-		data := append([]byte(nil), buf[:n]...)
-		for range copies {
-			if wait == 0 {
-				m.ports[from].WriteToUDPAddrPort(data, m.homes[to])
-				continue
-			}
-			m.net.wg.Go(func() {
-				time.Sleep(wait)
-				m.ports[from].WriteToUDPAddrPort(data, m.homes[to])
-			})
-		}
+		copies, wait := m.net.fate(f, Both)
+		m.net.later(buf[:n], copies, wait, func(b []byte) { m.ports[from].WriteToUDPAddrPort(b, m.homes[to]) })
 	}
 }
--- a/internal/standin/faultnet/udp.go
+++ b/internal/standin/faultnet/udp.go
@@ -22,45 +22,57 @@
 		if err != nil {
 			return
 		}
-		if !l.passes(There, n) {
-			continue
-		}
-		to, err := l.peer(from)
-		if err == nil {
-			l.later(append([]byte(nil), buf[:n]...), func(b []byte) { to.Write(b) })
-		}
+		l.carry(There, buf[:n], func(b []byte) {
+			if to, err := l.peer(from); err == nil {
+				to.Write(b)
+			}
+		})
 	}
 }
 
-// passes decides whether a datagram is carried, and counts it.
-func (l *Link) passes(w Way, n int) bool {
-	l.mu.Lock()
-	f := l.fault
-	l.mu.Unlock()
-	if f.Drop || f.Stall&w != 0 || f.Loss > 0 && l.net.chance() < f.Loss {
-		return false
+// fate draws what becomes of a datagram: how many copies arrive, and how late. Jitter may
+// change their order, as on a real network.
+func (n *Net) fate(f Fault, w Way) (copies int, wait time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if f.Drop || f.Stall&w != 0 || f.Loss > 0 && n.rng.Float64() < f.Loss {
+		return 0, 0
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.carried[w>>1] += int64(n)
-	return true
+	copies = 1
+	if f.Double > 0 && n.rng.Float64() < f.Double {
+		copies = 2
+	}
+	return copies, f.Delay + time.Duration(float64(f.Jitter)*n.rng.Float64())
 }
 
-// later sends a datagram after the link's delay. Jitter may change their order, as
-// on a real network.
-func (l *Link) later(b []byte, send func([]byte)) {
+// later sends copies of a datagram after a wait.
+func (n *Net) later(b []byte, copies int, wait time.Duration, send func([]byte)) {
+	b = append([]byte(nil), b...)
+	for range copies {
+		if wait == 0 {
+			send(b)
+			continue
+		}
+		n.wg.Go(func() {
+			time.Sleep(wait)
+			send(b) // to a socket that may be closed by now: then it is lost
+		})
+	}
+}
+
+// carry sends a datagram on as the link's fault has it, and counts it if it is carried.
+func (l *Link) carry(w Way, b []byte, send func([]byte)) {
 	l.mu.Lock()
 	f := l.fault
 	l.mu.Unlock()
-	if f.Delay == 0 && f.Jitter == 0 {
-		send(b)
+	copies, wait := l.net.fate(f, w)
+	if copies == 0 {
 		return
 	}
-	wait := f.Delay + time.Duration(float64(f.Jitter)*l.net.chance())
-	l.net.wg.Go(func() {
-		time.Sleep(wait)
-		send(b) // to a socket that may be closed by now: then it is lost
-	})
+	l.mu.Lock()
+	l.carried[w>>1] += int64(len(b))
+	l.mu.Unlock()
+	l.net.later(b, copies, wait, send)
 }
 
 // peer is the socket that speaks for one sender.
@@ -95,8 +107,8 @@
 			if err != nil && !errors.Is(err, syscall.ECONNREFUSED) { // nobody there so far
 				return
 			}
-			if err == nil && l.passes(Back, n) {
-				l.later(append([]byte(nil), buf[:n]...), func(b []byte) { l.pc.WriteTo(b, from) })
+			if err == nil {
+				l.carry(Back, buf[:n], func(b []byte) { l.pc.WriteTo(b, from) })
 			}
 		}
 	})
