A new connection for an unsafe request takes the place of an idle one it distrusts

Prints at each attempt: from second 7 on 98 in 100 attempts went on new connections and were turned away, all of unsafe requests. Where kept connections break (their running share over brokeMost) Pool.take passes idle connections over for requests that can't be repeated, and each new connection is then kept beside them: servers, which hold some 19 connections each there, were full of idle ones that nobody used, the shed level rose with each request turned away, the classes that would have used them were shed first, and so the share that broke was never learned anew.

The change: such a connection takes the place of the server's longest idle one. TestNewConnectionsTakeIdlePlaces fails without it (connections pile up) and passed 50 times under -race.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -265,6 +265,12 @@
 		old = append(old, c)
 		p.drop(c)
 	}
+	if len(s.idle) > 0 && a.Once && p.broke > brokeMost {
+		// The new connection takes the place of one that is not trusted: a server holds
+		// only so many, and those left unused would keep the new ones out.
+		old = append(old, s.idle[0])
+		p.drop(s.idle[0])
+	}
 	if p.conns >= p.cfg.MostConns {
 		c := p.longestIdle()
 		if c == nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -219,12 +219,46 @@
 	}
 }
 
+// Where kept connections are not trusted, those for requests that can't be repeated take
+// the places of idle ones: a server holds only so many, and what lies idle would keep
+// the new ones out.
+func TestNewConnectionsTakeIdlePlaces(t *testing.T) {
+	conns := make(chan int, 100)
+	p := newPool(serve(t, func(conn, _ int, c net.Conn) {
+		conns <- conn
+		io.WriteString(c, good)
+	}))
+	p.rest = 0
+	p.broke = 1
+	for n := range 10 {
+		if e := send(t, p, true); e.o != chalkrack.OK {
+			t.Fatalf("request %d: %v", n, e.o)
+		}
+		if got := <-conns; got != n {
+			t.Errorf("request %d went on connection %d, want a new one", n, got)
+		}
+		eventually(t, "a kept connection", func() bool { return p.idles("s") == 1 })
+		if got := p.Conns(); got != 1 {
+			t.Fatalf("%d connections after request %d, want the last one's only", got, n)
+		}
+	}
+}
+
 func (p *Pool) share() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.broke
 }
 
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
 // Load reports that are no numbers change nothing.
 func TestParseLoad(t *testing.T) {
 	for text, want := range map[string]chalkrack.Report{
