A repeat leaves within its window only, an attempt only while its request stands

By reading, mayTry looks at the window when it decides, and Attempt.dial may take up to the dial's time more before the first byte goes: a request reset just before its window ends is sent just after it. Three more, found by reading what may come between two neighbouring lines: - where mayCancel is false, cancelOthers calls nothing off, and an attempt that still waited for its connection was sent after the client had left or had its answer; - Pool.take asked Quiet under the pool's lock, but the connection's goroutine may have read a stray answer by then and wait for that lock: it took it for the next request's answer; - New left askBack at 0 until the first list, so that a discovery that refuses the first call was asked again every 2 ms for good.

The change: Send tells how long an attempt's last byte may take to leave (within the anchor's window for a keyed one that may have run); Attempt.begin is the one place that begins one, and asks there whether it still stands, is in time and within a drain's grace. The host withdraws what has not begun wherever a request ends, whatever the Balancer may cancel. A reader takes bytes off a socket under a lock of its own, and a request is written under the same lock only where nothing had come (Lazy.IfQuiet); what came before is nobody's answer, and the request goes elsewhere. A failed call to discovery may be given a longest wait (Config.AskAgain). Each new test fails without its part (TestRepeatMayLeaveWithinItsWindow, TestTooLateIsNotSent, TestStrayAnswerIsNobodys, TestStrayAnswerBeforeTheRequest, TestAskAgainIsBounded; those with a whole sidecar follow with the front's part).

--- a/balancer.go
+++ b/balancer.go
@@ -20,8 +20,9 @@
 // Host carries out a Balancer's decisions. Its methods are called from within
 // the Balancer's own and must not call back into it.
 type Host interface {
-	// Send starts the request's next attempt; attempts count from 0.
-	Send(id RequestID, server string, timeout time.Duration)
+	// Send starts the request's next attempt; attempts count from 0. One whose last byte
+	// has not left when within is over must not run.
+	Send(id RequestID, server string, timeout, within time.Duration)
 	// Cancel stops waiting for an attempt.
 	Cancel(id RequestID, attempt int)
 	// Refuse ends a request and tells the client that a retry is harmless,
@@ -87,6 +88,7 @@
 	// AskWithin, where above 0, says that the server list comes only to those
 	// who subscribe, and that one who has not asked for so long counts as told.
 	AskWithin time.Duration
+	AskAgain  time.Duration // a failed call is repeated within it; 0: by AskWithin
 
 	ColdFrom       float64       // share of its capacity that a fresh server has
 	ColdFor        time.Duration // a server is warm after this
@@ -219,7 +221,7 @@
 	if cfg.AskWithin > 0 {
 		// All balancers may start at once, and discovery serves them in turn:
 		// the first calls spread over the time it may take.
-		b.askCookie = b.setTimer(time.Duration(b.rng.Float64() * 0.8 * float64(cfg.AskWithin)))
+		b.askBack, b.askCookie = cfg.AskWithin/2, b.setTimer(time.Duration(b.rng.Float64()*0.8*float64(cfg.AskWithin)))
 	}
 	return b, nil
 }
@@ -276,7 +278,8 @@
 	if b.cfg.AskWithin == 0 {
 		return
 	}
-	b.askCookie = b.setTimer(b.askBack/2 + time.Duration(b.rng.Float64()*float64(b.askBack)))
+	back := min(b.askBack, cmp.Or(b.cfg.AskAgain*2/3, 2*b.cfg.AskWithin))
+	b.askCookie = b.setTimer(back/2 + time.Duration(b.rng.Float64()*float64(back)))
 	b.askBack = min(b.askBack*2, 2*b.cfg.AskWithin)
 }
 
@@ -393,9 +396,8 @@
 // run goes on inside its anchor's group and window only.
 func (b *Balancer) mayTry(q *request, anchor *attempt, now time.Duration) bool {
 	switch {
-	case q.ended || q.streamed || len(q.attempts) >= min(q.most, b.cfg.MaxAttempts) || now >= q.Deadline:
-		return false
-	case q.out > 0 && !b.cfg.SecondCopies:
+	case q.ended || q.streamed || len(q.attempts) >= min(q.most, b.cfg.MaxAttempts) || now >= q.Deadline,
+		q.out > 0 && !b.cfg.SecondCopies:
 		return false
 	case q.class.Effect == Safe || anchor == nil:
 		return true
@@ -419,7 +421,8 @@
 				return false
 			}
 		}
-		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
+		return anchor == nil || q.class.Effect != Keyed || q.class.Scope == ScopeAll ||
+			anchor.to.zone == s.zone && (q.class.Scope == ScopeZone || anchor.to.group == s.group)
 	}
 	s := b.fleet.pick(now, may)
 	if sound = s != nil; !sound {
@@ -436,14 +439,14 @@
 	b.fleet.noteSend(s, now)
 	q.attempts = append(q.attempts, attempt{to: s, sent: now, isCopy: isCopy, held: held})
 	q.out++
-	b.host.Send(q.ID, s.name, q.Deadline-now)
+	within := q.Deadline - now
+	if anchor != nil && q.class.Effect == Keyed {
+		within = min(within, anchor.sent+q.class.Window-now)
+	}
+	b.host.Send(q.ID, s.name, q.Deadline-now, within)
 	return true
 }
 
-func sameGroup(scope Scope, a, b *server) bool {
-	return scope == ScopeAll || a.zone == b.zone && (scope == ScopeZone || a.group == b.group)
-}
-
 // Probed takes the load report that a probe brought.
 func (b *Balancer) Probed(now time.Duration, server string, rep Report) {
 	if s := b.fleet.byName[server]; s != nil {
@@ -513,12 +516,11 @@
 	if b.fleet.taken *= 1 - meanStep; o != Full {
 		b.fleet.taken += meanStep
 	}
-	if o == OK || o == Full {
-		s.heardAt = now
-	}
 	switch o {
 	case OK:
-		s.failures, s.ejections = 0, 0
+		s.heardAt, s.failures, s.ejections = now, 0, 0
+	case Full:
+		s.heardAt = now
 	case ServerError, Reset, TimedOut, ConnectFailed:
 		b.fleet.failed(s, now)
 	}
@@ -573,7 +575,7 @@
 // end gives q its final answer, a refusal where a retry is harmless.
 func (b *Balancer) end(q *request) {
 	b.close(q)
-	if q.refusable() {
+	if q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll || q.anchor() == nil {
 		// Those refused together must not return together.
 		b.host.Refuse(q.ID, time.Duration((0.5+b.rng.Float64()/2)*float64(b.cfg.MaxRetryAfter)))
 	} else {
@@ -589,11 +591,6 @@
 	b.forget(q)
 }
 
-// refusable says whether a client's retry could do no harm.
-func (q *request) refusable() bool {
-	return q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll || q.anchor() == nil
-}
-
 // forget drops a request that has ended and has nothing out.
 func (b *Balancer) forget(q *request) {
 	if q.ended && q.out == 0 {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -15,12 +15,14 @@
 	servers []string // by send
 	timers  []uint64
 	delays  []time.Duration
+	within  []time.Duration // by send
 }
 
 func (r *recorder) say(format string, args ...any) {
 	r.got = append(r.got, fmt.Sprintf(format, args...))
 }
-func (r *recorder) Send(id RequestID, server string, _ time.Duration) {
+func (r *recorder) Send(id RequestID, server string, _, within time.Duration) {
+	r.within = append(r.within, within)
 	r.servers = append(r.servers, server)
 	r.say("send %d", id)
 }
@@ -283,3 +285,33 @@
 		t.Error(got)
 	}
 }
+
+// Where a failed call must be repeated within a time, each is, however many fail.
+func TestAskAgainIsBounded(t *testing.T) {
+	cfg := testConfig()
+	cfg.AskWithin, cfg.AskAgain = time.Minute, 500*ms
+	r := new(recorder)
+	b, err := New(cfg, 1, r) // and has not had a list yet
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 50 {
+		b.DiscoveryFailed(time.Duration(n) * time.Second)
+		if d := r.delays[len(r.delays)-1]; d > cfg.AskAgain || d < cfg.AskAgain/4 {
+			t.Errorf("after failure %d the next call comes in %v", n, d)
+		}
+	}
+}
+
+// A keyed request that may have run may leave again within its window only, also where
+// that ends long before the deadline; one that is free to run may leave until then.
+func TestRepeatMayLeaveWithinItsWindow(t *testing.T) {
+	for class, want := range map[int]time.Duration{0: 930 * ms, 1: 130 * ms} {
+		b, r := newTest(t, testConfig(), fleetOf(2)...)
+		b.Arrive(0, Request{ID: 1, Class: class, Deadline: time.Second})
+		b.Done(70*ms, 1, 0, Reset, false, Report{})
+		if len(r.within) != 2 || r.within[0] != time.Second || r.within[1] != want {
+			t.Errorf("class %d: the attempts may leave within %v, want 1s and %v", class, r.within, want)
+		}
+	}
+}
--- a/cmd/drill/instance.go
+++ b/cmd/drill/instance.go
@@ -74,7 +74,7 @@
 }
 
 // Send implements chalkrack.Host.
-func (i *instance) Send(id chalkrack.RequestID, server string, timeout time.Duration) {
+func (i *instance) Send(id chalkrack.RequestID, server string, timeout, _ time.Duration) {
 	i.reply.Route(i.id, uint64(id), server, timeout.Microseconds())
 }
 
--- a/example_test.go
+++ b/example_test.go
@@ -11,7 +11,7 @@
 // report each attempt's end and each timer back to the balancer.
 type printer struct{ timers []uint64 }
 
-func (p *printer) Send(id chalkrack.RequestID, server string, _ time.Duration) {
+func (p *printer) Send(id chalkrack.RequestID, server string, _, _ time.Duration) {
 	fmt.Printf("send request %d to %s\n", id, server)
 }
 func (p *printer) Cancel(id chalkrack.RequestID, attempt int) {
--- a/internal/fleetsim/sidecar.go
+++ b/internal/fleetsim/sidecar.go
@@ -282,7 +282,7 @@
 }
 
 // Send implements chalkrack.Host.
-func (s *Sidecar) Send(id chalkrack.RequestID, server string, _ time.Duration) {
+func (s *Sidecar) Send(id chalkrack.RequestID, server string, _, _ time.Duration) {
 	q := s.held[id]
 	s.Tally.Sends++
 	s.out = append(s.out, Message{To: s.servers[server], Body: try{uint64(id), len(q.sent)}})
--- a/internal/sidecar/recorder.go
+++ b/internal/sidecar/recorder.go
@@ -58,7 +58,7 @@
 			}
 			return
 		case v.Answer != nil:
-			q.over = true
+			h.over(q)
 			x := q.x
 			h.actions = append(h.actions, func() { v.Answer(x) })
 			h.forget(q)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -191,7 +191,8 @@
 		if q == nil || q.over {
 			return
 		}
-		q.over, taken = true, true
+		taken = true
+		h.over(q)
 		h.b.ClientGone(now, q.id)
 		h.forget(q)
 	})
@@ -369,14 +370,14 @@
 }
 
 // Send implements chalkrack.Host.
-func (h *Host) Send(id chalkrack.RequestID, server string, timeout time.Duration) {
+func (h *Host) Send(id chalkrack.RequestID, server string, timeout, within time.Duration) {
 	q := h.held[id]
 	if q == nil {
 		return
 	}
 	a := &attempt{host: h, q: q, n: len(q.attempts)}
 	now := time.Now()
-	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: now.Add(timeout), Sink: a, Wrote: h.wrote}
+	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: now.Add(timeout), Latest: now.Add(within), Sink: a, Wrote: h.wrote}
 	if a.n == 0 {
 		h.meter.Own(now.Sub(q.x.Received))
 	}
@@ -445,12 +446,24 @@
 	if q == nil || q.over {
 		return
 	}
-	q.over = true
+	h.over(q)
 	x := q.x
 	h.tell(q, q.came(), nil, func() { answer(x) })
 	h.forget(q)
 }
 
+// over marks that q has its final answer, or needs none: what of it has not begun does not
+// begin any more, whatever the Balancer may call off. Every end of a request comes here.
+func (h *Host) over(q *request) {
+	q.over = true
+	for _, a := range q.attempts {
+		if !a.done && a.Withdraw() {
+			a.unsent = true
+			h.actions = append(h.actions, func() { a.Done(chalkrack.NotSent, nil, chalkrack.Report{}) })
+		}
+	}
+}
+
 // SetTimer implements chalkrack.Host.
 func (h *Host) SetTimer(cookie uint64, after time.Duration) {
 	h.after(&alarm{at: h.now() + max(after, 0), cookie: cookie})
@@ -549,7 +562,7 @@
 			h.tell(q, Served, ans, nil) // too late for the client, not for the record
 		}
 	case served:
-		q.over = true
+		h.over(q)
 		x := q.x
 		h.tell(q, Served, ans, func() { x.Serve(ans) })
 	case o == chalkrack.OK: // nothing to show for it
--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -9,16 +9,22 @@
 	"sync"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"chalkrack/internal/framing"
 )
 
 // Lazy reads a connection through a buffer that it holds only while something of the
 // peer's is unread or being read. A connection that says nothing, or waits for its
-// answer, costs no buffer. It is one goroutine's at a time, but for Quiet.
+// answer, costs no buffer. It is its reader's, one goroutine at a time, but for Quiet,
+// IfQuiet, Rest and Left: these settle with the reader, under one lock, who came first.
 type Lazy struct {
 	nc  net.Conn
 	raw syscall.RawConn // nil: not a socket, read in the plain way
 	now *buffer         // nil: none held
+
+	mu    sync.Mutex // held while a byte is taken off the socket, and where that must not be
+	found bool       // Wait has found something, and the reader may be about to act on it
 }
 
 // buffer is a pooled reader. Its source is a descriptor within a raw read, else the
@@ -94,16 +100,20 @@
 		}
 		l.drop()
 	}
+	l.Rest()
 	if l.raw == nil {
 		l.now = take(source{nc: l.nc})
 		return l.peek()
 	}
 	var err error
 	if waited := l.raw.Read(func(fd uintptr) (done bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		l.now = take(source{fd: int(fd), raw: true})
 		if err = l.peek(); err == syscall.EAGAIN {
 			return false
 		}
+		l.found = true
 		return true
 	}); waited != nil {
 		l.drop()
@@ -135,10 +145,33 @@
 	}
 }
 
-// Quiet says that nothing has come that is not read yet, the connection's end included.
-// It does not wait, takes nothing, and may be called from any goroutine. What is no
-// socket passes for quiet.
-func (l *Lazy) Quiet() bool {
+// Rest says that what Wait found has been read: the reader owes it nothing more.
+func (l *Lazy) Rest() {
+	l.mu.Lock()
+	l.found = false
+	l.mu.Unlock()
+}
+
+// Quiet says that nothing has come that is not read yet, the connection's end included,
+// and that the reader has found nothing since it was at rest. It does not wait, takes
+// nothing, and may be called from any goroutine. What is no socket passes for quiet.
+func (l *Lazy) Quiet() bool { return l.IfQuiet(func() {}) }
+
+// IfQuiet calls f if the connection is quiet, and says whether it did. The reader takes
+// nothing off the socket meanwhile: what it finds later came after f had begun. f must
+// not wait.
+func (l *Lazy) IfQuiet(f func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.found || !l.empty() {
+		return false
+	}
+	f()
+	return true
+}
+
+// empty says that the socket holds nothing unread.
+func (l *Lazy) empty() bool {
 	if l.raw == nil {
 		return true
 	}
@@ -151,6 +184,22 @@
 	return err == nil && still
 }
 
+// Left says that the peer has closed its side or reset the connection, also where bytes
+// lie unread before that. It does not wait, and may be called from any goroutine. Of what
+// is no socket nothing is known.
+func (l *Lazy) Left() bool {
+	if l.raw == nil {
+		return false
+	}
+	left := false
+	err := l.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || left
+}
+
 // Reader is what Wait has found something in, good until the next Wait.
 func (l *Lazy) Reader() *bufio.Reader { return l.now.br }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -81,6 +81,7 @@
 	Request  *Request
 	Server   string
 	Deadline time.Time // when the sidecar stops waiting
+	Latest   time.Time // when its last byte must have left, or it must not run; zero: Deadline
 	Sink     Sink
 	// Once says that the request can't be repeated: it is not trusted to a kept
 	// connection while those break at their next request.
@@ -107,15 +108,30 @@
 // Start makes the attempt. It does not wait for the server.
 func (p *Pool) Start(a *Attempt) {
 	a.pool, a.at = p, time.Now()
-	c, addr, ok := p.take(a)
-	switch {
-	case !ok:
-		a.done(chalkrack.ConnectFailed)
-	case c != nil:
-		a.send(c)
-	default:
-		go a.dial(addr)
+	for {
+		c, addr, ok := p.take(a)
+		switch {
+		case !ok:
+			a.done(chalkrack.ConnectFailed)
+			return
+		case c == nil:
+			go a.dial(addr)
+			return
+		case a.send(c):
+			return
+		}
+	}
+}
+
+// Withdraw stops an attempt that has not begun and says whether it did: it has not run
+// and will not. One that has begun goes on.
+func (a *Attempt) Withdraw() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.began {
+		a.ended = true
 	}
+	return !a.began
 }
 
 // Abandon stops an attempt and says whether it may have begun. Close closes its
@@ -182,56 +198,88 @@
 
 func (a *Attempt) sendGuarded(c *conn) {
 	defer a.guard()
-	a.send(c)
+	if !a.send(c) {
+		a.done(chalkrack.ConnectFailed)
+	}
 }
 
-// send writes the request. What does not surely fit the connection's buffer is
-// left to another goroutine: the caller may be anyone's.
-func (a *Attempt) send(c *conn) {
+// begin marks that the first byte goes out on c now, where the attempt still stands.
+func (a *Attempt) begin(c *conn) bool {
 	late := a.pool.late(a.to) // a slow dial must not carry work past a drain's grace
 	a.mu.Lock()
-	a.conn = c
-	if a.ended || late || a.readFailed {
+	defer a.mu.Unlock()
+	if a.ended || late || !time.Now().Before(a.latest()) {
 		a.ended = true
-		a.mu.Unlock()
-		a.pool.discard(c)
-		a.done(chalkrack.ConnectFailed)
-		return
+		return false
 	}
-	a.began = true
-	a.mu.Unlock()
+	a.conn, a.began = c, true
+	return true
+}
 
+// latest is when the last byte must have left.
+func (a *Attempt) latest() time.Time {
+	if a.Latest.IsZero() || a.Latest.After(a.Deadline) {
+		return a.Deadline
+	}
+	return a.Latest
+}
+
+// on says that the attempt has begun on c: what comes there is about it.
+func (a *Attempt) on(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.began && a.conn == c
+}
+
+// send writes the request, or what of it surely fits the connection's buffer: the rest
+// is left to another goroutine, for the caller may be anyone's. It returns false, and has
+// closed c, where something had come on it before, its end included: that is no answer to
+// this request, which may go elsewhere.
+func (a *Attempt) send(c *conn) bool {
 	buf := buffers.Get().(*[]byte)
 	head := append((*buf)[:0], a.Request.Head...)
 	head = append(head, "Req-Deadline-Ms: "...)
 	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
 	head = append(head, "\r\n\r\n"...)
-	size := len(head) + len(a.Request.Body)
-	if a.Request.Stream != nil {
+	small := a.Request.Stream == nil && len(head)+len(a.Request.Body) <= smallSend
+	if small {
+		head = append(head, a.Request.Body...)
+	}
+	begun := false
+	var n int
+	var err error
+	quiet := c.in.IfQuiet(func() {
+		if begun = a.begin(c); begun {
+			n, err = c.Write(head)
+		}
+	})
+	whole := n == len(head)
+	*buf = head
+	buffers.Put(buf)
+	switch {
+	case !quiet:
+		a.pool.discard(c)
+		return false
+	case !begun:
+		a.pool.discard(c)
+		a.done(chalkrack.NotSent)
+	case small || !whole:
+		a.sent(c, whole, err)
+	default:
 		go func() {
 			defer a.guard()
-			err := a.sendStream(c, head, a.Request.Stream)
+			var err error
+			if a.Request.Stream != nil {
+				err = a.sendStream(c, a.Request.Stream)
+			} else {
+				c.SetWriteDeadline(a.latest())
+				_, err = c.Write(a.Request.Body)
+			}
 			c.SetWriteDeadline(time.Time{})
 			a.sent(c, err == nil, err)
 		}()
-		return
 	}
-	if size <= smallSend {
-		head = append(head, a.Request.Body...)
-		n, err := c.Write(head)
-		*buf = head
-		buffers.Put(buf)
-		a.sent(c, n == size, err)
-		return
-	}
-	go func() {
-		defer a.guard()
-		pieces := net.Buffers{head, a.Request.Body}
-		c.SetWriteDeadline(a.Deadline)
-		n, err := pieces.WriteTo(c.Conn)
-		c.SetWriteDeadline(time.Time{})
-		a.sent(c, n == int64(size), err)
-	}()
+	return true
 }
 
 // errClaimed ends an attempt whose body another one sends.
@@ -239,11 +287,8 @@
 
 // sendStream writes a request whose body is not held whole. As long as what is held
 // has not left, another attempt can be made.
-func (a *Attempt) sendStream(c *conn, head []byte, from Stream) error {
+func (a *Attempt) sendStream(c *conn, from Stream) error {
 	c.SetWriteDeadline(time.Now().Add(giveMost))
-	if _, err := c.Write(head); err != nil {
-		return err
-	}
 	var w io.Writer = c
 	var chunks io.WriteCloser
 	if from.Chunked() {
@@ -321,7 +366,7 @@
 			p.drop(c)
 		}
 		p.mu.Unlock()
-		if a == nil {
+		if a == nil || !a.on(c) {
 			return
 		}
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -253,8 +253,8 @@
 		}
 		c := s.idle[n]
 		rested := now.Sub(c.used) >= p.rest
-		// The connection's goroutine would find its end too, but may not have run yet.
-		if rested && now.Sub(c.used) <= p.idleMost() && c.in.Quiet() {
+		// Whether something has come on it since, its end included, is seen when it is used.
+		if rested && now.Sub(c.used) <= p.idleMost() {
 			s.idle = append(s.idle[:n], s.idle[n+1:]...)
 			c.owner, a.kept = a, true
 			return c, "", true
@@ -265,6 +265,7 @@
 		old = append(old, c)
 		p.drop(c)
 	}
+	a.kept = false
 	if len(s.idle) > 0 && a.Once && p.broke > brokeMost {
 		// The new connection takes the place of one that is not trusted: a server holds
 		// only so many, and those left unused would keep the new ones out.
@@ -301,6 +302,7 @@
 	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
 		return false
 	}
+	c.in.Rest()
 	c.owner, c.used = nil, time.Now()
 	c.to.idle = append(c.to.idle, c)
 	return true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/sock"
 	"chalkrack/internal/standin/tcp"
 )
 
@@ -47,18 +48,22 @@
 	return p
 }
 
-func ask(t *testing.T, p *Pool) ending { return send(t, p, false) }
-
-func send(t *testing.T, p *Pool, once bool) ending {
-	t.Helper()
-	s := make(sink, 1)
-	a := &Attempt{
+func attemptOf(s Sink) *Attempt {
+	return &Attempt{
 		Request:  &Request{Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n")},
 		Server:   "s",
 		Deadline: time.Now().Add(patience),
 		Sink:     s,
-		Once:     once,
 	}
+}
+
+func ask(t *testing.T, p *Pool) ending { return send(t, p, false) }
+
+func send(t *testing.T, p *Pool, once bool) ending {
+	t.Helper()
+	s := make(sink, 1)
+	a := attemptOf(s)
+	a.Once = once
 	p.Start(a)
 	select {
 	case e := <-s:
@@ -250,6 +255,114 @@
 	return p.broke
 }
 
+// What has come on a kept connection before a request goes out on it is no answer to
+// that request, also where the connection's goroutine has read it and not acted on it yet.
+// The request goes elsewhere, whole.
+func TestStrayAnswerIsNobodys(t *testing.T) {
+	stray, wrote := make(chan struct{}), make(chan struct{})
+	addr := serve(t, func(conn, _ int, c net.Conn) {
+		io.WriteString(c, good)
+		if conn == 0 {
+			<-stray
+			io.WriteString(c, strings.Replace(good, "yes", "no!", 1))
+			close(wrote)
+		}
+	})
+	p := newPool(addr)
+	p.rest = 0
+	if e := ask(t, p); e.o != chalkrack.OK {
+		t.Fatal(e.o)
+	}
+	eventually(t, "an idle connection", func() bool { return p.idles("s") == 1 })
+	p.mu.Lock()
+	c := p.servers["s"].idle[0]
+	close(stray)
+	<-wrote
+	eventually(t, "the stray answer to be read", func() bool { return tcp.Unread(t, c.Conn.(*net.TCPConn)) == 0 })
+	// The connection is taken for the next request while its goroutine waits for the lock.
+	s := make(sink, 1)
+	a := attemptOf(s)
+	a.pool, a.to, a.kept, a.at = p, p.servers["s"], true, time.Now()
+	p.servers["s"].idle = nil
+	c.owner = a
+	p.mu.Unlock()
+	if a.send(c) {
+		t.Error("the request went out behind a stray answer")
+	}
+	p.Start(a)
+	select {
+	case e := <-s:
+		if e.o != chalkrack.OK || string(e.ans.Body) != "yes" {
+			t.Errorf("outcome %v with %v, want an answer of its own", e.o, e.ans)
+		}
+	case <-time.After(patience):
+		t.Fatal("no outcome")
+	}
+}
+
+// The same where the connection's goroutine acts first.
+func TestStrayAnswerBeforeTheRequest(t *testing.T) {
+	end := make(chan struct{})
+	defer close(end)
+	addr := tcp.Serve(t, func(_ int, c net.Conn) {
+		io.WriteString(c, strings.Replace(good, "yes", "no!", 1))
+		<-end
+	})
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPool(addr)
+	s := make(sink, 1)
+	a := attemptOf(s)
+	a.pool, a.to, a.kept, a.at = p, p.servers["s"], true, time.Now()
+	p.conns++
+	c := &conn{Conn: nc, to: a.to, addr: addr, owner: a, in: sock.NewLazy(nc)}
+	c.read(p) // finds the stray answer, and returns
+	if len(s) > 0 {
+		e := <-s
+		t.Errorf("outcome %v with %v for a request that was not sent", e.o, e.ans)
+	}
+	if a.send(c) {
+		t.Error("the request went out behind a stray answer")
+	}
+	if n := p.Conns(); n != 0 {
+		t.Errorf("%d connections are counted", n)
+	}
+}
+
+// An attempt whose time to leave is over does not go out, on whatever connection.
+func TestTooLateIsNotSent(t *testing.T) {
+	ran := make(chan struct{}, 10)
+	p := newPool(serve(t, func(_, _ int, c net.Conn) {
+		ran <- struct{}{}
+		io.WriteString(c, good)
+	}))
+	p.rest = 0
+	for _, kept := range []int{0, 1} {
+		eventually(t, "the connections", func() bool { return p.idles("s") == kept })
+		s := make(sink, 1)
+		a := attemptOf(s)
+		a.Latest = time.Now()
+		p.Start(a)
+		select {
+		case e := <-s:
+			if e.o != chalkrack.NotSent {
+				t.Errorf("%d kept: outcome %v", kept, e.o)
+			}
+		case <-time.After(patience):
+			t.Fatal("no outcome")
+		}
+		if len(ran) > 0 {
+			t.Errorf("%d kept: it was sent", kept)
+		}
+		if ask(t, p).o != chalkrack.OK { // leaves a kept connection
+			t.Error("a request in time failed")
+		}
+		<-ran
+	}
+}
+
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for until := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
--- a/rules_test.go
+++ b/rules_test.go
@@ -66,7 +66,7 @@
 	c.queue = append(c.queue, event{t, c.order, do})
 }
 
-func (c *checker) Send(id RequestID, name string, timeout time.Duration) {
+func (c *checker) Send(id RequestID, name string, timeout, within time.Duration) {
 	r, s := c.reqs[id], c.servers[name]
 	if r == nil || s == nil {
 		c.broke("send for unknown request %d or server %q", id, name)
