A client's connection is closed by one owner, gracefully, and never under a request read

The change: whoever enters shut under the lock owns the close (finish: stop sending; the connection's goroutine reads off within 0.3 s and 256 KiB, and closes). A connection on which something has come is not retired or evicted; one that is given up in the midst of a head is ended by its goroutine, which answers 503 where the request is whole by then; the oldest half head gives way where nothing better does. While nobody reads a body, the connection is looked at every 40 ms for its client's leaving. A window that is full hides the leaving: this can't be seen. The tests in close_test.go and leave_test.go force each crossing (a lock held, a hook behind the answer's write, a full accept queue) and fail without their part, but for TestRequestBehindTheCloseIsNotPassedOn and TestNothingIsHeldBack, which show what was sound.

--- /dev/null
+++ b/internal/front/close_test.go
@@ -0,0 +1,236 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"chalkrack/internal/standin/tcp"
+)
+
+// eventually waits for what must come.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+// hooked runs a hook after each answer's write, before the server does anything else.
+type hooked struct {
+	*net.TCPConn
+	wrote func(c *net.TCPConn)
+}
+
+func (h *hooked) Write(b []byte) (int, error) {
+	n, err := h.TCPConn.Write(b)
+	h.wrote(h.TCPConn)
+	return n, err
+}
+
+// hookedListener hooks each connection that it accepts.
+type hookedListener struct {
+	net.Listener
+	wrote func(c *net.TCPConn)
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hooked{c.(*net.TCPConn), l.wrote}, nil
+}
+
+// An answer after which the connection closes reaches its client, and the connection ends
+// without a reset, also where the client has sent on by then.
+func TestAnswerOutlivesWhatIsBehindIt(t *testing.T) {
+	for name, prepare := range map[string]func(s *Server) string{
+		"the client closes": func(*Server) string { return "Connection: close\r\n" },
+		"the sidecar stops": func(s *Server) string { s.Drain(true); return "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &handler{arrived: make(chan *Exchange, 100), gone: make(chan *Exchange, 100)}
+			s := New(Config{MostConns: 10, MostBody: 1 << 20}, h)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			more := make(chan struct{})
+			go s.Serve(&hookedListener{ln, func(c *net.TCPConn) {
+				close(more)
+				eventually(t, "bytes behind the answer", func() bool { return tcp.Unread(t, c) > 0 })
+			}})
+			field := prepare(s)
+			c, br := dial(t, ln.Addr().String(), strings.Replace(look("1"), "Host", field+"Host", 1))
+			x := receive(t, h.arrived)
+			go x.Refuse(0)
+			receive(t, more)
+			io.WriteString(c, strings.Repeat("x", 100<<10)) // more than the reader takes at once
+			eventually(t, "the connection's end", func() bool { return s.Conns() == 0 || tcp.Unread(t, c.(*net.TCPConn)) > 0 })
+			if got := status(t, br); got != http.StatusServiceUnavailable {
+				t.Errorf("the answer was %d", got)
+			}
+			if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v, want a plain end", err)
+			}
+			c.Close()
+			eventually(t, "nothing left", func() bool { return s.Conns() == 0 })
+		})
+	}
+}
+
+// A request that has been read before its idle connection is closed is answered: exactly
+// one of the two happens, whoever gets the lock first.
+func TestRequestReadBeforeTheCloseIsServed(t *testing.T) {
+	for _, how := range []string{"quiet", "evict"} {
+		t.Run(how, func(t *testing.T) {
+			s, h, addr := start(t, 10)
+			c, br := dial(t, addr, look("1"))
+			receive(t, h.arrived).Refuse(0)
+			status(t, br)
+			eventually(t, "an idle connection", func() bool { return s.Busy() == 0 })
+			var server *conn
+			s.mu.Lock()
+			for server = range s.conns {
+			}
+			io.WriteString(c, look("2"))
+			// The reader has the bytes and waits for the lock.
+			eventually(t, "the request to be read", func() bool { return tcp.Unread(t, server.nc.(*net.TCPConn)) == 0 })
+			var closed []*conn
+			if how == "quiet" {
+				closed = s.retire(0)
+			}
+			s.mu.Unlock()
+			for _, c := range closed {
+				c.finish()
+			}
+			if how == "evict" && s.evict() {
+				t.Error("a connection with a request was evicted")
+			}
+			receive(t, h.arrived).Refuse(0)
+			if got := status(t, br); got != http.StatusServiceUnavailable {
+				t.Errorf("the second answer was %d", got)
+			}
+		})
+	}
+}
+
+// A connection that is closed at rest takes no request any more, and says so with a plain
+// end: what crosses the closing is read off and not passed on.
+func TestRequestBehindTheCloseIsNotPassedOn(t *testing.T) {
+	s, h, addr := start(t, 10)
+	c, br := dial(t, addr, look("1"))
+	receive(t, h.arrived).Refuse(0)
+	status(t, br)
+	eventually(t, "an idle connection", func() bool { return s.Busy() == 0 })
+	s.mu.Lock()
+	closed := s.retire(0)
+	s.mu.Unlock()
+	if len(closed) != 1 {
+		t.Fatalf("%d connections were closed", len(closed))
+	}
+	io.WriteString(c, look("2"))
+	closed[0].finish()
+	if got := status(t, br); got != 0 {
+		t.Errorf("the second request was answered %d", got)
+	}
+	c.Close()
+	eventually(t, "nothing left", func() bool { return s.Conns() == 0 })
+	if len(h.arrived) > 0 {
+		t.Error("a request read after the closing was passed on")
+	}
+}
+
+// A flood of half heads does not keep newcomers out: the oldest half gives way.
+func TestHalfHeadsGiveWay(t *testing.T) {
+	const most = 16
+	s, h, addr := start(t, most)
+	for range most {
+		dial(t, addr, "GET /look HTTP/1.1\r\n")
+	}
+	eventually(t, "half heads on all connections", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		n := 0
+		for c := range s.conns {
+			if c.state == reading {
+				n++
+			}
+		}
+		return n >= most-crowdRoom(most)
+	})
+	s.mu.Lock()
+	for c := range s.conns {
+		c.since = c.since.Add(-2 * silentMost)
+	}
+	s.mu.Unlock()
+	for n := range 3 {
+		_, br := dial(t, addr, look(fmt.Sprint(n)))
+		receive(t, h.arrived).Refuse(0)
+		if got := status(t, br); got != http.StatusServiceUnavailable {
+			t.Errorf("newcomer %d was answered %d", n, got)
+		}
+	}
+}
+
+// A connection that is given up while its request comes in is told so where the request
+// has come whole by then.
+func TestRequestWholeWhenGivenUpIsAnswered(t *testing.T) {
+	s, h, addr := start(t, 10)
+	c, br := dial(t, addr, "GET /look HTTP/1.1\r\n")
+	var server *conn
+	eventually(t, "half a head", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for server = range s.conns {
+			return server.state == reading
+		}
+		return false
+	})
+	s.mu.Lock()
+	server.since = server.since.Add(-2 * stuckMost)
+	io.WriteString(c, strings.TrimPrefix(look("1"), "GET /look HTTP/1.1\r\n"))
+	// The reader takes the rest and waits for the lock to begin the request.
+	eventually(t, "the rest to be read", func() bool { return tcp.Unread(t, server.nc.(*net.TCPConn)) == 0 })
+	s.mu.Unlock()
+	evicted := s.evict()
+	go func() {
+		for x := range h.arrived {
+			x.Refuse(0)
+		}
+	}()
+	defer close(h.arrived)
+	if got := status(t, br); got != http.StatusServiceUnavailable {
+		t.Errorf("evicted %v: answered %d", evicted, got)
+	}
+}
+
+// Each answer leaves at once: nothing of it is held back for a close to take along.
+func TestNothingIsHeldBack(t *testing.T) {
+	s, _, addr := start(t, 10)
+	dial(t, addr, "")
+	eventually(t, "the connection", func() bool { return s.Conns() == 1 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		raw, err := c.nc.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) {
+			if on, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+				t.Errorf("TCP_NODELAY is %d, %v", on, err)
+			}
+		})
+	}
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -336,8 +336,12 @@
 		c.enter(shut)
 	}
 	s.mu.Unlock()
-	if !keep && !(unread && err == nil) { // else its goroutine reads some off and closes
+	switch {
+	case keep, unread && err == nil: // its goroutine reads on, or some off
+	case err != nil:
 		c.nc.Close()
+	default:
+		c.finish()
 	}
 	c.served.Signal()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,9 +40,16 @@
 	keepMost = 5 * time.Second
 	// A client that takes nothing of its answer for so long has hung.
 	writeMost = 2 * time.Second
-	// What a rejected connection is read off at most, so that its client sees why.
+	// A connection that is closed after an answer is read off within these bounds first:
+	// closing over unread bytes resets it, and the reset may take the answer back.
 	lingerMost  = 300 * time.Millisecond
 	lingerBytes = 256 << 10
+	// leftEach is how often a client whose body nobody reads yet is looked after: what
+	// begins for one that has left must not begin 0.1 s later.
+	leftEach = 40 * time.Millisecond
+	// evictTries is at how many connections one eviction looks closely: those on which
+	// something has just come are not closed.
+	evictTries = 8
 	// freshMost is how long a new connection without a byte counts as busy when
 	// the sidecar stops.
 	freshMost = 500 * time.Millisecond
@@ -112,7 +120,7 @@
 	reading              // a request is coming in
 	waiting              // a request waits for its answer
 	idle                 // between requests
-	shut                 // closed by the sidecar
+	shut                 // closed by the sidecar, or about to be: no request of it is taken
 )
 
 // conn is one client connection. Its goroutine reads; answers are written by
@@ -249,37 +257,52 @@
 func (c *conn) worthless(now time.Time) int {
 	age := now.Sub(c.since)
 	switch {
-	case c.state == fresh && age > silentMost, c.state == reading && age > stuckMost:
-		return 3
+	case (c.state == fresh || c.state == shut) && age > silentMost, c.state == reading && age > stuckMost:
+		return 4
 	case c.state == idle:
+		return 3
+	case c.state == fresh, c.state == shut:
 		return 2
-	case c.state == fresh:
+	case c.state == reading && age > silentMost: // half a head, as long as there is no better
 		return 1
 	}
 	return 0
 }
 
-// evict closes the connection that is worth least, the oldest among equals;
-// false if all are in use.
+// evict closes the connection that is worth least, the oldest among equals; false if all
+// are in use. One on which something has come that is not read yet is in use.
 func (s *Server) evict() bool {
 	now := time.Now()
 	s.mu.Lock()
-	var least *conn
-	most := 0
-	for c := range s.conns {
-		if w := c.worthless(now); w > most || w == most && w > 0 && c.since.Before(least.since) {
-			least, most = c, w
+	defer s.mu.Unlock()
+	var passed [evictTries]*conn
+	for try := range evictTries {
+		var least *conn
+		most := 0
+		for c := range s.conns {
+			w := c.worthless(now)
+			if (w > most || w == most && w > 0 && c.since.Before(least.since)) && !slices.Contains(passed[:try], c) {
+				least, most = c, w
+			}
+		}
+		switch {
+		case least == nil:
+			return false
+		case least.state == reading || least.state == shut:
+			// Its goroutine ends it: a request that it has read whole by now is answered.
+			least.enter(shut)
+			least.nc.SetReadDeadline(time.Unix(1, 0))
+		case least.in.Quiet():
+			least.enter(shut)
+			least.nc.Close()
+		default:
+			passed[try] = least
+			continue
 		}
-	}
-	if least != nil {
-		least.enter(shut)
 		delete(s.conns, least)
+		return true
 	}
-	s.mu.Unlock()
-	if least != nil {
-		least.nc.Close()
-	}
-	return least != nil
+	return false
 }
 
 // enter changes c's state. The server's lock is held.
@@ -300,17 +323,24 @@
 // CloseQuiet closes the connections that have been idle for so long.
 func (s *Server) CloseQuiet(since time.Duration) {
 	s.mu.Lock()
-	var old []*conn
+	quiet := s.retire(since)
+	s.mu.Unlock()
+	for _, c := range quiet {
+		c.finish()
+	}
+}
+
+// retire takes the connections that have been idle for so long out of use. A request that
+// has come on one goes before: it is not among them. The lock is held, and so is what the
+// connection's goroutine needs to take a request: exactly one of the two wins.
+func (s *Server) retire(since time.Duration) (quiet []*conn) {
 	for c := range s.conns {
-		if c.state == idle && time.Since(c.since) >= since && (since == 0 || c.in.Quiet()) {
+		if c.state == idle && time.Since(c.since) >= since && c.in.Quiet() {
 			c.enter(shut)
-			old = append(old, c)
+			quiet = append(quiet, c)
 		}
 	}
-	s.mu.Unlock()
-	for _, c := range old {
-		c.nc.Close()
-	}
+	return quiet
 }
 
 // Trim evicts what can be spared until the connections keep to the limit.
@@ -332,12 +362,12 @@
 	return s.draining
 }
 
-// Busy is the number of connections with a request, or about to bring one.
+// Busy is the number of connections with a request, about to bring one, or read off.
 func (s *Server) Busy() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.state == reading || c.state == waiting || c.state == fresh && time.Since(c.since) < freshMost {
+		if c.state == reading || c.state == waiting || c.state == shut || c.state == fresh && time.Since(c.since) < freshMost {
 			n++
 		}
 	}
@@ -377,14 +407,14 @@
 		case x == nil: // answered already
 			continue
 		}
-		if !c.begin(x) {
+		if status := c.begin(x); status != 0 {
 			x.Release()
-			c.reject(http.StatusConflict)
+			c.reject(status)
 			return
 		}
 		c.srv.handler.Arrive(x)
 		if x.up != nil {
-			<-x.up.done
+			c.attend(x)
 			if x.up.linger.Load() {
 				c.linger()
 				return
@@ -393,22 +423,42 @@
 	}
 }
 
-// begin enters x as its connection's open request; false if its id is another's
-// or the connection was given up meanwhile.
+// attend waits until nobody reads x's body any more. As long as nobody has begun to, it
+// looks whether the client has left, which does not show behind an unread body.
+func (c *conn) attend(x *Exchange) {
+	look := time.NewTicker(leftEach)
+	defer look.Stop()
+	for {
+		select {
+		case <-x.up.done:
+			return
+		case <-look.C:
+			if x.up.unread() && c.in.Left() && c.srv.handler.Gone(x) {
+				x.up.stop()
+			}
+		}
+	}
+}
+
+// begin enters x as its connection's open request, or returns the status to end the
+// connection with: its id is another's, or the connection was given up meanwhile.
 // Guards against an answer that goes to the wrong client, and a second send under
 // the same id. It also catches a client that repeats an id of late. It may do harm
 // to a client that reuses ids, which the protocol forbids.
-func (c *conn) begin(x *Exchange) bool {
+func (c *conn) begin(x *Exchange) (status int) {
 	s := c.srv
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == shut || !s.ids.open(x.id) {
-		return false
+	if c.state == shut {
+		return http.StatusServiceUnavailable
+	}
+	if !s.ids.open(x.id) {
+		return http.StatusConflict
 	}
 	c.x = x
 	c.enter(waiting)
 	c.nc.SetReadDeadline(time.Time{}) // the reader watches for the client's leaving
-	return true
+	return 0
 }
 
 // next waits for the next request's first byte, and meanwhile for the answer to
@@ -416,33 +466,51 @@
 // it has its answer is one that the protocol does not know: which of its
 // requests it would take an answer for is anyone's guess, so it gets an error.
 func (c *conn) next() bool {
-	err := c.in.Wait()
-	s := c.srv
-	s.mu.Lock()
-	early := c.x != nil && !c.x.answering
-	if early {
-		x := c.x
-		s.mu.Unlock()
-		if s.handler.Gone(x) {
-			if err == nil {
-				c.reject(http.StatusBadRequest)
+	for {
+		err := c.in.Wait()
+		s := c.srv
+		s.mu.Lock()
+		early := c.x != nil && !c.x.answering
+		if early {
+			x := c.x
+			s.mu.Unlock()
+			if s.handler.Gone(x) {
+				if err == nil {
+					c.reject(http.StatusBadRequest)
+				}
+				return false
+			}
+			s.mu.Lock()
+		}
+		for c.x != nil {
+			c.served.Wait()
+		}
+		over := c.state == shut
+		if over || early || err != nil {
+			silent := !over && errors.Is(err, os.ErrDeadlineExceeded)
+			if silent && c.in.Quiet() {
+				c.enter(shut)
+			}
+			over = over || c.state == shut
+			s.mu.Unlock()
+			switch {
+			case silent && !over: // something has come in the last moment
+				c.nc.SetReadDeadline(time.Now().Add(requestMost))
+				continue
+			case silent, early && err == nil:
+				c.linger()
+			case over && err == nil:
+				c.readOff()
 			}
 			return false
 		}
-		s.mu.Lock()
-	}
-	for c.x != nil {
-		c.served.Wait()
-	}
-	defer s.mu.Unlock()
-	if err != nil || early || c.state == shut {
-		return false
-	}
-	if c.state != fresh {
-		c.nc.SetReadDeadline(time.Now().Add(requestMost))
+		if c.state != fresh {
+			c.nc.SetReadDeadline(time.Now().Add(requestMost))
+		}
+		c.enter(reading)
+		s.mu.Unlock()
+		return true
 	}
-	c.enter(reading)
-	return true
 }
 
 // close ends the connection for good.
@@ -541,15 +609,35 @@
 func (c *conn) reject(status int) {
 	x := &Exchange{conn: c}
 	x.write(status, "", nil, nil)
-	c.linger()
+	c.srv.mu.Lock()
+	evicted := c.state == shut // its place is another's already
+	if !evicted {
+		c.enter(shut)
+	}
+	c.srv.mu.Unlock()
+	if !evicted {
+		c.linger()
+	}
 }
 
-// linger reads off some of what the client still sends and lets it see the end.
+// linger closes the connection well, as its goroutine: nothing more is written, and some
+// of what the client still sends is read off.
 func (c *conn) linger() {
-	if tc, ok := c.nc.(*net.TCPConn); ok {
-		tc.CloseWrite()
+	c.finish()
+	c.readOff()
+}
+
+// finish closes the sending side: the client sees the end behind its last answer. Whoever
+// has entered shut calls it, once; the connection's goroutine reads off and closes.
+func (c *conn) finish() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
 	}
 	c.nc.SetReadDeadline(time.Now().Add(lingerMost))
+}
+
+// readOff takes what the client still sends, within bounds, up to its end.
+func (c *conn) readOff() {
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	for left := lingerBytes; left > 0; {
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -135,6 +135,13 @@
 	return nil
 }
 
+// unread says that nobody has begun to read the body, and may still.
+func (u *upload) unread() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.claimed && !u.stopped
+}
+
 func (u *upload) free() { u.once.Do(func() { close(u.done) }) }
 
 // came says that the body has come whole.
--- /dev/null
+++ b/internal/sidecar/leave_test.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/standin/tcp"
+)
+
+// A client that leaves while its request waits for a connection, one whose body nobody
+// reads yet included, is noticed at once, and nothing is sent for it when the connection
+// comes up, whether or not servers are told of what is called off.
+func TestNothingBeginsForOneThatLeft(t *testing.T) {
+	for _, may := range []string{"true", "false"} {
+		for name, request := range map[string]string{
+			"no body":   "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n",
+			"long body": "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 80<<10),
+		} {
+			t.Run(fmt.Sprintf("%s, may cancel %s", name, may), func(t *testing.T) {
+				t.Parallel()
+				var got atomic.Int64
+				ended := make(chan struct{})
+				addr, open := tcp.Late(t, func(_ int, c net.Conn) {
+					n, _ := io.Copy(io.Discard, c)
+					got.Add(n)
+					close(ended)
+				})
+				h, _, at := startWith(t, strings.Replace(usual, `"mayCancel":true`, `"mayCancel":`+may, 1), addr)
+				c := dialled(t, at)
+				io.WriteString(c, request)
+				wait(t, "the request to be taken", func() bool { return h.Held() == 1 })
+				c.Close()
+				wait(t, "the client's leaving to be noticed", func() bool { return h.Held() == 0 })
+				open()
+				wait(t, "the connection to come up and end", func() bool {
+					select {
+					case <-ended:
+						return true
+					default:
+						return false
+					}
+				})
+				if n := got.Load(); n > 0 {
+					t.Errorf("%d bytes were sent for a client that had left", n)
+				}
+			})
+		}
+	}
+}
+
+// A keyed request that may have run is not sent again when the connection for it comes up
+// after the time for which servers drop repeats.
+func TestRepeatKeepsItsWindowOverASlowDial(t *testing.T) {
+	first, breaks := make(chan struct{}), make(chan struct{})
+	breaker := tcp.Requests(t, func(_, _ int, _ net.Conn, _ *http.Request) bool {
+		close(first)
+		<-breaks
+		return false // it may have run
+	})
+	var got atomic.Int64
+	late, open := tcp.Late(t, func(_ int, c net.Conn) {
+		n, _ := io.Copy(io.Discard, c)
+		got.Add(n)
+	})
+	h, _, at := start(t, breaker)
+	c := dialled(t, at)
+	io.WriteString(c, "POST /book HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+	<-first
+	h.Listed(&discovery.List{Index: 2, Entries: []discovery.Entry{{Endpoint: chalkrack.Endpoint{Name: "late", Hint: 1}, Address: late}}})
+	close(breaks)
+	var latest time.Time
+	wait(t, "the repeat", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, q := range h.held {
+			if len(q.attempts) == 2 {
+				latest = q.attempts[1].Latest
+			}
+		}
+		return !latest.IsZero()
+	})
+	if left := time.Until(latest); left > 400*time.Millisecond {
+		t.Errorf("the repeat may leave for another %v, longer than the window", left)
+	}
+	wait(t, "the window's end", func() bool { return time.Now().After(latest) })
+	open()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		t.Errorf("answered %s", resp.Status)
+	}
+	if n := got.Load(); n > 0 {
+		t.Errorf("%d bytes of the repeat were sent after the window", n)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -24,12 +24,21 @@
 // start returns a sidecar before servers at the addresses, and where it listens.
 func start(t testing.TB, addrs ...string) (*Host, *front.Server, string) {
 	t.Helper()
-	set, err := settings.Parse([]byte(`{"replicasOfMe":1,"registryMode":"automatic",
+	return startWith(t, usual, addrs...)
+}
+
+const usual = `{"replicasOfMe":1,"registryMode":"automatic",
 		"caps":{"attemptsCap":3,"mayCancel":true,"secondCopies":true,"connIdleUs":30000000,"dialTimeoutUs":5000000,
 			"mostHeld":100,"retryAfter":true,"maxRetryAfterUs":2000000},
 		"guarantees":{"drainGraceUs":2000000,"coldFrom":1},
 		"classes":[{"name":"look","promiseUs":20000000,"hardLimitUs":20000000,"effect":"repeatable"},
-		{"name":"pay","promiseUs":20000000,"hardLimitUs":20000000,"effect":"once"}]}`))
+		{"name":"pay","promiseUs":20000000,"hardLimitUs":20000000,"effect":"once"},
+		{"name":"book","promiseUs":20000000,"hardLimitUs":20000000,"effect":"by_key","repeatWindowUs":400000}]}`
+
+// startWith is start with other settings.
+func startWith(t testing.TB, text string, addrs ...string) (*Host, *front.Server, string) {
+	t.Helper()
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
