All waits for discovery are derived from the 6 s after which its word counts as told

Cause: where discovery is asked, a call could take 1 s to connect and 5 s to be answered, and the module's wait after a failure grew to between 1 and 3 times AskWithin (10 s here): up to 36 s for a change that counts as told after 6. Where lists are pushed, a call that the silent agent never answers took 1.5 s, with up to 0.75 s before the next one: 2.25 s from discovery's return, over a drain's grace of 2 s, and far over the 0.5 s of another customer. At the process's end, idle connections were closed once where there was nobody to hand over to.

The change: discovery.Pace states every part and derives them from one bound, toldMost less toldMargin: silence 2.6 s, spread 0.4 s, backoff 0.5 s, connecting and answer together 2.0 s add up to 5.5 s; the first call comes within 3 s. For pushed lists a call and the wait behind it take three quarters of the grace at most. SIGHUP takes the new settings' pace over. TestWaitsAddUp adds them up for any grace; TestReturnOfDiscoveryIsNoStorm plays 300 balancers before a discovery that works through calls in turn: all told within 5.5 s of its return at 1 and 5 ms a call, 600 calls at most; TestAskedAgainInTime runs the process.

--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -25,7 +25,8 @@
 	memoryMB, sockets int
 	known             *discovery.List // nil: none
 	settings          *settings.Settings
-	asks              bool          // discovery must be asked
+	asks              bool // discovery must be asked
+	pace              discovery.Pace
 	record            *recordConfig // of the store of record; nil: off
 	fleet             fleetConfig   // what it does together with others
 	sum               string        // of the file
@@ -208,7 +209,13 @@
 	case s.DrainGrace < 0:
 		return nil, errors.New("config: settings.guarantees.drainGraceUs must be 0 or more")
 	}
-	c.asks = s.Config.AskWithin > 0
+	c.pace = discovery.Pushed(s.DrainGrace)
+	if c.asks = s.Config.AskWithin > 0; c.asks {
+		c.pace = discovery.Asked()
+		// The first call comes within four fifths of AskWithin.
+		s.Config.AskWithin = min(s.Config.AskWithin, c.pace.First*5/4)
+		s.Config.AskAgain = c.pace.Back
+	}
 	if path := getenv("MARTENDRUM_RECORD"); path != "" {
 		if c.record, err = loadRecord(path, s, (c.sockets-socketsSpare)/4); err != nil {
 			return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -36,12 +36,6 @@
 	socketsSpare = 24
 	// A start waits for the list at most so long: what it was told may be old.
 	listMost = 250 * time.Millisecond
-	// How long a watch's answer may take to begin: from an agent at once, from
-	// a service that serves its callers in turn after its own time-out.
-	pushWait = 1500 * time.Millisecond
-	askWait  = 5 * time.Second
-	// askSpread is over which sidecars whose watches fell silent together ask it again.
-	askSpread = time.Second
 	// New connections go on coming for a while after SIGTERM.
 	lameFor = 700 * time.Millisecond
 	// All is answered so long after SIGTERM, beside the longest deadline. SIGKILL
@@ -309,10 +303,7 @@
 	r.mu.Lock()
 	up, in := limit(c, r.share)
 	pool := upstream.New(up)
-	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
-	if c.asks {
-		watcher.Wait, watcher.Spread = askWait, askSpread
-	}
+	watcher := &discovery.Watcher{Addr: c.discovery, Pace: c.pace}
 	if c.known != nil {
 		c.known.Whole = true
 		watcher.Index = c.known.Index
@@ -521,7 +512,7 @@
 				r.Limit(r.now())
 			}
 			srv.SetHealth(healthSum, next.sum)
-			watcher.Move(next.discovery)
+			watcher.Move(next.discovery, next.pace)
 			if next.asks {
 				host.AskNow() // what has changed there counts as told soon, watch or no watch
 			}
@@ -614,13 +605,10 @@
 			continue
 		}
 		time.Sleep(10 * time.Millisecond)
-		if old == nil {
-			continue
-		}
-		if n%10 == 0 {
+		if old != nil && n%10 == 0 {
 			succeeded = old.Needs(r.uses()) // one that came late may take over still
 		}
-		if succeeded || n < softLeast || n < softMost && old.Talking() {
+		if old != nil && (succeeded || n < softLeast || n < softMost && old.Talking()) {
 			srv.CloseQuiet(quietFor)
 		} else {
 			srv.CloseQuiet(0)
--- a/cmd/fawnrock/standing_test.go
+++ b/cmd/fawnrock/standing_test.go
@@ -99,6 +99,48 @@
 	}
 }
 
+// Where discovery is asked, a call that it refuses, loses or lets wait in vain is followed
+// by the next one well before what it has counts as told, however often that happens.
+func TestAskedAgainInTime(t *testing.T) {
+	for name, call := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"refused": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"reset":   func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent":  func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newShop(t, 256)
+			asked := make(chan time.Time, 100)
+			down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked <- time.Now()
+				call(w, r)
+			}))
+			t.Cleanup(down.Close)
+			text := replace(t, s.text(t), `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
+			text = replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":60000000`)
+			text = replace(t, text, s.discovery, down.Listener.Addr().String())
+			if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			last := time.Now()
+			s.running()
+			for n := range 6 {
+				select {
+				case at := <-asked:
+					if gap := at.Sub(last); gap > 5500*time.Millisecond-2*time.Second {
+						t.Errorf("call %d came %v after the one before, and it may wait for 2 s", n, gap)
+					} else if n > 0 && gap < 50*time.Millisecond {
+						t.Errorf("call %d came just %v after the one before", n, gap)
+					}
+					last = at
+				case <-time.After(patience):
+					t.Fatalf("no call %d", n)
+				}
+			}
+		})
+	}
+}
+
 // After SIGTERM clients go on sending on every connection that they have, and on new ones
 // for longer than the platform's do. Each request is answered, or its connection closes
 // before anything of it was passed on.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,11 +22,8 @@
 	"chalkrack"
 )
 
-const (
-	dialMost   = time.Second
-	backoffMin = 20 * time.Millisecond
-	backoffMax = 500 * time.Millisecond
-)
+// backoffMin is the mean wait after a first failure.
+const backoffMin = 20 * time.Millisecond
 
 // Entry is one server on the list.
 type Entry struct {
@@ -108,11 +105,10 @@
 // Watcher follows the list at an address.
 type Watcher struct {
 	Addr   string
-	Index  int64         // the version held
-	Listed func(*List)   // takes a list or its changes
-	Failed func(error)   // a call has failed or a watch has ended
-	Wait   time.Duration // how long an answer may take to begin
-	Spread time.Duration // over which those whose watches fell silent together ask again
+	Index  int64       // the version held
+	Listed func(*List) // takes a list or its changes
+	Failed func(error) // a call has failed or a watch has ended
+	Pace   Pace
 
 	mu    sync.Mutex
 	conn  net.Conn // of the watch
@@ -130,13 +126,13 @@
 	return time.Since(time.Unix(0, at)), at != 0
 }
 
-// Move follows the list at another address from now on. The watch that is open
+// Move follows the list at another address and pace from now on. The watch that is open
 // ends, and the next one asks for the whole list: versions at the new address
 // need not be those of the old.
-func (w *Watcher) Move(addr string) {
+func (w *Watcher) Move(addr string, pace Pace) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Addr, w.Index = addr, 0
+	w.Addr, w.Index, w.Pace = addr, 0, pace
 	w.moves++
 	if w.conn != nil {
 		w.conn.Close()
@@ -144,10 +140,10 @@
 }
 
 // place is where to watch from which version on, and how many moves led there.
-func (w *Watcher) place() (addr string, index int64, moves int) {
+func (w *Watcher) place() (addr string, index int64, moves int, pace Pace) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.Addr, w.Index, w.moves
+	return w.Addr, w.Index, w.moves, w.Pace
 }
 
 // Follow keeps a watch open until Close, and calls Failed at each break.
@@ -164,7 +160,8 @@
 			backoff = backoffMin // it worked: what was missed is wanted at once
 		}
 		time.Sleep(backoff/2 + rand.N(backoff))
-		backoff = min(2*backoff, backoffMax)
+		_, _, _, pace := w.place()
+		backoff = min(2*backoff, pace.Back*2/3)
 	}
 }
 
@@ -200,8 +197,8 @@
 	w.busy = true
 	w.mu.Unlock()
 	for {
-		addr, index, moves := w.place()
-		err := w.watch(addr, index, moves)
+		addr, index, moves, pace := w.place()
+		err := w.watch(addr, index, moves, pace.Call)
 		silent, ok := errors.AsType[*SilentError](err)
 		w.mu.Lock()
 		again := w.moves != moves && !w.shut
@@ -213,7 +210,7 @@
 		w.mu.Unlock()
 		if !again {
 			slog.Warn("discovery fell silent: asked again", "err", err, "advice", silent.Advice())
-			time.Sleep(rand.N(max(w.Spread, backoffMin)))
+			time.Sleep(rand.N(max(pace.Spread, backoffMin)))
 		}
 	}
 }
@@ -226,8 +223,9 @@
 	return fmt.Errorf("discovery: %s: %w", during, err)
 }
 
-func (w *Watcher) watch(addr string, index int64, moves int) error {
-	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
+func (w *Watcher) watch(addr string, index int64, moves int, call time.Duration) error {
+	until := time.Now().Add(call)
+	d := net.Dialer{Deadline: until, KeepAlive: -1}
 	conn, err := d.Dial("tcp", addr)
 	if err != nil {
 		return silence(err, addr, Connecting)
@@ -244,7 +242,7 @@
 	if index > 0 {
 		path += fmt.Sprintf("&after=%d", index)
 	}
-	conn.SetDeadline(time.Now().Add(w.Wait))
+	conn.SetDeadline(until)
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
 		return silence(err, addr, Asking)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -51,7 +51,7 @@
 		return false
 	})
 	w := &watched{lists: make(chan *List, 100), failed: make(chan error, 100)}
-	w.Watcher = &Watcher{Addr: addr, Wait: patience, Spread: time.Second, Listed: func(l *List) { w.lists <- l }, Failed: func(err error) { w.failed <- err }}
+	w.Watcher = &Watcher{Addr: addr, Pace: Pace{Call: patience, Spread: time.Second, Back: 500 * time.Millisecond}, Listed: func(l *List) { w.lists <- l }, Failed: func(err error) { w.failed <- err }}
 	t.Cleanup(w.Close)
 	if asks {
 		go func() { w.failed <- w.Watch() }()
@@ -216,7 +216,7 @@
 		held(3)(conn, c, r)
 		return false
 	})
-	w.Move(there)
+	w.Move(there, w.Pace)
 	if l := w.next(t, soon); l.Index != 3 {
 		t.Errorf("after the move: %+v", l)
 	}
--- /dev/null
+++ b/internal/discovery/pace.go
@@ -0,0 +1,48 @@
+package discovery
+
+import "time"
+
+// What a list tells counts as told, whether or not it has arrived, toldMost after discovery
+// had it and could be reached. All waits of a Watcher add up to less by toldMargin, which is
+// for the answer's way and a busy process.
+const (
+	toldMost   = 6 * time.Second
+	toldMargin = 500 * time.Millisecond
+)
+
+// Pace is how long each part of following the list may take.
+type Pace struct {
+	Call   time.Duration // connecting and the wait for an answer, together
+	Spread time.Duration // over which those whose watches fell silent together ask again
+	Back   time.Duration // from a failed call to the next, at most
+	First  time.Duration // from a process's start to its first call, at most
+}
+
+// Asked is the pace where discovery is one service that works through the calls of all
+// sidecars in turn: a call may wait as long as the rest leaves it, since one that is given
+// up has cost discovery all the same.
+func Asked() Pace {
+	p := Pace{Spread: 400 * time.Millisecond, Back: 500 * time.Millisecond}
+	p.Call = toldMost - toldMargin - silenceMost - p.Spread - p.Back
+	p.First = toldMost - toldMargin - p.Call - p.Back
+	return p
+}
+
+// Pushed is the pace where lists are pushed: the agent is on this machine, answers at once
+// or, while discovery is down, not at all, and what it has counts as told from then on. So
+// a call that waits in vain and the wait for the next one stay well within grace, for which
+// a server may still be sent to when it drains; but no call is given up within pushedLeast.
+func Pushed(grace time.Duration) Pace {
+	return Pace{
+		Call: min(max(grace/2, pushedLeast), time.Second),
+		Back: min(max(grace/4, pushedLeast/2), 500*time.Millisecond),
+	}
+}
+
+const pushedLeast = 100 * time.Millisecond
+
+// Worst is the longest time from a change that discovery has and can tell to its arrival,
+// less the way: over a watch that fell silent just before, or a call that was lost.
+func (p Pace) Worst() time.Duration {
+	return max(silenceMost+p.Spread+p.Back+p.Call, p.Call+p.Back+p.Call, p.First+p.Back+p.Call)
+}
--- /dev/null
+++ b/internal/discovery/pace_test.go
@@ -0,0 +1,163 @@
+package discovery
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chalkrack"
+)
+
+// Whatever the settings say, the waits of both paces add up to less than the time after
+// which what discovery has counts as told.
+func TestWaitsAddUp(t *testing.T) {
+	asked := Asked()
+	if w := asked.Worst(); w > toldMost-toldMargin {
+		t.Errorf("asked: %v in all", w)
+	}
+	for _, d := range []time.Duration{asked.Call, asked.Spread, asked.Back, asked.First} {
+		if d < 100*time.Millisecond {
+			t.Errorf("asked: %+v leaves a part no time", asked)
+		}
+	}
+	for grace := time.Duration(0); grace < time.Minute; grace += 10 * time.Millisecond {
+		p := Pushed(grace)
+		if w := p.Worst(); w > toldMost-toldMargin {
+			t.Errorf("pushed, grace %v: %v in all", grace, w)
+		}
+		if p.Call < pushedLeast || p.Back*2/3 < backoffMin {
+			t.Errorf("pushed, grace %v: %+v leaves a part no time", grace, p)
+		}
+		if grace >= 2*pushedLeast && p.Call+p.Back > grace*3/4 {
+			t.Errorf("pushed, grace %v: the next answer comes after %v", grace, p.Call+p.Back)
+		}
+	}
+}
+
+// asker is one of many sidecars that ask the same discovery, its calls timed by its own
+// balancer.
+type asker struct {
+	w    *askWorld
+	b    *chalkrack.Balancer
+	told time.Duration // 0: not yet
+}
+
+// askWorld is a discovery that works through calls in turn, each of which costs it the
+// same, and turns one away that has waited for two seconds. Given-up calls cost as much.
+type askWorld struct {
+	now, back time.Duration // when it comes back
+	refuses   bool          // while it is down; else it says nothing
+	cost      time.Duration
+	free      time.Duration // when it has worked through what it has
+	calls     int           // after it is back
+	queue     askQueue
+}
+
+type askEvent struct {
+	at time.Duration
+	do func()
+}
+type askQueue []askEvent
+
+func (q askQueue) Len() int           { return len(q) }
+func (q askQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q askQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *askQueue) Push(x any)        { *q = append(*q, x.(askEvent)) }
+func (q *askQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+func (w *askWorld) at(t time.Duration, do func()) { heap.Push(&w.queue, askEvent{t, do}) }
+
+func (a *asker) Send(chalkrack.RequestID, string, time.Duration, time.Duration) {}
+func (a *asker) Cancel(chalkrack.RequestID, int)                                {}
+func (a *asker) Refuse(chalkrack.RequestID, time.Duration)                      {}
+func (a *asker) Fail(chalkrack.RequestID)                                       {}
+func (a *asker) CloseIdle(string)                                               {}
+func (a *asker) Probe(string)                                                   {}
+func (a *asker) SetTimer(cookie uint64, after time.Duration) {
+	a.w.at(a.w.now+after, func() { a.b.Timer(a.w.now, cookie) })
+}
+
+// Subscribe is one call as a Watcher makes it.
+func (a *asker) Subscribe() {
+	w := a.w
+	failed := func() { a.b.DiscoveryFailed(w.now) }
+	if w.now < w.back {
+		if w.refuses {
+			w.at(w.now, failed)
+		} else {
+			w.at(w.now+Asked().Call, failed)
+		}
+		return
+	}
+	w.calls++
+	begins := max(w.now, w.free)
+	switch {
+	case begins-w.now > 2*time.Second:
+		w.at(w.now+min(2*time.Second, Asked().Call), failed)
+	case begins+w.cost-w.now > Asked().Call:
+		w.free = begins + w.cost
+		w.at(w.now+Asked().Call, failed)
+	default:
+		w.free = begins + w.cost
+		w.at(w.free, func() {
+			if a.told == 0 {
+				a.told = w.now
+			}
+		})
+	}
+}
+
+// Three hundred sidecars that wait for a discovery which comes back are all told well in
+// time, and what they ask meanwhile is no storm.
+func TestReturnOfDiscoveryIsNoStorm(t *testing.T) {
+	const count = 300
+	for _, cost := range []time.Duration{time.Millisecond, 5 * time.Millisecond} {
+		for _, refuses := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%v a call, refuses %v", cost, refuses), func(t *testing.T) {
+				for seed := range uint64(5) {
+					rng := rand.New(rand.NewPCG(seed, 1))
+					w := &askWorld{back: 20 * time.Second, refuses: refuses, cost: cost}
+					p := Asked()
+					cfg := chalkrack.Config{Instances: count, MaxAttempts: 1, Classes: []chalkrack.Class{{Aim: time.Second}},
+						AskWithin: p.First * 5 / 4, AskAgain: p.Back}
+					var all []*asker
+					for range count {
+						a := &asker{w: w}
+						var err error
+						if a.b, err = chalkrack.New(cfg, rng.Uint64(), a); err != nil {
+							t.Fatal(err)
+						}
+						all = append(all, a)
+					}
+					for len(w.queue) > 0 && w.queue[0].at < w.back+time.Minute {
+						e := heap.Pop(&w.queue).(askEvent)
+						w.now = e.at
+						e.do()
+					}
+					worst := time.Duration(0)
+					for _, a := range all {
+						if a.told == 0 {
+							t.Fatalf("seed %d: one was never told", seed)
+						}
+						worst = max(worst, a.told-w.back)
+					}
+					if testing.Verbose() {
+						t.Logf("seed %d: the last told after %v, %d calls", seed, worst, w.calls)
+					}
+					if worst > toldMost-toldMargin {
+						t.Errorf("seed %d: the last was told after %v", seed, worst)
+					}
+					if w.calls > 2*count {
+						t.Errorf("seed %d: %d calls of %d sidecars", seed, w.calls, count)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -14,7 +14,7 @@
 	// An empty line comes every 2 s: a watch that is silent for longer is broken, and
 	// what it misses counts as told 6 s after it fell silent. A list that has begun is
 	// whole within the same time, whatever comes in small pieces.
-	silenceMost = 2700 * time.Millisecond
+	silenceMost = 2600 * time.Millisecond
 )
 
 // Phase is what a call to discovery was at when it failed.
