Many small shares of a cold server's budget no longer add up to many times the budget

Cause: each balancer's bucket for a cold server began with one token, and kept at least one, whatever its share (server made with bucket{1, now}, refill's burst of 1 at least).

The change: a share of less than one send in the settings' time is drawn anew with that time, so that whole sends are ready in proportion to the share, not one for each balancer; a bucket begins at a random fill, anew with each start of its server. Where nothing was sent yet, all balancers together may send one. What was saved up is not let go together. TestColdSamplingAndRoom and TestColdGuestGetsNothing counted on the first token; they set it now.

--- a/admit.go
+++ b/admit.go
@@ -55,14 +55,12 @@
 // configure makes room for the configuration's classes and tenants.
 func (a *admitter) configure() {
 	for len(a.share) < 2*len(a.cfg.Classes) { // all within the shares, until seen otherwise
+		a.ranked = append(a.ranked, len(a.share), len(a.share)+1)
 		a.share = append(a.share, 1/float64(len(a.cfg.Classes)), 0)
 	}
 	for i := len(a.tenants); i < len(a.cfg.Tenants); i++ {
 		a.tenants = append(a.tenants, bucket{tokens: a.cfg.Tenants[i] / float64(a.cfg.Instances) * shareBurst.Seconds()})
 	}
-	for i := len(a.ranked); i < len(a.share); i++ {
-		a.ranked = append(a.ranked, i)
-	}
 	slices.SortStableFunc(a.ranked, func(i, j int) int { return cmp.Compare(a.worth(i), a.worth(j)) })
 }
 
--- a/pick.go
+++ b/pick.go
@@ -102,7 +102,7 @@
 	}
 	if s == nil {
 		// The order differs by balancer and stays, so that a working set changes little.
-		s = &server{name: e.Name, cold: bucket{1, now}, sick: make(map[int]bucket), learned: 1, priority: -math.Log(1 - f.rand())}
+		s = &server{name: e.Name, sick: make(map[int]bucket), learned: 1, priority: -math.Log(1 - f.rand())}
 		if f.cfg.CrossZoneCost > 0 && e.Zone == f.cfg.Zone {
 			s.priority /= localPreference
 		}
@@ -130,7 +130,7 @@
 	if e.Started > s.started {
 		// A restarted process has none of its old faults and none of its speed.
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
-		s.latSum, s.latN, s.learned = 0, 0, 1
+		s.latSum, s.latN, s.learned, s.cold = 0, 0, 1, bucket{f.rand(), now}
 	}
 	s.started, s.warmAt = e.Started, 0
 	if e.Started > 0 {
@@ -159,8 +159,7 @@
 	if now >= s.warmAt || f.cfg.ColdFor <= 0 {
 		return 1
 	}
-	age := float64(max(0, now-s.started)) / float64(f.cfg.ColdFor)
-	return f.cfg.ColdFrom + (1-f.cfg.ColdFrom)*age
+	return f.cfg.ColdFrom + (1-f.cfg.ColdFrom)*float64(max(0, now-s.started))/float64(f.cfg.ColdFor)
 }
 
 // refresh rebuilds the sampling table when it is old or what it stands on changed.
@@ -177,11 +176,9 @@
 	f.dirty, f.fresh, f.weights = false, now, f.weights[:0]
 	sum := 0.0
 	for _, s := range f.set {
-		w := s.hint * s.learned * f.warmth(s, now)
-		if now < s.ejectedUntil {
-			w = 0
+		if now >= s.ejectedUntil {
+			sum += s.hint * s.learned * f.warmth(s, now)
 		}
-		sum += w
 		f.weights = append(f.weights, sum)
 	}
 }
@@ -325,16 +322,22 @@
 	f.dirty = true
 }
 
-// coldRoom says whether a cold server can take one more send from here, guided by
-// what a warm one takes: all balancers do the same, so the sum stays under the
-// fleet's limit. Guests, which all may fall back on, get none.
+// coldRoom says whether a cold server can take one more send from here, guided by what
+// a warm one takes, times what this one can stand: all balancers do the same, so the sum stays under the
+// fleet's limit. Many small shares, each kept until it is a whole send, would be let go
+// together: they are drawn anew instead. Guests, which all may fall back on, get none.
 func (f *fleet) coldRoom(s *server, now time.Duration) bool {
 	if now >= s.warmAt || !s.inSet {
 		return now >= s.warmAt
 	}
-	// what a warm server gets in a second, times what this one can stand
-	rate := max(f.taken*f.rate(now), f.nominal) / float64(max(1, len(f.set))) * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
-	s.cold.refill(rate, rate*f.cfg.OverloadFor.Seconds(), now)
+	span, part := max(f.cfg.OverloadFor, time.Millisecond), 1/float64(len(f.set))
+	rate := max(f.taken*f.rate(now), f.nominal) * part * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
+	// where nothing was sent yet, one send in span from all balancers together
+	rate = max(rate, min(1, float64(len(f.members))*part/float64(f.cfg.Instances))/span.Seconds())
+	if rate*span.Seconds() < 1 && f.rand() > fade(now-s.cold.at, span) {
+		s.cold.tokens = f.rand()
+	}
+	s.cold.refill(rate, rate*span.Seconds(), now)
 	return s.cold.tokens >= 1
 }
 
--- a/pick_test.go
+++ b/pick_test.go
@@ -111,6 +111,7 @@
 		t.Errorf("a fresh server weighs %v of a warm one's %v, want its cold share", cold, warm)
 	}
 	s := f.byName["s000"]
+	s.cold.tokens = 1
 	if !f.coldRoom(s, now) {
 		t.Error("no room for a first send")
 	}
@@ -137,6 +138,7 @@
 		t.Fatal("no guests to test with")
 	}
 	for _, s := range f.members {
+		s.cold.tokens = 1
 		if f.coldRoom(s, now) != s.inSet {
 			t.Errorf("%s: in the set %v, room %v", s.name, s.inSet, !s.inSet)
 		}
