--- /dev/null
+++ b/cmd/fawnrock/generated_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// kind is a class of generated settings, as a client needs to know it.
+type kind struct{ name, effect string }
+
+// generated draws the settings of a customer that nobody has thought of: classes with any
+// effect, tenants, zones, limits and costs, without what may be left out unless whole.
+func generated(rng *rand.Rand, whole bool) (settings map[string]any, kinds []kind) {
+	word := func() string {
+		b := make([]byte, 3+rng.IntN(12))
+		for i := range b {
+			b[i] = "abcdefghijklmnopqrstuvwxyz0123456789-_."[rng.IntN(36+3*min(i, 1))]
+		}
+		return string(b)
+	}
+	us := func(least, most time.Duration) int64 {
+		return (least + time.Duration(rng.Float64()*float64(most-least))).Microseconds()
+	}
+	maybe := func(m map[string]any, key string, value any) {
+		if whole || rng.IntN(2) == 0 {
+			m[key] = value
+		}
+	}
+	var classes []any
+	for range 1 + rng.IntN(7) {
+		k := kind{word(), []string{"repeatable", "by_key", "once"}[rng.IntN(3)]}
+		limit := us(2*time.Second, 3*time.Second)
+		c := map[string]any{"name": k.name, "effect": k.effect, "hardLimitUs": limit, "promiseUs": 1 + rng.Int64N(limit)}
+		maybe(c, "worth", rng.Float64()*20)
+		maybe(c, "lateValue", rng.Float64())
+		maybe(c, "dedupScope", []string{"all", "zone", "cell"}[rng.IntN(3)])
+		maybe(c, "repeatWindowUs", us(0, 5*time.Second))
+		maybe(c, "stream", false)
+		maybe(c, "aimStretch", rng.Float64())
+		classes, kinds = append(classes, c), append(kinds, k)
+	}
+	caps := map[string]any{"attemptsCap": 1 + rng.IntN(6), "connIdleUs": us(time.Second, time.Minute), "dialTimeoutUs": us(100*time.Millisecond, time.Second)}
+	maybe(caps, "mostHeld", 50+rng.IntN(1000))
+	maybe(caps, "mayCancel", rng.IntN(2) == 0)
+	maybe(caps, "secondCopies", rng.IntN(2) == 0)
+	maybe(caps, "probes", rng.IntN(2) == 0)
+	maybe(caps, "retryAfter", rng.IntN(2) == 0)
+	maybe(caps, "maxRetryAfterUs", us(0, 5*time.Second))
+	maybe(caps, "peers", false)
+	must := map[string]any{"drainGraceUs": us(0, 3*time.Second), "coldFrom": rng.Float64()}
+	maybe(must, "coldUs", us(0, 30*time.Second))
+	maybe(must, "overloadFactor", rng.Float64()*6)
+	maybe(must, "overloadForUs", us(0, 3*time.Second))
+	maybe(must, "askWithinUs", us(200*time.Millisecond, 20*time.Second))
+	settings = map[string]any{"replicasOfMe": 1 + rng.IntN(400), "classes": classes, "caps": caps, "guarantees": must}
+	maybe(settings, "registryMode", []string{"automatic", "subscribe"}[rng.IntN(2)])
+	maybe(settings, "costs", map[string]any{"connection": rng.Float64(), "crossZone": rng.Float64(), "probe": rng.Float64(), "waste": rng.Float64()})
+	maybe(settings, "feedback", map[string]any{"how": []string{"none", "answers", "probe"}[rng.IntN(3)], "fields": []string{word()}})
+	maybe(settings, "overShareWorth", rng.Float64())
+	maybe(settings, "zone", word())
+	maybe(settings, "family", word())
+	maybe(settings, "rank", rng.IntN(400))
+	maybe(settings, word(), word()) // a key that nobody knows
+	if whole || rng.IntN(2) == 0 {
+		var tenants []any
+		for range rng.IntN(5) {
+			tenants = append(tenants, map[string]any{"name": word(), "allowancePerS": rng.Float64() * 100})
+		}
+		settings["tenants"] = tenants
+	}
+	return settings, kinds
+}
+
+// request is one of k, as the protocol has it.
+func (k kind) request(t *testing.T, addr, id, path string) *http.Request {
+	t.Helper()
+	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
+	if k.effect == "repeatable" {
+		method, body = http.MethodGet, nil
+	}
+	r, err := http.NewRequest(method, "http://"+addr+"/"+k.name+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.GetBody = nil
+	r.Header.Set("Req-Id", id)
+	r.Header.Set("Req-Kind", k.name)
+	if k.effect == "by_key" {
+		r.Header.Set("Idempotency-Key", "k"+id)
+	}
+	return r
+}
+
+// The program serves whatever customer's settings it is given: each class as they say, and
+// after SIGHUP to another customer's whole settings, with requests of the old ones open,
+// those to their end and the new ones as they say.
+func TestSettingsOfAnyCustomer(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 3))
+			came, hold := make(chan struct{}, 100), make(chan struct{})
+			s := newShopBefore(t, func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/held") {
+					came <- struct{}{}
+					<-hold
+				}
+				io.WriteString(w, "one")
+			}, 256)
+			release := sync.OnceFunc(func() { close(hold) })
+			t.Cleanup(release)
+			first, kinds := generated(rng, false)
+			write := func(settings map[string]any) string {
+				var file map[string]any
+				if err := json.Unmarshal([]byte(s.text(t)), &file); err != nil {
+					t.Fatal(err)
+				}
+				file["settings"] = settings
+				text, err := json.Marshal(file)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return string(text)
+			}
+			if err := os.WriteFile(s.config, []byte(write(first)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			p := s.running()
+			eventually(t, "the list", func() bool { return p.figure(t, "pool_size") == 1 })
+			client := &http.Client{Timeout: patience}
+			defer client.CloseIdleConnections()
+			ids := 0
+			status := func(k kind, path string) int {
+				ids++
+				resp, err := client.Do(k.request(t, s.listen, fmt.Sprint("g", ids), path))
+				if err != nil {
+					t.Errorf("%+v: %v", k, err)
+					return 0
+				}
+				defer resp.Body.Close()
+				io.Copy(io.Discard, resp.Body)
+				return resp.StatusCode
+			}
+			for _, k := range kinds {
+				if got := status(k, "/x"); got != http.StatusOK {
+					t.Errorf("%+v was answered %d", k, got)
+				}
+			}
+			var open sync.WaitGroup
+			for n, k := range kinds {
+				r := k.request(t, s.listen, fmt.Sprint("held", n), "/held")
+				open.Go(func() {
+					resp, err := http.DefaultTransport.RoundTrip(r)
+					if err != nil {
+						t.Errorf("held %+v: %v", k, err)
+						return
+					}
+					defer resp.Body.Close()
+					if resp.StatusCode != http.StatusOK {
+						t.Errorf("held %+v was answered %d", k, resp.StatusCode)
+					}
+				})
+				<-came
+			}
+			second, next := generated(rng, true)
+			for key := range first { // a file may not lack what the one in force has
+				if _, ok := second[key]; !ok {
+					second[key] = first[key]
+				}
+			}
+			p.retune(t, s, write(second))
+			if n := p.figure(t, "config_applied"); n != 1 {
+				t.Fatalf("the second settings were turned down: %s", p.log)
+			}
+			for _, k := range next {
+				if got := status(k, "/x"); got != http.StatusOK {
+					t.Errorf("new %+v was answered %d", k, got)
+				}
+			}
+			for _, k := range kinds {
+				if got := status(k, "/x"); got != http.StatusNotFound {
+					t.Errorf("old %+v was answered %d, want that there is none", k, got)
+				}
+			}
+			release()
+			open.Wait()
+			p.Process.Signal(syscall.SIGTERM)
+			if err := p.ends(t); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
