--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -234,3 +234,35 @@
 		})
 	}
 }
+
+// A connection that is given up while a body comes in slowly ends, however much more of it
+// the client sends.
+func TestGivenUpBodyEnds(t *testing.T) {
+	s, _, addr := start(t, 10)
+	c, _ := dial(t, addr, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 60000\r\n\r\n")
+	var server *conn
+	eventually(t, "a body that comes in", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for server = range s.conns {
+			return server.state == reading
+		}
+		return false
+	})
+	s.mu.Lock()
+	server.since = server.since.Add(-2 * stuckMost)
+	s.mu.Unlock()
+	if !s.evict() {
+		t.Fatal("nothing was given up")
+	}
+	// A read that had armed its own deadline before would go on with what comes.
+	server.nc.SetReadDeadline(time.Now().Add(patience))
+	for until := time.Now().Add(patience); ; {
+		if _, err := c.Write([]byte("x")); err != nil {
+			return // reset: it is closed
+		}
+		if time.Now().After(until) {
+			t.Fatal("the connection goes on")
+		}
+	}
+}
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,9 +30,17 @@
 	got   int64
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It ends where the connection was given up meanwhile: what
+// that set as its deadline may have been before arm's.
 func (p *paced) Read(b []byte) (int, error) {
 	p.arm()
+	s := p.c.srv
+	s.mu.Lock()
+	over := p.c.state == shut
+	s.mu.Unlock()
+	if over {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return p.take(b)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -297,12 +297,12 @@
 
 // release puts a connection back after an attempt; false if it is not wanted.
 func (p *Pool) release(c *conn) bool {
+	c.in.Rest() // before the lock: whoever sends takes them the other way round
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
 		return false
 	}
-	c.in.Rest()
 	c.owner, c.used = nil, time.Now()
 	c.to.idle = append(c.to.idle, c)
 	return true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -110,6 +110,21 @@
 	}
 }
 
+// A reset is no end: an answer without a length that is reset on the way, before, in or
+// after its body, is a failed attempt that may have run.
+func TestResetIsNoEnd(t *testing.T) {
+	for _, body := range []string{"", "half", strings.Repeat("x", 8<<10)} {
+		addr := serve(t, func(_, _ int, c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+body)
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		})
+		if e := ask(t, newPool(addr)); e.o != chalkrack.Reset || e.ans != nil {
+			t.Errorf("%d bytes and a reset: outcome %v with %v", len(body), e.o, e.ans)
+		}
+	}
+}
+
 // A good answer counts whatever else comes with it, and what follows it is never
 // taken for the answer to the next request.
 func TestMoreThanBelongs(t *testing.T) {
