--- a/cmd/fawnrock/acceptance_test.go
+++ b/cmd/fawnrock/acceptance_test.go
@@ -125,8 +125,7 @@
 		s := newShop(t, 256)
 		text := replace(t, s.text(t), s.discovery, silent.Listener.Addr().String())
 		if n%2 == 1 {
-			text = replace(t, text, `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
-			text = replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":10000000`)
+			text = asking(t, text)
 		}
 		if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
--- a/cmd/fawnrock/standing_test.go
+++ b/cmd/fawnrock/standing_test.go
@@ -69,6 +69,13 @@
 	return s.Listener.Addr().String()
 }
 
+// asking is a configuration's text where discovery is asked.
+func asking(t *testing.T, text string) string {
+	t.Helper()
+	text = replace(t, text, `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
+	return replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":10000000`)
+}
+
 // Where discovery is asked, a new configuration that moves it is followed well within the
 // 4 s after which its list counts as told, also while no watch is open.
 func TestMoveIsFollowedWithoutWatch(t *testing.T) {
@@ -79,8 +86,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(down.Close)
-	text := replace(t, s.text(t), `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
-	text = replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":10000000`)
+	text := asking(t, s.text(t))
 	good, text := text, replace(t, text, s.discovery, down.Listener.Addr().String())
 	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -116,8 +122,7 @@
 				call(w, r)
 			}))
 			t.Cleanup(down.Close)
-			text := replace(t, s.text(t), `"registryMode":"automatic"`, `"registryMode":"subscribe"`)
-			text = replace(t, text, `"drainGraceUs":2000000`, `"drainGraceUs":2000000,"askWithinUs":60000000`)
+			text := asking(t, s.text(t))
 			text = replace(t, text, s.discovery, down.Listener.Addr().String())
 			if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 				t.Fatal(err)
--- a/cmd/fawnrock/upgrade_test.go
+++ b/cmd/fawnrock/upgrade_test.go
@@ -62,10 +62,15 @@
 	return s.b.String()
 }
 
-// freeAddr is an address at which nobody listens.
+// freeAddrs counts the addresses given out.
+var freeAddrs atomic.Uint32
+
+// freeAddr is an address at which nobody listens, each time on an IP of its own: one that
+// is given out and not used yet is no other test's, and nobody's for a way out.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := freeAddrs.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n>>8&0xff, n&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -24,6 +24,24 @@
 	}
 }
 
+// stuck is the one connection of s, when its request has begun to come in: made to look as
+// if it had stood still for long.
+func stuck(t *testing.T, s *Server) (c *conn) {
+	t.Helper()
+	eventually(t, "a request that comes in", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c = range s.conns {
+			if c.state == reading {
+				c.since = c.since.Add(-2 * stuckMost)
+				return true
+			}
+		}
+		return false
+	})
+	return c
+}
+
 // hooked runs a hook after each answer's write, before the server does anything else.
 type hooked struct {
 	*net.TCPConn
@@ -188,17 +206,8 @@
 func TestRequestWholeWhenGivenUpIsAnswered(t *testing.T) {
 	s, h, addr := start(t, 10)
 	c, br := dial(t, addr, "GET /look HTTP/1.1\r\n")
-	var server *conn
-	eventually(t, "half a head", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for server = range s.conns {
-			return server.state == reading
-		}
-		return false
-	})
+	server := stuck(t, s)
 	s.mu.Lock()
-	server.since = server.since.Add(-2 * stuckMost)
 	io.WriteString(c, strings.TrimPrefix(look("1"), "GET /look HTTP/1.1\r\n"))
 	// The reader takes the rest and waits for the lock to begin the request.
 	eventually(t, "the rest to be read", func() bool { return tcp.Unread(t, server.nc.(*net.TCPConn)) == 0 })
@@ -240,18 +249,7 @@
 func TestGivenUpBodyEnds(t *testing.T) {
 	s, _, addr := start(t, 10)
 	c, _ := dial(t, addr, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 60000\r\n\r\n")
-	var server *conn
-	eventually(t, "a body that comes in", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for server = range s.conns {
-			return server.state == reading
-		}
-		return false
-	})
-	s.mu.Lock()
-	server.since = server.since.Add(-2 * stuckMost)
-	s.mu.Unlock()
+	server := stuck(t, s)
 	if !s.evict() {
 		t.Fatal("nothing was given up")
 	}
