--- a/cmd/fawnrock/acceptance_test.go
+++ b/cmd/fawnrock/acceptance_test.go
@@ -215,3 +215,43 @@
 		t.Errorf("%d clients of %d saw the end", ended.Load(), clients)
 	}
 }
+
+// Servers that hang while the sidecar is told to end, twice, and to read its file beside:
+// what was taken is answered by its deadline, and the process has ended before it would be
+// killed.
+func TestStopWhileServersHang(t *testing.T) {
+	const longest = time.Second
+	hung := make(chan struct{}, 100)
+	let := make(chan struct{})
+	s := newShopBefore(t, func(http.ResponseWriter, *http.Request) { hung <- struct{}{}; <-let }, 256,
+		`"promiseUs":20000000,"hardLimitUs":20000000`, fmt.Sprintf(`"promiseUs":900000,"hardLimitUs":%d`, longest.Microseconds()))
+	t.Cleanup(func() { close(let) })
+	p := s.running()
+	var wg sync.WaitGroup
+	const clients = 8
+	for n := range clients {
+		method, path := http.MethodGet, "/look"
+		if n%2 == 0 {
+			method, path = http.MethodPost, "/pay"
+		}
+		wg.Go(func() {
+			if got := ask(t, s.listen, method, path); n%2 == 0 && got != http.StatusBadGateway || got < 500 {
+				t.Errorf("%s was answered %d", path, got)
+			}
+		})
+	}
+	for range clients {
+		<-hung
+	}
+	began := time.Now()
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		p.Process.Signal(sig)
+	}
+	wg.Wait()
+	if err := p.ends(t); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > longest+700*time.Millisecond {
+		t.Errorf("it ended after %v", took)
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -153,6 +153,33 @@
 	}
 }
 
+// A watch that is silent from its first byte, or after its head, is asked anew in time.
+func TestSilentFromTheFirstByte(t *testing.T) {
+	for head, text := range map[string]string{"nothing": "", "a head": answer} {
+		for pace, p := range map[string]Pace{"asked": Asked(), "pushed": Pushed(2 * time.Second)} {
+			t.Run(head+", "+pace, func(t *testing.T) {
+				t.Parallel()
+				addr := tcp.Requests(t, func(conn, _ int, c net.Conn, _ *http.Request) bool {
+					if conn == 0 {
+						io.WriteString(c, text)
+					} else {
+						io.WriteString(c, answer+indented)
+					}
+					hold(c)
+					return false
+				})
+				w := &watched{lists: make(chan *List, 100)}
+				w.Watcher = &Watcher{Addr: addr, Pace: p, Listed: func(l *List) { w.lists <- l }, Failed: func(error) {}}
+				t.Cleanup(w.Close)
+				go w.Follow()
+				if l := w.next(t, soon); l.Index != 7 {
+					t.Errorf("it got %+v", l)
+				}
+			})
+		}
+	}
+}
+
 // drip writes s ever again until the connection ends.
 func drip(c net.Conn, s string) {
 	for {
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -263,3 +266,52 @@
 	}
 	t.Error("the connection goes on")
 }
+
+// Clients that send much at once and go, and such that connect and go, leave nothing
+// behind, whatever they send on a connection at rest.
+func TestFloodsLeaveNothing(t *testing.T) {
+	s, h, addr := start(t, 20)
+	go func() {
+		for x := range h.arrived {
+			x.Refuse(0)
+			x.Release()
+		}
+	}()
+	defer close(h.arrived)
+	before := runtime.NumGoroutine()
+	junk := strings.Repeat("junk\r\n", 1<<20) // 6 MiB
+	var wg sync.WaitGroup
+	for n := range 60 {
+		wg.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			switch n % 3 {
+			case 0: // connects and goes
+			case 1: // much at once
+				io.WriteString(c, look(fmt.Sprint("f", n))+junk)
+			case 2: // much on a connection at rest
+				br := bufio.NewReader(c)
+				io.WriteString(c, look(fmt.Sprint("f", n)))
+				if resp, err := http.ReadResponse(br, nil); err == nil {
+					io.Copy(io.Discard, resp.Body)
+					io.WriteString(c, junk)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	eventually(t, "no connection", func() bool { return s.Conns() == 0 })
+	eventually(t, "no goroutine more than before", func() bool { return runtime.NumGoroutine() <= before })
+	if held, _ := s.Held(); held != 0 {
+		t.Errorf("%d bytes are held", held)
+	}
+	_, br := dial(t, addr, look("after"))
+	if got := status(t, br); got != http.StatusServiceUnavailable {
+		t.Errorf("who comes after was answered %d", got)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -125,6 +125,37 @@
 	}
 }
 
+// A server that is removed and comes back under its name, started anew at another address,
+// gets what is sent from then on; nothing goes on a connection to the one before.
+func TestBackUnderOneName(t *testing.T) {
+	old, anew := make(chan struct{}, 10), make(chan struct{}, 10)
+	tell := func(c chan struct{}) string {
+		return serve(t, func(_, _ int, nc net.Conn) {
+			c <- struct{}{}
+			io.WriteString(nc, good)
+		})
+	}
+	p := newPool(tell(old))
+	p.rest = 0
+	ask(t, p)
+	<-old
+	eventually(t, "a kept connection", func() bool { return p.idles("s") == 1 })
+	p.Leave("s", true)
+	if e := ask(t, p); e.o != chalkrack.ConnectFailed {
+		t.Errorf("with no server of that name: %v", e.o)
+	}
+	p.Serve("s", tell(anew), time.Second)
+	for range 3 {
+		if e := ask(t, p); e.o != chalkrack.OK {
+			t.Errorf("outcome %v", e.o)
+		}
+		<-anew
+	}
+	if len(old) > 0 {
+		t.Error("the process that has gone was asked")
+	}
+}
+
 // A good answer counts whatever else comes with it, and what follows it is never
 // taken for the answer to the next request.
 func TestMoreThanBelongs(t *testing.T) {
