--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -17,7 +17,7 @@
 // Lazy reads a connection through a buffer that it holds only while something of the
 // peer's is unread or being read. A connection that says nothing, or waits for its
 // answer, costs no buffer. It is its reader's, one goroutine at a time, but for Quiet,
-// IfQuiet, Rest and Left: these settle with the reader, under one lock, who came first.
+// IfQuiet and Rest, which settle with the reader, under one lock, who came first, and Left.
 type Lazy struct {
 	nc  net.Conn
 	raw syscall.RawConn // nil: not a socket, read in the plain way
