--- a/cmd/fawnrock/acceptance_test.go
+++ b/cmd/fawnrock/acceptance_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,9 +69,7 @@
 	at := httptest.NewServer(disco)
 	t.Cleanup(func() { disco.set(""); at.Close() })
 	text := replace(t, s.text(t), s.discovery, at.Listener.Addr().String())
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(t, text)
 	p := s.running()
 	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: sockets, Max: sockets}, nil); err != nil {
 		t.Fatal(err)
@@ -127,9 +124,7 @@
 		if n%2 == 1 {
 			text = asking(t, text)
 		}
-		if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		s.configure(t, text)
 		if n >= 4 {
 			old := s.running()
 			old.Process.Signal(syscall.SIGSTOP)
--- a/cmd/fawnrock/generated_test.go
+++ b/cmd/fawnrock/generated_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -131,9 +130,7 @@
 				}
 				return string(text)
 			}
-			if err := os.WriteFile(s.config, []byte(write(first)), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			s.configure(t, write(first))
 			p := s.running()
 			eventually(t, "the list", func() bool { return p.figure(t, "pool_size") == 1 })
 			client := &http.Client{Timeout: patience}
--- a/cmd/fawnrock/retune_test.go
+++ b/cmd/fawnrock/retune_test.go
@@ -57,6 +57,14 @@
 	return resp.StatusCode
 }
 
+// configure writes the configuration's text.
+func (s *shop) configure(t *testing.T, text string) {
+	t.Helper()
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (s *shop) text(t *testing.T) string {
 	t.Helper()
 	text, err := os.ReadFile(s.config)
@@ -87,9 +95,7 @@
 func (p *process) retune(t *testing.T, s *shop, text string) {
 	t.Helper()
 	before := p.figure(t, "config_applied") + p.figure(t, "config_rejected")
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(t, text)
 	p.Process.Signal(syscall.SIGHUP)
 	eventually(t, "a word on the file", func() bool { return p.figure(t, "config_applied")+p.figure(t, "config_rejected") == before+1 })
 }
@@ -111,9 +117,7 @@
 	came, let := make(chan struct{}, 100), make(chan struct{})
 	addr, ran := reset(t, came, let)
 	text := replace(t, s.text(t), s.discovery, registry(t, 9, "breaks", addr))
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(t, text)
 	p := s.start()
 	p.ready(t)
 	open := make(chan int, 1)
--- a/cmd/fawnrock/standing_test.go
+++ b/cmd/fawnrock/standing_test.go
@@ -34,9 +34,7 @@
 			s := newShop(t, 256)
 			text := replace(t, s.text(t), s.discovery, agent)
 			text = replace(t, text, `"seed"`, fmt.Sprintf(`"known":{"index":3,"snapshot":true,"endpoints":[{"name":"s0","address":%q,"status":"up","weight":1}]},"seed"`, at))
-			if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			s.configure(t, text)
 			s.running()
 			for range 20 {
 				if got := ask(t, s.listen, http.MethodGet, "/look"); got != http.StatusOK {
@@ -88,9 +86,7 @@
 	t.Cleanup(down.Close)
 	text := asking(t, s.text(t))
 	good, text := text, replace(t, text, s.discovery, down.Listener.Addr().String())
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(t, text)
 	p := s.running()
 	select {
 	case <-asked: // and refused: the next call is seconds away
@@ -124,9 +120,7 @@
 			t.Cleanup(down.Close)
 			text := asking(t, s.text(t))
 			text = replace(t, text, s.discovery, down.Listener.Addr().String())
-			if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			s.configure(t, text)
 			last := time.Now()
 			s.running()
 			for n := range 6 {
@@ -239,9 +233,7 @@
 	listen := s.listen
 	s.listen = freeAddr(t)
 	text := replace(t, s.text(t), listen, s.listen)
-	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.configure(t, text)
 	before, _ := os.ReadFile(keep)
 	life("of another sidecar")
 	if now, _ := os.ReadFile(keep); string(now) != string(before) {
--- a/cmd/fawnrock/upgrade_test.go
+++ b/cmd/fawnrock/upgrade_test.go
@@ -559,9 +559,7 @@
 	t.Run("the new one's configuration is broken", func(t *testing.T) {
 		s := newShop(t, 256)
 		s.running()
-		if err := os.WriteFile(s.config, []byte("{"), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		s.configure(t, "{")
 		next := s.start()
 		if next.ends(t) == nil {
 			t.Error("it started")
--- a/pick.go
+++ b/pick.go
@@ -322,10 +322,10 @@
 	f.dirty = true
 }
 
-// coldRoom says whether a cold server can take one more send from here, guided by what
-// a warm one takes, times what this one can stand: all balancers do the same, so the sum stays under the
-// fleet's limit. Many small shares, each kept until it is a whole send, would be let go
-// together: they are drawn anew instead. Guests, which all may fall back on, get none.
+// coldRoom says whether a cold server can take one more send from here, guided by what a
+// warm one takes, times what this one can stand: all balancers do the same, so that the sum
+// stays under the fleet's limit. Many small shares, each kept until it is a whole send, would
+// be let go together: they are drawn anew instead. Guests, on which all may fall back, get none.
 func (f *fleet) coldRoom(s *server, now time.Duration) bool {
 	if now >= s.warmAt || !s.inSet {
 		return now >= s.warmAt
