--- a/deploy/sites/lay.sh
+++ b/deploy/sites/lay.sh
@@ -3,8 +3,8 @@
 #   deploy/sites/lay.sh KIT NAME      KIT: the folder that holds real.json, wire.json and unlock.txt
 # They are the bench's, not ours, and git ignores them here.
 set -euo pipefail
+kit=$(cd "$1" && pwd) name=$2
 cd "$(dirname "$0")"
-kit=$1 name=$2
 test -f "$name/$name.toml" || { echo "lay.sh: there is no site $name here" >&2; exit 2; }
 for file in real.json wire.json unlock.txt; do
 	test -f "$kit/$file" || { echo "lay.sh: $kit holds no $file" >&2; exit 2; }
