--- a/balancer.go
+++ b/balancer.go
@@ -1,11 +1,11 @@
-// Package chalkrack makes the decisions of a client-side load balancer: where to
+// Package martendrum makes the decisions of a client-side load balancer: where to
 // send each request, when to copy, try again or refuse. It hedges by SingleR and
 // first-sends by two random choices over this balancer's own in-flight requests.
 //
 // A Balancer has no goroutines, clock or I/O. The host calls one method per
 // event, from one goroutine at a time, with a time that never goes back, and
 // carries out what the Balancer asks of it through Host.
-package chalkrack
+package martendrum
 
 import (
 	"cmp"
@@ -231,9 +231,9 @@
 func (b *Balancer) Retune(cfg Config) error {
 	switch {
 	case cfg.Instances < 1 || len(cfg.Classes) == 0 || cfg.MaxAttempts < 1: // the rest is the settings' to check
-		return errors.New("chalkrack: config: Instances, Classes and MaxAttempts must be above 0")
+		return errors.New("martendrum: config: Instances, Classes and MaxAttempts must be above 0")
 	case len(cfg.Classes) < len(b.cfg.Classes), len(cfg.Tenants) < len(b.cfg.Tenants):
-		return errors.New("chalkrack: config: classes and tenants must keep their places")
+		return errors.New("martendrum: config: classes and tenants must keep their places")
 	}
 	b.cfg = cfg
 	b.cfg.Probes = cfg.Probes && probesEach*cfg.ProbeCost <= probePrice
--- a/cmd/martendrum/change.go
+++ b/cmd/martendrum/change.go
@@ -16,11 +16,11 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/rollout"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/rollout"
 )
 
 // rolling is the flags of a rolling change.
@@ -113,7 +113,7 @@
 		r := &rolling{}
 		c := &cobra.Command{Use: ch.action + " [INSTANCE...]", GroupID: "change", Short: ch.short, Long: ch.long}
 		if ch.action == api.ActUpgrade {
-			c.Example = "  martendrum upgrade --binary ./fawnrock --overlay new.json --canaries 1 --batch 10% --soak 30s --all"
+			c.Example = "  martendrum upgrade --binary ./sidecar --overlay new.json --canaries 1 --batch 10% --soak 30s --all"
 			c.Flags().StringVar(&r.binary, "binary", "", "the sidecar's program (needed)")
 			c.Flags().StringVar(&r.config, "overlay", "", "JSON that is merged over each instance's configuration")
 			c.MarkFlagRequired("binary")
--- a/cmd/martendrum/judge.go
+++ b/cmd/martendrum/judge.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/judge/trial"
+	"martendrum/internal/fleet/judge/trial"
 )
 
 func judgeCommand(g *global) *cobra.Command {
--- a/cmd/martendrum/main.go
+++ b/cmd/martendrum/main.go
@@ -13,8 +13,8 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
 )
 
 // Exit codes.
@@ -80,7 +80,7 @@
 3 what is needed could not be reached.`,
 		Example: `  martendrum dev                                  # a small fleet on this machine, to try things on
   martendrum list --label zone=jakarta
-  martendrum upgrade --binary ./fawnrock --canaries 1 --batch 10% --dry-run
+  martendrum upgrade --binary ./sidecar --canaries 1 --batch 10% --dry-run
   martendrum resume 20260318-201500-5f2c          # go on with a change whose command died`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
--- a/cmd/martendrum/plot.go
+++ b/cmd/martendrum/plot.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/judge"
 )
 
 // plotEvidence draws one test over a change's time: how much worse the changed ones
--- a/cmd/martendrum/record.go
+++ b/cmd/martendrum/record.go
@@ -13,8 +13,8 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/record"
-	"chalkrack/internal/record/conf"
+	"martendrum/internal/record"
+	"martendrum/internal/record/conf"
 )
 
 // pageMost is how many rows are read from the store at once.
--- a/cmd/martendrum/run.go
+++ b/cmd/martendrum/run.go
@@ -21,11 +21,11 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/agent"
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/pki"
-	"chalkrack/internal/fleet/store/open"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/fleet/store/open"
+	"martendrum/internal/standin/shop"
 )
 
 func agentCommand() *cobra.Command {
@@ -206,14 +206,14 @@
 		return filepath.Abs(given)
 	}
 	if exe, err := os.Executable(); err == nil {
-		beside := filepath.Join(filepath.Dir(exe), "fawnrock")
+		beside := filepath.Join(filepath.Dir(exe), "sidecar")
 		if st, err := os.Stat(beside); err == nil && st.Mode()&0o111 != 0 {
 			return beside, nil
 		}
 	}
 	fmt.Fprintln(out, "building the sidecar")
-	path := filepath.Join(dir, "fawnrock")
-	if b, err := exec.CommandContext(ctx, "go", "build", "-o", path, "chalkrack/cmd/fawnrock").CombinedOutput(); err != nil {
+	path := filepath.Join(dir, "sidecar")
+	if b, err := exec.CommandContext(ctx, "go", "build", "-o", path, "martendrum/cmd/sidecar").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("no sidecar: name its program with --sidecar, or run this in the source folder (%w: %s)", err, b)
 	}
 	return path, nil
--- a/cmd/martendrum/staged.go
+++ b/cmd/martendrum/staged.go
@@ -18,12 +18,12 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/fleet/stage"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/fleet/stage"
 )
 
 // inStages is the flags of a staged change.
@@ -47,7 +47,7 @@
 
 Every instance needs a door ("mgmt" in its configuration), and its agent takes the
 figures ("figures.slot" in the agent's file, the same at all hosts).`,
-		Example: `  martendrum change start --binary ./fawnrock --stages 1,10%,50%,100% --least 5m --all --dry-run
+		Example: `  martendrum change start --binary ./sidecar --stages 1,10%,50%,100% --least 5m --all --dry-run
   martendrum change start --overlay new.json --all          # settings alone: SIGHUP, no restart
   martendrum change watch 20261201-201500-5f2c1a
   martendrum change resume 20261201-201500-5f2c1a --go-on   # it holds, and you have looked`}
--- a/cmd/martendrum/view.go
+++ b/cmd/martendrum/view.go
@@ -13,9 +13,9 @@
 
 	"github.com/spf13/cobra"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
 )
 
 func printJSON(v any) error {
--- a/cmd/fawnrock/bench_test.go
+++ b/cmd/sidecar/bench_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // program builds the sidecar as operators run it: a test's own program would count
@@ -23,7 +23,7 @@
 func program(b *testing.B, server string, memoryMB, sockets int) (pid int, addr string) {
 	b.Helper()
 	dir := b.TempDir()
-	bin := filepath.Join(dir, "fawnrock")
+	bin := filepath.Join(dir, "sidecar")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		b.Fatalf("%v\n%s", err, out)
 	}
--- a/cmd/fawnrock/config.go
+++ b/cmd/sidecar/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"strings"
 
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/settings"
+	"martendrum/internal/discovery"
+	"martendrum/internal/settings"
 )
 
 // config is what a sidecar is told at its start.
--- a/cmd/fawnrock/errors_test.go
+++ b/cmd/sidecar/errors_test.go
@@ -5,12 +5,12 @@
 	"strings"
 	"testing"
 
-	"chalkrack/internal/checkpoint"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
-	"chalkrack/internal/peers"
-	"chalkrack/internal/peers/link"
+	"martendrum/internal/checkpoint"
+	"martendrum/internal/discovery"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
+	"martendrum/internal/peers"
+	"martendrum/internal/peers/link"
 )
 
 // Each error that an operator may meet around a return from a power loss says what to do,
--- a/cmd/fawnrock/fleet.go
+++ b/cmd/sidecar/fleet.go
@@ -10,14 +10,14 @@
 	"syscall"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/checkpoint"
-	"chalkrack/internal/figures"
-	"chalkrack/internal/peers"
-	"chalkrack/internal/peers/link"
-	"chalkrack/internal/recovery"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/sidecar"
+	"martendrum"
+	"martendrum/internal/checkpoint"
+	"martendrum/internal/figures"
+	"martendrum/internal/peers"
+	"martendrum/internal/peers/link"
+	"martendrum/internal/recovery"
+	"martendrum/internal/settings"
+	"martendrum/internal/sidecar"
 )
 
 // fleetConfig is what a sidecar does together with the others of its tier, by the words
@@ -227,7 +227,7 @@
 		})
 	}
 	var o recovery.Orders
-	f.host.Steer(func(now time.Duration, arrivals uint64, b *chalkrack.Balancer) {
+	f.host.Steer(func(now time.Duration, arrivals uint64, b *martendrum.Balancer) {
 		f.machine.Arrived(arrivals)
 		f.machine.Room(b.Room(now))
 		o = f.machine.Tick(time.Since(f.begun))
--- a/cmd/fawnrock/main.go
+++ b/cmd/sidecar/main.go
@@ -1,4 +1,4 @@
-// Command fawnrock is the real sidecar: one process between an application and
+// Command sidecar is the real sidecar: one process between an application and
 // the servers, which hosts one balancer. It runs until SIGTERM.
 package main
 
@@ -19,16 +19,16 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/door"
-	"chalkrack/internal/figures"
-	"chalkrack/internal/front"
-	"chalkrack/internal/handover"
-	"chalkrack/internal/handover/idtable"
-	"chalkrack/internal/handover/link"
-	"chalkrack/internal/limitlog"
-	"chalkrack/internal/sidecar"
-	"chalkrack/internal/upstream"
+	"martendrum/internal/discovery"
+	"martendrum/internal/door"
+	"martendrum/internal/figures"
+	"martendrum/internal/front"
+	"martendrum/internal/handover"
+	"martendrum/internal/handover/idtable"
+	"martendrum/internal/handover/link"
+	"martendrum/internal/limitlog"
+	"martendrum/internal/sidecar"
+	"martendrum/internal/upstream"
 )
 
 const (
@@ -92,7 +92,7 @@
 // versions tells what this program speaks, for the agent that is to run it beside
 // another: its fields are internal/fleet/neighbour's, which this program does not link.
 func versions() {
-	fmt.Printf("{\"program\": \"fawnrock\", \"hand_over\": %d, \"snapshot\": %d, \"record\": %d, \"agent\": %d}\n",
+	fmt.Printf("{\"program\": \"sidecar\", \"hand_over\": %d, \"snapshot\": %d, \"record\": %d, \"agent\": %d}\n",
 		handover.Version, handover.SnapshotVersion, recordVersion(), agentVersion)
 }
 
@@ -110,7 +110,7 @@
 		err = listen(c, term, hup)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "fawnrock:", err)
+		fmt.Fprintln(os.Stderr, "sidecar:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/fawnrock/record.go
+++ b/cmd/sidecar/record.go
@@ -10,12 +10,12 @@
 	"os"
 	"time"
 
-	"chalkrack/internal/record"
-	"chalkrack/internal/record/conf"
-	"chalkrack/internal/record/keeper"
-	"chalkrack/internal/record/postgres"
-	"chalkrack/internal/record/sqlite"
-	"chalkrack/internal/settings"
+	"martendrum/internal/record"
+	"martendrum/internal/record/conf"
+	"martendrum/internal/record/keeper"
+	"martendrum/internal/record/postgres"
+	"martendrum/internal/record/sqlite"
+	"martendrum/internal/settings"
 )
 
 // recordAsk is how long a start asks the store for a sign of life. One that is away is
--- a/cmd/fawnrock/record_off.go
+++ b/cmd/sidecar/record_off.go
@@ -6,7 +6,7 @@
 	"errors"
 	"os"
 
-	"chalkrack/internal/settings"
+	"martendrum/internal/settings"
 )
 
 // recordConfig has no fields: this build has no store of record, whose databases would
@@ -17,7 +17,7 @@
 func (*recordConfig) Sockets() int { return 0 }
 
 func loadRecord(string, *settings.Settings, int) (*recordConfig, error) {
-	return nil, errors.New("this build has no store of record: run the one that has, `go build -tags record -o bin/fawnrock-record ./cmd/fawnrock`")
+	return nil, errors.New("this build has no store of record: run the one that has, `go build -tags record -o bin/sidecar-record ./cmd/sidecar`")
 }
 
 func openRecord(*config, *os.File) (recorder, error) { return nil, nil }
--- a/cmd/fawnrock/retune_test.go
+++ b/cmd/sidecar/retune_test.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"testing"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // figure is a figure by its full name, -1 if there is none.
--- a/cmd/drill/instance.go
+++ b/cmd/simulator/instance.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/wire"
+	"martendrum"
+	"martendrum/internal/settings"
+	"martendrum/internal/wire"
 )
 
 // instance is one balancer and its place on the wire; it is the balancer's
@@ -14,27 +14,27 @@
 type instance struct {
 	id    string
 	reply *wire.Reply
-	b     *chalkrack.Balancer
+	b     *martendrum.Balancer
 	set   *settings.Settings
 }
 
 // event hands one event to the balancer.
-func (i *instance) event(e *wire.Event, d *drill) error {
-	now, id := d.now, chalkrack.RequestID(e.ID)
+func (i *instance) event(e *wire.Event, a *adapter) error {
+	now, id := a.now, martendrum.RequestID(e.ID)
 	switch e.Kind {
 	case wire.BackendsChanged:
 		switch how := string(e.How); how {
 		case "patch":
-			i.b.ServersChanged(now, d.lists[e.List])
+			i.b.ServersChanged(now, a.lists[e.List])
 		case "whole", "stale_copy":
-			i.b.ServersListed(now, d.lists[e.List])
+			i.b.ServersListed(now, a.lists[e.List])
 		case "broken":
 			i.b.DiscoveryFailed(now)
 		default:
 			return fmt.Errorf("unknown kind of list %q", how)
 		}
 	case wire.Knock:
-		i.b.Arrive(now, chalkrack.Request{
+		i.b.Arrive(now, martendrum.Request{
 			ID:       id,
 			Class:    i.set.Class(e.Class),
 			Tenant:   i.set.Tenant(e.Tenant),
@@ -58,64 +58,64 @@
 	return nil
 }
 
-var outcomes = map[int]chalkrack.Outcome{
-	200: chalkrack.OK,
-	502: chalkrack.ServerError,
-	429: chalkrack.Full,
-	408: chalkrack.TimedOut,
-	521: chalkrack.ConnectFailed,
-	520: chalkrack.Reset,
-	444: chalkrack.Cancelled,
-	409: chalkrack.NotSent,
+var outcomes = map[int]martendrum.Outcome{
+	200: martendrum.OK,
+	502: martendrum.ServerError,
+	429: martendrum.Full,
+	408: martendrum.TimedOut,
+	521: martendrum.ConnectFailed,
+	520: martendrum.Reset,
+	444: martendrum.Cancelled,
+	409: martendrum.NotSent,
 }
 
-func report(l wire.Load) chalkrack.Report {
-	return chalkrack.Report{HasInFlight: l.HasBusyReqs, InFlight: l.BusyReqs, HasUtil: l.HasCPUShare, Util: l.CPUShare}
+func report(l wire.Load) martendrum.Report {
+	return martendrum.Report{HasInFlight: l.HasBusyReqs, InFlight: l.BusyReqs, HasUtil: l.HasCPUShare, Util: l.CPUShare}
 }
 
-// Send implements chalkrack.Host.
-func (i *instance) Send(id chalkrack.RequestID, server string, timeout, _ time.Duration) {
+// Send implements martendrum.Host.
+func (i *instance) Send(id martendrum.RequestID, server string, timeout, _ time.Duration) {
 	i.reply.Route(i.id, uint64(id), server, timeout.Microseconds())
 }
 
-// Cancel implements chalkrack.Host.
-func (i *instance) Cancel(id chalkrack.RequestID, attempt int) {
+// Cancel implements martendrum.Host.
+func (i *instance) Cancel(id martendrum.RequestID, attempt int) {
 	i.reply.AbortAttempt(i.id, uint64(id), attempt)
 }
 
-// Refuse implements chalkrack.Host.
-func (i *instance) Refuse(id chalkrack.RequestID, retryAfter time.Duration) {
+// Refuse implements martendrum.Host.
+func (i *instance) Refuse(id martendrum.RequestID, retryAfter time.Duration) {
 	i.reply.NotNow(i.id, uint64(id), retryAfter.Microseconds())
 }
 
-// Fail implements chalkrack.Host.
-func (i *instance) Fail(id chalkrack.RequestID) { i.reply.DropRequest(i.id, uint64(id)) }
+// Fail implements martendrum.Host.
+func (i *instance) Fail(id martendrum.RequestID) { i.reply.DropRequest(i.id, uint64(id)) }
 
-// SetTimer implements chalkrack.Host.
+// SetTimer implements martendrum.Host.
 func (i *instance) SetTimer(cookie uint64, after time.Duration) {
 	i.reply.SetTimer(i.id, cookie, after.Microseconds())
 }
 
-// CloseIdle implements chalkrack.Host.
+// CloseIdle implements martendrum.Host.
 func (i *instance) CloseIdle(server string) { i.reply.DropConns(i.id, server) }
 
-// Probe implements chalkrack.Host.
+// Probe implements martendrum.Host.
 func (i *instance) Probe(server string) { i.reply.Probe(i.id, server) }
 
-// Subscribe implements chalkrack.Host.
+// Subscribe implements martendrum.Host.
 func (i *instance) Subscribe() { i.reply.KeepInformed(i.id) }
 
-func endpoints(hosts []wire.Host) []chalkrack.Endpoint {
-	list := make([]chalkrack.Endpoint, len(hosts))
+func endpoints(hosts []wire.Host) []martendrum.Endpoint {
+	list := make([]martendrum.Endpoint, len(hosts))
 	for n, h := range hosts {
-		state := chalkrack.Serving
+		state := martendrum.Serving
 		switch h.Health {
 		case "DRAINING":
-			state = chalkrack.Draining
+			state = martendrum.Draining
 		case "DELETED":
-			state = chalkrack.Gone
+			state = martendrum.Gone
 		}
-		list[n] = chalkrack.Endpoint{
+		list[n] = martendrum.Endpoint{
 			Name:    h.Server,
 			Zone:    h.Zone,
 			Group:   h.Group,
--- a/cmd/drill/main_test.go
+++ b/cmd/simulator/main_test.go
@@ -16,9 +16,9 @@
 var built string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "drill")
+	dir, err := os.MkdirTemp("", "simulator")
 	if err == nil {
-		built = filepath.Join(dir, "drill")
+		built = filepath.Join(dir, "simulator")
 		var out []byte
 		if out, err = exec.Command("go", "build", "-o", built, ".").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
@@ -170,11 +170,11 @@
 
 // A panic of the decision code must reach the wire as bailOut.
 func TestPanicBailsOut(t *testing.T) {
-	d := &drill{}
-	if err := d.guard("i", func() error { panic("index out of range") }); err != nil {
+	a := &adapter{}
+	if err := a.guard("i", func() error { panic("index out of range") }); err != nil {
 		t.Fatal(err)
 	}
-	if want := `{"t":"bailOut","sidecarId":"i","reasonText":"index out of range"}` + "\n"; string(d.reply.Bytes()) != want {
-		t.Errorf("got %s", d.reply.Bytes())
+	if want := `{"t":"bailOut","sidecarId":"i","reasonText":"index out of range"}` + "\n"; string(a.reply.Bytes()) != want {
+		t.Errorf("got %s", a.reply.Bytes())
 	}
 }
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -17,8 +17,8 @@
 
 	"github.com/google/renameio/v2"
 
-	"chalkrack"
-	"chalkrack/internal/handover"
+	"martendrum"
+	"martendrum/internal/handover"
 )
 
 const (
@@ -32,11 +32,11 @@
 
 // Checkpoint is what is kept.
 type Checkpoint struct {
-	Name    string            `json:"name"`   // of the sidecar, by its address
-	Saved   int64             `json:"saved"`  // Unix time in ms
-	Life    uint64            `json:"life"`   // its number among peers
-	Demand  float64           `json:"demand"` // requests a second that usually come
-	Learned chalkrack.Learned `json:"learned"`
+	Name    string             `json:"name"`   // of the sidecar, by its address
+	Saved   int64              `json:"saved"`  // Unix time in ms
+	Life    uint64             `json:"life"`   // its number among peers
+	Demand  float64            `json:"demand"` // requests a second that usually come
+	Learned martendrum.Learned `json:"learned"`
 }
 
 // Why a file is not trusted.
--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -9,15 +9,15 @@
 	"testing"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 var now = time.UnixMilli(1_800_000_000_000)
 
 func good() Checkpoint {
-	return Checkpoint{Name: "10.0.0.4:8081", Saved: now.Add(-time.Minute).UnixMilli(), Life: 7, Demand: 4.5, Learned: chalkrack.Learned{
-		Delay: 0.4, Odds: 0.2, Taken: 1, Primary: []chalkrack.LearnedTime{{At: 0.3}},
-		Servers: []chalkrack.LearnedServer{{Name: "s1", Weight: 1, Started: time.Hour}},
+	return Checkpoint{Name: "10.0.0.4:8081", Saved: now.Add(-time.Minute).UnixMilli(), Life: 7, Demand: 4.5, Learned: martendrum.Learned{
+		Delay: 0.4, Odds: 0.2, Taken: 1, Primary: []martendrum.LearnedTime{{At: 0.3}},
+		Servers: []martendrum.LearnedServer{{Name: "s1", Weight: 1, Started: time.Hour}},
 	}}
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,7 +19,7 @@
 	"sync/atomic"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 // backoffMin is the mean wait after a first failure.
@@ -27,7 +27,7 @@
 
 // Entry is one server on the list.
 type Entry struct {
-	chalkrack.Endpoint
+	martendrum.Endpoint
 	Address string
 }
 
@@ -63,7 +63,7 @@
 	return l, nil
 }
 
-var states = map[string]chalkrack.State{"up": chalkrack.Serving, "draining": chalkrack.Draining, "removed": chalkrack.Gone}
+var states = map[string]martendrum.State{"up": martendrum.Serving, "draining": martendrum.Draining, "removed": martendrum.Gone}
 
 func parseEntry(data []byte) (Entry, error) {
 	var raw struct {
@@ -84,13 +84,13 @@
 	case raw.SinceMs < 0 || raw.SinceMs > math.MaxInt64/1e6:
 		return Entry{}, errors.New("since_ms out of range")
 	}
-	if state != chalkrack.Gone {
+	if state != martendrum.Gone {
 		if _, _, err := net.SplitHostPort(raw.Address); err != nil {
 			return Entry{}, err
 		}
 	}
 	return Entry{
-		Endpoint: chalkrack.Endpoint{
+		Endpoint: martendrum.Endpoint{
 			Name:    raw.Name,
 			Zone:    raw.Zone,
 			Group:   raw.Group,
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/standin/tcp"
+	"martendrum"
+	"martendrum/internal/standin/tcp"
 )
 
 // patience is how long a test waits for what must come; soon is well before what a silent
@@ -99,8 +99,8 @@
 			})
 			l := w.next(t, patience)
 			want := []Entry{
-				{chalkrack.Endpoint{Name: "a", State: chalkrack.Serving}, "127.0.0.1:1"},
-				{chalkrack.Endpoint{Name: "b", State: chalkrack.Draining}, "127.0.0.1:2"},
+				{martendrum.Endpoint{Name: "a", State: martendrum.Serving}, "127.0.0.1:1"},
+				{martendrum.Endpoint{Name: "b", State: martendrum.Draining}, "127.0.0.1:2"},
 			}
 			if l.Index != 7 || !l.Whole || !reflect.DeepEqual(l.Entries, want) {
 				t.Errorf("the first list was read as %+v", l)
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 // Whatever the settings say, the waits of both paces add up to less than the time after
@@ -40,7 +40,7 @@
 // balancer.
 type asker struct {
 	w    *askWorld
-	b    *chalkrack.Balancer
+	b    *martendrum.Balancer
 	told time.Duration // 0: not yet
 }
 
@@ -73,12 +73,12 @@
 }
 func (w *askWorld) at(t time.Duration, do func()) { heap.Push(&w.queue, askEvent{t, do}) }
 
-func (a *asker) Send(chalkrack.RequestID, string, time.Duration, time.Duration) {}
-func (a *asker) Cancel(chalkrack.RequestID, int)                                {}
-func (a *asker) Refuse(chalkrack.RequestID, time.Duration)                      {}
-func (a *asker) Fail(chalkrack.RequestID)                                       {}
-func (a *asker) CloseIdle(string)                                               {}
-func (a *asker) Probe(string)                                                   {}
+func (a *asker) Send(martendrum.RequestID, string, time.Duration, time.Duration) {}
+func (a *asker) Cancel(martendrum.RequestID, int)                                {}
+func (a *asker) Refuse(martendrum.RequestID, time.Duration)                      {}
+func (a *asker) Fail(martendrum.RequestID)                                       {}
+func (a *asker) CloseIdle(string)                                                {}
+func (a *asker) Probe(string)                                                    {}
 func (a *asker) SetTimer(cookie uint64, after time.Duration) {
 	a.w.at(a.w.now+after, func() { a.b.Timer(a.w.now, cookie) })
 }
@@ -124,13 +124,13 @@
 					rng := rand.New(rand.NewPCG(seed, 1))
 					w := &askWorld{back: 20 * time.Second, refuses: refuses, cost: cost}
 					p := Asked()
-					cfg := chalkrack.Config{Instances: count, MaxAttempts: 1, Classes: []chalkrack.Class{{Aim: time.Second}},
+					cfg := martendrum.Config{Instances: count, MaxAttempts: 1, Classes: []martendrum.Class{{Aim: time.Second}},
 						AskWithin: p.First * 5 / 4, AskAgain: p.Back}
 					var all []*asker
 					for range count {
 						a := &asker{w: w}
 						var err error
-						if a.b, err = chalkrack.New(cfg, rng.Uint64(), a); err != nil {
+						if a.b, err = martendrum.New(cfg, rng.Uint64(), a); err != nil {
 							t.Fatal(err)
 						}
 						all = append(all, a)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -25,7 +25,7 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/framing"
+	"martendrum/internal/framing"
 )
 
 const (
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -16,21 +16,21 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"chalkrack"
+	"martendrum"
 )
 
 const prefix = "edge_balancer_"
 
 // outcomes names attempts' ends.
 var outcomes = [...]string{
-	chalkrack.OK:            "ok",
-	chalkrack.ServerError:   "error",
-	chalkrack.Full:          "declined",
-	chalkrack.TimedOut:      "timeout",
-	chalkrack.ConnectFailed: "connect",
-	chalkrack.Reset:         "reset",
-	chalkrack.Cancelled:     "cancelled",
-	chalkrack.NotSent:       "not_sent",
+	martendrum.OK:            "ok",
+	martendrum.ServerError:   "error",
+	martendrum.Full:          "declined",
+	martendrum.TimedOut:      "timeout",
+	martendrum.ConnectFailed: "connect",
+	martendrum.Reset:         "reset",
+	martendrum.Cancelled:     "cancelled",
+	martendrum.NotSent:       "not_sent",
 }
 
 // ownBounds are of the time in the sidecar itself, in seconds.
@@ -152,7 +152,7 @@
 }
 
 // Ended counts an attempt's end; served says that the client got this answer.
-func (s *Set) Ended(o chalkrack.Outcome, isCopy, served bool) {
+func (s *Set) Ended(o martendrum.Outcome, isCopy, served bool) {
 	if int(o) < len(s.ends) {
 		s.ends[o].Inc()
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -27,13 +27,13 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/scrape"
-	"chalkrack/internal/fleet/store"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/scrape"
+	"martendrum/internal/fleet/store"
 )
 
 // Machine is what instances run on. Processes is the real one.
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/units"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/units"
 )
 
 // Config is an agent's file; see deploy/agent.toml. Relative paths in it are
--- a/internal/fleet/agent/figures.go
+++ b/internal/fleet/agent/figures.go
@@ -17,10 +17,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/store"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/store"
 )
 
 const (
--- a/internal/fleet/agent/figures_test.go
+++ b/internal/fleet/agent/figures_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/judge"
 )
 
 func sample(instance string, boundary int64) api.Sample {
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -14,11 +14,11 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/store"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/store"
 )
 
 const (
--- a/internal/fleet/agent/loss.go
+++ b/internal/fleet/agent/loss.go
@@ -10,10 +10,10 @@
 	"path/filepath"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/recovery"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/recovery"
 )
 
 // loss is what an agent's start shows of the host: whether it lost its power.
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -15,14 +15,14 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
-	"chalkrack/internal/fleet/neighbour"
-	"chalkrack/internal/fleet/pki"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/msgpackrpc"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
+	"martendrum/internal/fleet/neighbour"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/msgpackrpc"
 )
 
 const (
--- a/internal/fleet/agent/step.go
+++ b/internal/fleet/agent/step.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/life"
-	"chalkrack/internal/fleet/store"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/store"
 )
 
 // stepStart begins a step of an operation on one instance, once: whoever asks
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/stage"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/stage"
 )
 
 // The versions of this protocol that this build speaks. A new field is no new
--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -15,10 +15,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/pki"
-	"chalkrack/internal/msgpackrpc"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/msgpackrpc"
 )
 
 // UnreachableError is an agent without an answer. What was asked of it may have
--- a/internal/fleet/client/run.go
+++ b/internal/fleet/client/run.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/rollout"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/rollout"
 )
 
 // Options of a run.
--- a/internal/fleet/client/staged.go
+++ b/internal/fleet/client/staged.go
@@ -7,9 +7,9 @@
 	"sort"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/stage"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/stage"
 )
 
 // staged carries out a change in stages: it gathers figures of all hosts, has them
--- a/internal/fleet/client/upload.go
+++ b/internal/fleet/client/upload.go
@@ -7,8 +7,8 @@
 	"io"
 	"os"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/release"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/release"
 )
 
 // chunk is how many bytes of a release go in one call.
--- a/internal/fleet/e2e/api_test.go
+++ b/internal/fleet/e2e/api_test.go
@@ -14,16 +14,16 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"chalkrack/internal/fleet/agent"
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/pki"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/sqlite"
-	"chalkrack/internal/fleet/units"
-	"chalkrack/internal/msgpackrpc"
-	"chalkrack/internal/standin/simhost"
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/sqlite"
+	"martendrum/internal/fleet/units"
+	"martendrum/internal/msgpackrpc"
+	"martendrum/internal/standin/simhost"
 )
 
 func code(err error) string {
@@ -243,7 +243,7 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	os.WriteFile(filepath.Join(dir, "fawnrock"), []byte("x"), 0o700)
+	os.WriteFile(filepath.Join(dir, "sidecar"), []byte("x"), 0o700)
 	load := func(text string) error {
 		file := filepath.Join(dir, "agent.toml")
 		os.WriteFile(file, []byte(text), 0o600)
--- a/internal/fleet/e2e/fleet_test.go
+++ b/internal/fleet/e2e/fleet_test.go
@@ -16,14 +16,14 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/fleet/release"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/standin/pgserver"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/standin/pgserver"
 )
 
 // script writes a program of a shell's.
@@ -62,7 +62,7 @@
 func TestFiftyInstancesUpgrade(t *testing.T) {
 	w := newWorld(t, 10, 5)
 	w.startAll()
-	hash := w.release(filepath.Join(w.bin, "fawnrock"), `{"limits":{"memory_mb":96}}`)
+	hash := w.release(filepath.Join(w.bin, "sidecar"), `{"limits":{"memory_mb":96}}`)
 	requests := w.traffic(300 * time.Millisecond)
 
 	rng := rand.New(rand.NewPCG(5, 1))
@@ -480,7 +480,7 @@
 	first := w.ready()[0].Instances[0].Release
 	for name, c := range map[string]struct{ script, why string }{
 		"never ready":   {"#!/bin/sh\nexec sleep 1000\n", "not ready within"},
-		"dies soaked":   {"#!/bin/sh\n" + filepath.Join(w.bin, "fawnrock") + " &\nsleep 1\nkill -9 $!\nwait\nexit 3\n", "ended by itself"},
+		"dies soaked":   {"#!/bin/sh\n" + filepath.Join(w.bin, "sidecar") + " &\nsleep 1\nkill -9 $!\nwait\nexit 3\n", "ended by itself"},
 		"can't start":   {"no program\n", "exec format error"},
 		"ends at once":  {"#!/bin/sh\nexit 7\n", "exit status 7"},
 		"good and well": {"", ""},
@@ -488,7 +488,7 @@
 		path := w.script("bad"+strings.ReplaceAll(name, " ", "-"), c.script)
 		overlay := ""
 		if c.script == "" {
-			path, overlay = filepath.Join(w.bin, "fawnrock"), `{"limits":{"memory_mb":80}}`
+			path, overlay = filepath.Join(w.bin, "sidecar"), `{"limits":{"memory_mb":80}}`
 		}
 		hash := w.release(path, overlay)
 		op := w.op(api.ActUpgrade, func(o *api.Operation) {
@@ -568,7 +568,7 @@
 		return rep
 	}
 	for n := range 2 {
-		if rep := upgrade(filepath.Join(w.bin, "fawnrock"), fmt.Sprintf(`{"limits":{"memory_mb":%d}}`, 90+n)); !rep.OK() {
+		if rep := upgrade(filepath.Join(w.bin, "sidecar"), fmt.Sprintf(`{"limits":{"memory_mb":%d}}`, 90+n)); !rep.OK() {
 			t.Errorf("%s %s", rep.Result, rep.Why)
 		}
 		for _, i := range w.ready()[0].Instances {
@@ -614,7 +614,7 @@
 		script string // what the new process is, before it serves
 		keeps  bool   // the old one is left
 	}{
-		{"#!/bin/sh\nsleep 1\nexec " + filepath.Join(w.bin, "fawnrock") + "\n", false},
+		{"#!/bin/sh\nsleep 1\nexec " + filepath.Join(w.bin, "sidecar") + "\n", false},
 		{"#!/bin/sh\nsleep 1\nexit 7\n", true},
 	} {
 		old := w.ready()[0].Instances[0].PID
@@ -921,8 +921,8 @@
 	t.Cleanup(func() { pg.Close() })
 	w := newWorld(t, 1, 1)
 	h := w.hosts[0]
-	sidecar := filepath.Join(w.dir, "fawnrock-record")
-	if out, err := exec.Command("go", "build", "-tags", "record", "-o", sidecar, "chalkrack/cmd/fawnrock").CombinedOutput(); err != nil {
+	sidecar := filepath.Join(w.dir, "sidecar-record")
+	if out, err := exec.Command("go", "build", "-tags", "record", "-o", sidecar, "martendrum/cmd/sidecar").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	file := filepath.Join(w.dir, "record.toml")
@@ -931,7 +931,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.Replace(string(b), filepath.Join(w.bin, "fawnrock"), sidecar, 1) + fmt.Sprintf("record = %q\n", file)
+	text := strings.Replace(string(b), filepath.Join(w.bin, "sidecar"), sidecar, 1) + fmt.Sprintf("record = %q\n", file)
 	os.WriteFile(h.config, []byte(text), 0o600)
 	pg.SetRefuse(true)
 	w.startAll()
--- a/internal/fleet/e2e/main_test.go
+++ b/internal/fleet/e2e/main_test.go
@@ -20,18 +20,18 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/agent"
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/open"
-	"chalkrack/internal/fleet/store/sqlite"
-	"chalkrack/internal/fleet/units"
-	"chalkrack/internal/standin/shop"
-	"chalkrack/internal/standin/simhost"
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/open"
+	"martendrum/internal/fleet/store/sqlite"
+	"martendrum/internal/fleet/units"
+	"martendrum/internal/standin/shop"
+	"martendrum/internal/standin/simhost"
 )
 
 // patience is how long a test waits for what must come.
@@ -107,7 +107,7 @@
 		if built, buildErr = os.MkdirTemp("", "martendrum-e2e-"); buildErr != nil {
 			return
 		}
-		if b, err := exec.Command("go", "build", "-o", built+"/", "chalkrack/cmd/fawnrock", "chalkrack/cmd/martendrum").CombinedOutput(); err != nil {
+		if b, err := exec.Command("go", "build", "-o", built+"/", "martendrum/cmd/sidecar", "martendrum/cmd/martendrum").CombinedOutput(); err != nil {
 			buildErr = fmt.Errorf("%w: %s", err, b)
 		}
 	})
@@ -182,7 +182,7 @@
 			t.Fatal(err)
 		}
 		var c strings.Builder
-		fmt.Fprintf(&c, "name = %q\nstate_dir = \"s\"\n[listen]\nunix = \"a\"\n[sidecar]\nbinary = %q\n", x.name, filepath.Join(w.bin, "fawnrock"))
+		fmt.Fprintf(&c, "name = %q\nstate_dir = \"s\"\n[listen]\nunix = \"a\"\n[sidecar]\nbinary = %q\n", x.name, filepath.Join(w.bin, "sidecar"))
 		c.WriteString(record)
 		c.WriteString("[limits]\nhealth_each = \"200ms\"\nbackoff_min = \"200ms\"\nbackoff_max = \"1s\"\ncrash_most = 20\n")
 		for i := range each {
--- a/internal/fleet/e2e/powerloss_test.go
+++ b/internal/fleet/e2e/powerloss_test.go
@@ -19,13 +19,13 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/standin/faultnet"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/standin/faultnet"
+	"martendrum/internal/standin/shop"
 )
 
 // plant is a fleet whose sidecars tell each other over a mesh, before servers that start
--- a/internal/fleet/e2e/scale_test.go
+++ b/internal/fleet/e2e/scale_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/inventory"
-	"chalkrack/internal/fleet/rollout"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/rollout"
 )
 
 // Times of the pretended sidecars and the gates of BenchmarkRollingRestart200.
@@ -79,7 +79,7 @@
 			}
 			return n%10 == 0
 		})))
-		rep := w.change(append([]string{"start", "--stages", "6,50%,100%", "--binary", filepath.Join(w.bin, "fawnrock"), "--overlay", overlay},
+		rep := w.change(append([]string{"start", "--stages", "6,50%,100%", "--binary", filepath.Join(w.bin, "sidecar"), "--overlay", overlay},
 			append(quick, "--longest", "80s", "--batch", "6", "--margin", "unserved=0.02:0.08", "--margin", "worth=0.02:0.08", "--margin", "failed=0.02:0.08")...)...).report()
 		w.asBefore(base)
 		requests.stop()
--- a/internal/fleet/e2e/staged_test.go
+++ b/internal/fleet/e2e/staged_test.go
@@ -17,11 +17,11 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/client"
-	"chalkrack/internal/fleet/rollout"
-	"chalkrack/internal/standin/faultnet"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/standin/faultnet"
+	"martendrum/internal/standin/shop"
 )
 
 // turns lets one such world at a time run: each has its clients, and the other tests are
@@ -241,9 +241,9 @@
 			base := w.running()
 			args := append([]string{"start", "--stages", "3,100%"}, quick...)
 			if c.overlay != nil {
-				args = append(args, "--overlay", w.overlay(fmt.Sprintf(`{"discovery": %q}`, c.overlay(t))), "--binary", filepath.Join(w.bin, "fawnrock"))
+				args = append(args, "--overlay", w.overlay(fmt.Sprintf(`{"discovery": %q}`, c.overlay(t))), "--binary", filepath.Join(w.bin, "sidecar"))
 			} else {
-				args = append(args, "--binary", w.script("bad", fmt.Sprintf(c.program, filepath.Join(w.bin, "fawnrock"))))
+				args = append(args, "--binary", w.script("bad", fmt.Sprintf(c.program, filepath.Join(w.bin, "sidecar"))))
 			}
 			requests := w.load()
 			rep := w.change(args...).report()
@@ -272,7 +272,7 @@
 	t.Parallel()
 	w := stagedWorld(t, 2, 5)
 	requests := w.load()
-	first := w.change(append([]string{"start", "--stages", "3,7,100%", "--binary", filepath.Join(w.bin, "fawnrock"), "--overlay", w.overlay(`{"limits":{"memory_mb":96}}`)}, quick...)...)
+	first := w.change(append([]string{"start", "--stages", "3,7,100%", "--binary", filepath.Join(w.bin, "sidecar"), "--overlay", w.overlay(`{"limits":{"memory_mb":96}}`)}, quick...)...)
 	rep := w.until("a first stage that runs", func(r *client.Report) bool { return r.Stages != nil && r.Stages.State.Stage == 1 && touched(r) == 3 })
 	first.cmd.Process.Kill()
 	<-first.done
@@ -453,7 +453,7 @@
 	t.Cleanup(n.Close)
 	links := w.links(n)
 	requests := w.load()
-	c := w.change(append([]string{"start", "--stages", "4,100%", "--give-up", "60s", "--binary", filepath.Join(w.bin, "fawnrock"), "--overlay", w.overlay(`{"limits":{"memory_mb":96}}`)}, quick...)...)
+	c := w.change(append([]string{"start", "--stages", "4,100%", "--give-up", "60s", "--binary", filepath.Join(w.bin, "sidecar"), "--overlay", w.overlay(`{"limits":{"memory_mb":96}}`)}, quick...)...)
 	w.until("a first stage that runs", func(r *client.Report) bool { return r.Stages != nil && r.Stages.State.Stage == 1 && touched(r) == 4 })
 	stall := func(ways faultnet.Way) func(bool) {
 		return func(bad bool) { links[1].Set(map[bool]faultnet.Fault{true: {Stall: ways}}[bad]) }
@@ -492,7 +492,7 @@
 	w := stagedWorld(t, 2, 4)
 	base := w.running()
 	mark := filepath.Join(w.dir, "crash")
-	bad := w.script("bad", fmt.Sprintf("#!/bin/sh\ntest -e %[2]q && exit 1\n%[1]q &\npid=$!\ntrap 'kill -TERM $pid; wait $pid; exit 0' TERM\nwhile kill -0 $pid; do test -e %[2]q && kill -KILL $pid && exit 1; sleep 0.1; done\n", filepath.Join(w.bin, "fawnrock"), mark))
+	bad := w.script("bad", fmt.Sprintf("#!/bin/sh\ntest -e %[2]q && exit 1\n%[1]q &\npid=$!\ntrap 'kill -TERM $pid; wait $pid; exit 0' TERM\nwhile kill -0 $pid; do test -e %[2]q && kill -KILL $pid && exit 1; sleep 0.1; done\n", filepath.Join(w.bin, "sidecar"), mark))
 	c := w.change(append([]string{"start", "--stages", "3,100%", "--alone", "2s", "--binary", bad}, quick...)...)
 	w.until("a first stage that runs", func(r *client.Report) bool {
 		n := 0
@@ -555,7 +555,7 @@
 	t.Parallel()
 	w := stagedWorld(t, 1, 8)
 	base := w.running()
-	other := w.script("other", fmt.Sprintf("#!/bin/sh\ntest \"$1\" = versions && echo '{\"program\":\"fawnrock\",\"hand_over\":99,\"agent\":1}' && exit\nexec %q \"$@\"\n", filepath.Join(w.bin, "fawnrock")))
+	other := w.script("other", fmt.Sprintf("#!/bin/sh\ntest \"$1\" = versions && echo '{\"program\":\"sidecar\",\"hand_over\":99,\"agent\":1}' && exit\nexec %q \"$@\"\n", filepath.Join(w.bin, "sidecar")))
 	requests := w.load()
 	_, errs, code := w.command(append([]string{"change", "start", "--stages", "2,100%", "--binary", other}, quick...)...)
 	if code != 1 || !strings.Contains(errs, "nothing was changed") || !strings.Contains(errs, "versions 1 and 99 of the hand-over") {
@@ -568,7 +568,7 @@
 		}
 	}
 	second := filepath.Join(w.dir, "second") // of another build
-	if b, err := exec.Command("go", "build", "-tags", "record", "-o", second, "chalkrack/cmd/fawnrock").CombinedOutput(); err != nil {
+	if b, err := exec.Command("go", "build", "-tags", "record", "-o", second, "martendrum/cmd/sidecar").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, b)
 	}
 	rep := w.change(append([]string{"start", "--stages", "3,100%", "--binary", second}, quick...)...).report()
--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/units"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/units"
 )
 
 // Inventory is the file; see deploy/fleet.toml.
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"chalkrack/internal/fleet/judge"
-	"chalkrack/internal/fleet/judge/trial"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/judge/trial"
 )
 
 // fleet plays a small fleet: instances of two zones, of which some change at slot
--- a/internal/fleet/judge/trial/trial.go
+++ b/internal/fleet/judge/trial/trial.go
@@ -10,7 +10,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/judge"
 )
 
 // Method is a way to judge. Look is asked after each slot of the present.
--- a/internal/fleet/judge/trial/world.go
+++ b/internal/fleet/judge/trial/world.go
@@ -15,7 +15,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/judge"
 )
 
 // Harm is what a changed instance does worse.
--- a/internal/fleet/neighbour/neighbour.go
+++ b/internal/fleet/neighbour/neighbour.go
@@ -71,6 +71,13 @@
 	return errors.Join(why...)
 }
 
+// The sidecar's name in Versions.Program, and the one that builds from before its
+// renaming tell: the two are the same program.
+const (
+	currentName = "sidecar"
+	formerName  = "fawnrock"
+)
+
 // askMost is how long a program may take to tell.
 const askMost = time.Second
 
@@ -95,5 +102,8 @@
 	if err != nil || json.NewDecoder(strings.NewReader(string(out[:min(len(out), 4096)]))).Decode(&v) != nil || v.Program == "" {
 		return First
 	}
+	if v.Program == formerName {
+		v.Program = currentName
+	}
 	return v
 }
--- a/internal/fleet/neighbour/neighbour_test.go
+++ b/internal/fleet/neighbour/neighbour_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestCheck(t *testing.T) {
-	one := Versions{Program: "fawnrock", HandOver: 1, Snapshot: 1, Record: 1, Agent: 1}
+	one := Versions{Program: "sidecar", HandOver: 1, Snapshot: 1, Record: 1, Agent: 1}
 	with := func(edit func(*Versions)) Versions { v := one; edit(&v); return v }
 	all := Use{HandOver: true, Record: true, Back: true}
 	for name, c := range map[string]struct {
@@ -22,7 +22,7 @@
 		"another snapshot":       {one, with(func(v *Versions) { v.Snapshot = 2 }), all, ""},
 		"another hand-over":      {one, with(func(v *Versions) { v.HandOver = 2 }), all, "versions 1 and 2 of the hand-over"},
 		"which is off":           {one, with(func(v *Versions) { v.HandOver = 2 }), Use{Record: true}, ""},
-		"another program":        {one, with(func(v *Versions) { v.Program = "drill" }), Use{}, "the other drill"},
+		"another program":        {one, with(func(v *Versions) { v.Program = "simulator" }), Use{}, "the other simulator"},
 		"a later agent's":        {one, with(func(v *Versions) { v.Agent = 2 }), Use{}, "upgrade the agent first"},
 		"no record":              {one, with(func(v *Versions) { v.Record = 0 }), all, "-tags record"},
 		"an older record":        {with(func(v *Versions) { v.Record = 2 }), one, all, "schema 1, and that is at 2"},
@@ -38,7 +38,8 @@
 
 func TestAsk(t *testing.T) {
 	for text, want := range map[string]Versions{
-		"echo '{\"program\":\"x\",\"hand_over\":7,\"agent\":1}'": {Program: "x", HandOver: 7, Agent: 1},
+		"echo '{\"program\":\"x\",\"hand_over\":7,\"agent\":1}'":        {Program: "x", HandOver: 7, Agent: 1},
+		"echo '{\"program\":\"fawnrock\",\"hand_over\":1,\"agent\":1}'": {Program: "sidecar", HandOver: 1, Agent: 1},
 		"exit 1":       First,
 		"echo nothing": First,
 		"sleep 60":     First,
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -12,7 +12,7 @@
 import (
 	"fmt"
 
-	"chalkrack/internal/fleet/api"
+	"martendrum/internal/fleet/api"
 )
 
 // What is done after too many failures.
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"chalkrack/internal/fleet/api"
+	"martendrum/internal/fleet/api"
 	"pgregory.net/rapid"
 )
 
--- a/internal/fleet/scrape/scrape.go
+++ b/internal/fleet/scrape/scrape.go
@@ -19,8 +19,8 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/judge"
 )
 
 // answerMost bounds a door's answer, in bytes: several hundred classes fit.
--- a/internal/fleet/stage/stage.go
+++ b/internal/fleet/stage/stage.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/judge"
 )
 
 // What is done on a verdict.
--- a/internal/fleet/stage/stage_test.go
+++ b/internal/fleet/stage/stage_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"chalkrack/internal/fleet/judge"
+	"martendrum/internal/fleet/judge"
 )
 
 func TestDraw(t *testing.T) {
--- a/internal/fleet/store/open/open.go
+++ b/internal/fleet/store/open/open.go
@@ -5,11 +5,11 @@
 	"context"
 	"time"
 
-	"chalkrack/internal/fleet/agent"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/postgres"
-	"chalkrack/internal/fleet/store/sqlite"
-	"chalkrack/internal/pg"
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/postgres"
+	"martendrum/internal/fleet/store/sqlite"
+	"martendrum/internal/pg"
 )
 
 // connections are enough: an agent makes one change at a time, and reads its audit log.
--- a/internal/fleet/store/postgres/postgres.go
+++ b/internal/fleet/store/postgres/postgres.go
@@ -16,9 +16,9 @@
 
 	"github.com/jackc/pgx/v5"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/pg"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/pg"
 )
 
 var schema = pg.Schema{Name: "martendrum_fleet_schema", Lock: 0x6d6172746f, Migrations: [][]string{
--- a/internal/fleet/store/postgres/postgres_test.go
+++ b/internal/fleet/store/postgres/postgres_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/storetest"
-	"chalkrack/internal/pg"
-	"chalkrack/internal/standin/pgserver"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/storetest"
+	"martendrum/internal/pg"
+	"martendrum/internal/standin/pgserver"
 )
 
 var ctx = context.Background()
--- a/internal/fleet/store/rows.go
+++ b/internal/fleet/store/rows.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
 )
 
 // Row is one that a database returns, of either driver.
--- a/internal/fleet/store/sqlite/sqlite.go
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/sqlitefile"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/sqlitefile"
 )
 
 // migrations bring a file from version n to n+1. They are never changed once
--- a/internal/fleet/store/sqlite/sqlite_test.go
+++ b/internal/fleet/store/sqlite/sqlite_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"testing"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/store"
-	"chalkrack/internal/fleet/store/storetest"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/storetest"
 )
 
 const room = 8 << 20
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -13,8 +13,8 @@
 	"context"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
 )
 
 // Instance is what is wanted of an instance, and what is known of its process.
--- a/internal/fleet/store/storetest/storetest.go
+++ b/internal/fleet/store/storetest/storetest.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/lease"
-	"chalkrack/internal/fleet/store"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
+	"martendrum/internal/fleet/store"
 )
 
 // Full is a change with a row of each kind.
--- a/internal/fleetsim/gossip.go
+++ b/internal/fleetsim/gossip.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"chalkrack/internal/peers"
+	"martendrum/internal/peers"
 )
 
 // Peer is a peers.Node in a world.
--- a/internal/fleetsim/gossip_test.go
+++ b/internal/fleetsim/gossip_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/peers"
+	"martendrum/internal/peers"
 )
 
 const (
--- a/internal/fleetsim/guide.go
+++ b/internal/fleetsim/guide.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"chalkrack/internal/peers"
-	"chalkrack/internal/recovery"
+	"martendrum/internal/peers"
+	"martendrum/internal/recovery"
 )
 
 // Recovery is a Guide that has a sidecar come back as package recovery says.
--- a/internal/fleetsim/powerloss.go
+++ b/internal/fleetsim/powerloss.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/peers"
+	"martendrum"
+	"martendrum/internal/peers"
 )
 
 // Loss is a power loss and what comes back from it.
@@ -27,13 +27,13 @@
 
 // Site is what the model's fleet serves: a class that is safe, a keyed and an unsafe one,
 // by worth.
-func Site(instances int, ramp Ramp) (chalkrack.Config, []time.Duration) {
-	return chalkrack.Config{
+func Site(instances int, ramp Ramp) (martendrum.Config, []time.Duration) {
+	return martendrum.Config{
 		Instances: instances,
-		Classes: []chalkrack.Class{
-			{Aim: 800 * time.Millisecond, Worth: 1, Effect: chalkrack.Safe},
-			{Aim: time.Second, Worth: 3, Effect: chalkrack.Keyed, Window: 1500 * time.Millisecond},
-			{Aim: 750 * time.Millisecond, Worth: 10, Effect: chalkrack.Unsafe},
+		Classes: []martendrum.Class{
+			{Aim: 800 * time.Millisecond, Worth: 1, Effect: martendrum.Safe},
+			{Aim: time.Second, Worth: 3, Effect: martendrum.Keyed, Window: 1500 * time.Millisecond},
+			{Aim: 750 * time.Millisecond, Worth: 10, Effect: martendrum.Unsafe},
 		},
 		MaxAttempts: 5, MayCancel: true, SecondCopies: true, MaxRetryAfter: 2 * time.Second, WasteCost: 0.2, CrossZoneCost: 0.03,
 		ColdFrom: ramp.From, ColdFor: ramp.For, OverloadFactor: ramp.Factor, OverloadFor: ramp.Window,
@@ -57,7 +57,7 @@
 	cfg, limits := Site(l.Sidecars, l.Ramp)
 	each := l.Load / l.Clients.Rate // servers' capacity for each sidecar
 	work := time.Duration(4 * float64(time.Second) * each * float64(l.Servers) / float64(l.Sidecars))
-	var list []chalkrack.Endpoint
+	var list []martendrum.Endpoint
 	var places []int
 	servers := make([]*Server, l.Servers)
 	zones := []string{"a", "b", "c", "d", "e", "f"}[:max(1, l.Zones)]
@@ -69,7 +69,7 @@
 		s.Up(time.Duration(rng.Float64()*float64(l.Spread)), rng)
 		servers[i] = s
 		w.Start(at, s)
-		list = append(list, chalkrack.Endpoint{Name: serverName(at), Zone: zones[i%len(zones)], Hint: 1, Started: Epoch + s.started})
+		list = append(list, martendrum.Endpoint{Name: serverName(at), Zone: zones[i%len(zones)], Hint: 1, Started: Epoch + s.started})
 		places = append(places, at)
 	}
 	for i := range up {
@@ -104,7 +104,7 @@
 	return r
 }
 
-func (l Loss) start(w *World, i int, cfg chalkrack.Config, limits []time.Duration, list []chalkrack.Endpoint, places []int, zones []string) {
+func (l Loss) start(w *World, i int, cfg martendrum.Config, limits []time.Duration, list []martendrum.Endpoint, places []int, zones []string) {
 	cfg.Zone = zones[i%len(zones)]
 	rng := w.Rand(i)
 	var peer *peers.Node
--- a/internal/fleetsim/sidecar.go
+++ b/internal/fleetsim/sidecar.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/peers"
+	"martendrum"
+	"martendrum/internal/peers"
 )
 
 // Clients is the requests that come to one sidecar.
@@ -24,17 +24,17 @@
 type Sidecar struct {
 	Tally Tally
 
-	cfg     chalkrack.Config
+	cfg     martendrum.Config
 	limits  []time.Duration // by class: how long a client waits in all its tries
 	clients Clients
-	b       *chalkrack.Balancer
+	b       *martendrum.Balancer
 	peer    *peers.Node // nil: it tells nobody anything
 	guide   Guide       // nil: none
 	rng     *rand.Rand
 
 	now     time.Duration
-	held    map[chalkrack.RequestID]*request
-	last    chalkrack.RequestID
+	held    map[martendrum.RequestID]*request
+	last    martendrum.RequestID
 	alarms  alarms
 	later   []func()
 	out     []Message
@@ -66,7 +66,7 @@
 }
 
 type request struct {
-	id       chalkrack.RequestID
+	id       martendrum.RequestID
 	class    int
 	began    time.Duration // its client's first try
 	deadline time.Duration
@@ -105,13 +105,13 @@
 }
 
 // NewSidecar returns a sidecar that starts at now.
-func NewSidecar(now time.Duration, cfg chalkrack.Config, limits []time.Duration, c Clients, rng *rand.Rand, peer *peers.Node, guide Guide) *Sidecar {
+func NewSidecar(now time.Duration, cfg martendrum.Config, limits []time.Duration, c Clients, rng *rand.Rand, peer *peers.Node, guide Guide) *Sidecar {
 	s := &Sidecar{
 		cfg: cfg, limits: limits, clients: c, peer: peer, guide: guide, rng: rng, now: now,
-		held: make(map[chalkrack.RequestID]*request), servers: make(map[string]int),
+		held: make(map[martendrum.RequestID]*request), servers: make(map[string]int),
 	}
 	var err error
-	if s.b, err = chalkrack.New(cfg, rng.Uint64(), s); err != nil {
+	if s.b, err = martendrum.New(cfg, rng.Uint64(), s); err != nil {
 		panic(err) // of this package's own making
 	}
 	for range int(c.Burst * c.Rate) {
@@ -125,13 +125,13 @@
 func (s *Sidecar) Peer() *peers.Node { return s.peer }
 
 // Bound passes on what a Guide found to its Balancer.
-func (s *Sidecar) Bound(x chalkrack.Bounds) { s.b.Bound(x) }
+func (s *Sidecar) Bound(x martendrum.Bounds) { s.b.Bound(x) }
 
 // serverName is the name of the server at a place.
 func serverName(place int) string { return "s" + strconv.Itoa(place) }
 
 // Listed brings the sidecar a list of servers, each with its place, after a delay.
-func (s *Sidecar) Listed(after time.Duration, list []chalkrack.Endpoint, places []int) {
+func (s *Sidecar) Listed(after time.Duration, list []martendrum.Endpoint, places []int) {
 	s.at(s.now+after, func() {
 		for i, e := range list {
 			s.servers[e.Name] = places[i]
@@ -166,7 +166,7 @@
 	q := &request{id: s.last, class: class, began: began, deadline: began + s.limits[class]}
 	s.held[q.id] = q
 	s.at(q.deadline, func() { s.expire(q) })
-	s.b.Arrive(Epoch+s.now, chalkrack.Request{ID: q.id, Class: class, Tenant: -1, Deadline: Epoch + q.deadline})
+	s.b.Arrive(Epoch+s.now, martendrum.Request{ID: q.id, Class: class, Tenant: -1, Deadline: Epoch + q.deadline})
 }
 
 // Arrivals is how many requests have come so far, those that came again among them.
@@ -177,7 +177,7 @@
 		return
 	}
 	for n := range q.sent {
-		s.done(q, n, chalkrack.TimedOut)
+		s.done(q, n, martendrum.TimedOut)
 	}
 	if !q.over {
 		s.b.ClientGone(Epoch+s.now, q.id)
@@ -187,13 +187,13 @@
 	}
 }
 
-func (s *Sidecar) done(q *request, n int, o chalkrack.Outcome) {
+func (s *Sidecar) done(q *request, n int, o martendrum.Outcome) {
 	if q.sent[n] {
 		return
 	}
 	q.sent[n] = true
 	q.out--
-	if o == chalkrack.OK && !q.over {
+	if o == martendrum.OK && !q.over {
 		q.over = true
 		if s.now-q.began <= s.cfg.Classes[q.class].Aim || s.clients.Patient {
 			s.Tally.add(&s.Tally.Served, q.class, q.began)
@@ -201,7 +201,7 @@
 			s.Tally.Late++
 		}
 	}
-	s.b.Done(Epoch+s.now, q.id, n, o, q.over, chalkrack.Report{})
+	s.b.Done(Epoch+s.now, q.id, n, o, q.over, martendrum.Report{})
 	s.forget(q)
 }
 
@@ -259,11 +259,11 @@
 			s.peer.Receive(now, peers.Rank(from), m)
 		}
 	case result:
-		q := s.held[chalkrack.RequestID(m.id)]
+		q := s.held[martendrum.RequestID(m.id)]
 		if q == nil {
 			return
 		}
-		s.done(q, m.attempt, [...]chalkrack.Outcome{served: chalkrack.OK, full: chalkrack.Full, refused: chalkrack.ConnectFailed}[m.what])
+		s.done(q, m.attempt, [...]martendrum.Outcome{served: martendrum.OK, full: martendrum.Full, refused: martendrum.ConnectFailed}[m.what])
 		s.settle()
 	default:
 		panic(fmt.Sprintf("fleetsim: a sidecar got a %T", msg))
@@ -281,8 +281,8 @@
 	s.out = s.out[:0]
 }
 
-// Send implements chalkrack.Host.
-func (s *Sidecar) Send(id chalkrack.RequestID, server string, _, _ time.Duration) {
+// Send implements martendrum.Host.
+func (s *Sidecar) Send(id martendrum.RequestID, server string, _, _ time.Duration) {
 	q := s.held[id]
 	s.Tally.Sends++
 	s.out = append(s.out, Message{To: s.servers[server], Body: try{uint64(id), len(q.sent)}})
@@ -290,15 +290,15 @@
 	q.out++
 }
 
-// Cancel implements chalkrack.Host. The server goes on with it: that is the dearer case.
-func (s *Sidecar) Cancel(id chalkrack.RequestID, n int) {
+// Cancel implements martendrum.Host. The server goes on with it: that is the dearer case.
+func (s *Sidecar) Cancel(id martendrum.RequestID, n int) {
 	if q := s.held[id]; q != nil && n < len(q.sent) {
-		s.later = append(s.later, func() { s.done(q, n, chalkrack.Cancelled) })
+		s.later = append(s.later, func() { s.done(q, n, martendrum.Cancelled) })
 	}
 }
 
-// Refuse implements chalkrack.Host: the client may come back.
-func (s *Sidecar) Refuse(id chalkrack.RequestID, after time.Duration) {
+// Refuse implements martendrum.Host: the client may come back.
+func (s *Sidecar) Refuse(id martendrum.RequestID, after time.Duration) {
 	q := s.held[id]
 	if q == nil || q.over {
 		return
@@ -311,20 +311,20 @@
 	s.forget(q)
 }
 
-// Fail implements chalkrack.Host.
-func (s *Sidecar) Fail(id chalkrack.RequestID) {
+// Fail implements martendrum.Host.
+func (s *Sidecar) Fail(id martendrum.RequestID) {
 	if q := s.held[id]; q != nil && !q.over {
 		q.over = true
 		s.forget(q)
 	}
 }
 
-// SetTimer implements chalkrack.Host.
+// SetTimer implements martendrum.Host.
 func (s *Sidecar) SetTimer(cookie uint64, after time.Duration) {
 	s.at(s.now+max(after, time.Microsecond), func() { s.b.Timer(Epoch+s.now, cookie) })
 }
 
-// CloseIdle, Probe and Subscribe implement chalkrack.Host; nothing here needs them.
+// CloseIdle, Probe and Subscribe implement martendrum.Host; nothing here needs them.
 func (*Sidecar) CloseIdle(string) {}
 
 // Probe: see CloseIdle.
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // eventually waits for what must come.
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/settings"
+	"martendrum/internal/upstream"
 )
 
 // Exchange is one request and its answer. Its answering methods may be called
@@ -64,19 +64,19 @@
 	}
 	effect := x.Rules.Rules.Effect
 	method := http.MethodPost
-	if effect == chalkrack.Safe {
+	if effect == martendrum.Safe {
 		method = http.MethodGet
 	}
 	if r.Method != method {
 		return http.StatusMethodNotAllowed
 	}
-	if effect == chalkrack.Safe && r.ContentLength != 0 {
+	if effect == martendrum.Safe && r.ContentLength != 0 {
 		return http.StatusBadRequest
 	}
 	if x.id = strings.Clone(r.Header.Get("Req-Id")); x.id == "" || len(x.id) > idMost {
 		return http.StatusBadRequest
 	}
-	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (effect == chalkrack.Keyed) {
+	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (effect == martendrum.Keyed) {
 		return http.StatusBadRequest
 	}
 	if d, ok := r.Header["Req-Deadline-Ms"]; ok {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,10 +17,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chalkrack/internal/figures"
-	"chalkrack/internal/framing"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/sock"
+	"martendrum/internal/figures"
+	"martendrum/internal/framing"
+	"martendrum/internal/settings"
+	"martendrum/internal/sock"
 )
 
 const (
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/settings"
+	"martendrum/internal/upstream"
 )
 
 // patience is how long a test waits for what must come.
@@ -32,11 +32,11 @@
 }
 func (h *handler) Ready() bool { return true }
 func (h *handler) Class(name string) *settings.Class {
-	e, ok := map[string]chalkrack.Effect{"look": chalkrack.Safe, "book": chalkrack.Keyed, "pay": chalkrack.Unsafe}[name]
+	e, ok := map[string]martendrum.Effect{"look": martendrum.Safe, "book": martendrum.Keyed, "pay": martendrum.Unsafe}[name]
 	if !ok {
 		return nil
 	}
-	return &settings.Class{Name: name, Rules: &chalkrack.Class{Effect: e}}
+	return &settings.Class{Name: name, Rules: &martendrum.Class{Effect: e}}
 }
 
 func start(t *testing.T, most int) (*Server, *handler, string) {
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -12,8 +12,8 @@
 	"testing/iotest"
 	"time"
 
-	"chalkrack/internal/framing/framingtest"
-	"chalkrack/internal/upstream"
+	"martendrum/internal/framing/framingtest"
+	"martendrum/internal/upstream"
 )
 
 // FuzzRequestBody sends a body, chunked or of a stated length, in pieces, and compares
--- a/internal/handover/link/ids.go
+++ b/internal/handover/link/ids.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"chalkrack/internal/handover/idtable"
+	"martendrum/internal/handover/idtable"
 )
 
 // IDs is a table of ids in memory that two processes map, and beside it how many requests
--- a/internal/handover/link/link.go
+++ b/internal/handover/link/link.go
@@ -22,7 +22,7 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/handover"
+	"martendrum/internal/handover"
 )
 
 const (
--- a/internal/handover/link/new.go
+++ b/internal/handover/link/new.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/handover"
+	"martendrum/internal/handover"
 )
 
 // Times that a start may take to find out about an old process. All together stay
--- a/internal/handover/link/old.go
+++ b/internal/handover/link/old.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/handover"
+	"martendrum/internal/handover"
 )
 
 // Host is the process that a hand-over is about. Its methods are called from one
--- a/internal/handover/link/queue_test.go
+++ b/internal/handover/link/queue_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // What waits in the accept queue when the old process closes its socket: with a second
--- a/internal/handover/snapshot.go
+++ b/internal/handover/snapshot.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 const (
@@ -40,7 +40,7 @@
 type Snapshot struct {
 	Listen  string // the sidecar's, by its address
 	Saved   int64  // Unix time in ns
-	Learned chalkrack.Learned
+	Learned martendrum.Learned
 }
 
 // Encode is s as bytes: a mark, the version, a checksum (CRC-32C), JSON.
@@ -62,7 +62,7 @@
 
 // Decode reads a snapshot for the sidecar at listen, and how old it is. Anything in it
 // that no Balancer could have learned makes it damaged.
-func Decode(data []byte, listen string, now time.Time) (l chalkrack.Learned, age time.Duration, err error) {
+func Decode(data []byte, listen string, now time.Time) (l martendrum.Learned, age time.Duration, err error) {
 	body, ok := bytes.CutPrefix(data, snapshotMagic)
 	switch {
 	case !ok || len(body) < 5 || len(data) > SnapshotMost:
@@ -89,7 +89,7 @@
 }
 
 // Check names the first value that no Balancer could have learned.
-func Check(l *chalkrack.Learned) error {
+func Check(l *martendrum.Learned) error {
 	var err error
 	within := func(name string, v, least, most float64) {
 		if err == nil && !(v >= least && v <= most) { // a NaN is not
@@ -107,7 +107,7 @@
 	within("Copies", float64(len(l.Copies)), 0, samplesMost)
 	within("Pairs", float64(len(l.Pairs)), 0, samplesMost)
 	within("Servers", float64(len(l.Servers)), 0, serversMost)
-	for _, list := range [][]chalkrack.LearnedTime{l.Primary, l.Copies} {
+	for _, list := range [][]martendrum.LearnedTime{l.Primary, l.Copies} {
 		for _, s := range list {
 			within("a time", s.At, 0, math.MaxFloat32)
 		}
--- a/internal/handover/snapshot_test.go
+++ b/internal/handover/snapshot_test.go
@@ -7,22 +7,22 @@
 	"testing"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
-func learned() chalkrack.Learned {
-	return chalkrack.Learned{
+func learned() martendrum.Learned {
+	return martendrum.Learned{
 		Delay: 0.4, Odds: 0.2, Lost: 0.01, Level: 0.3, LevelAge: time.Second, Taken: 0.9, MeanTime: 0.25,
-		Primary: []chalkrack.LearnedTime{{At: 0.1}, {At: 0.7, Censored: true}},
-		Copies:  []chalkrack.LearnedTime{{At: 0.2}},
+		Primary: []martendrum.LearnedTime{{At: 0.1}, {At: 0.7, Censored: true}},
+		Copies:  []martendrum.LearnedTime{{At: 0.2}},
 		Pairs:   [][2]float64{{0.9, 0.1}},
-		Servers: []chalkrack.LearnedServer{{Name: "a", Weight: 1.5, Sum: 3, N: 2, Age: time.Second, EjectedAbout: time.Second}},
+		Servers: []martendrum.LearnedServer{{Name: "a", Weight: 1.5, Sum: 3, N: 2, Age: time.Second, EjectedAbout: time.Second}},
 	}
 }
 
 var saved = time.Unix(1e9, 0)
 
-func encoded(t testing.TB, l chalkrack.Learned) []byte {
+func encoded(t testing.TB, l martendrum.Learned) []byte {
 	t.Helper()
 	data, err := Encode(Snapshot{Listen: "a:1", Saved: saved.UnixNano(), Learned: l})
 	if err != nil {
@@ -62,13 +62,13 @@
 			t.Error("stale:", err)
 		}
 	}
-	for name, spoil := range map[string]func(*chalkrack.Learned){
-		"odds":     func(l *chalkrack.Learned) { l.Odds = 1.5 },
-		"level":    func(l *chalkrack.Learned) { l.Level = -1 },
-		"weight 0": func(l *chalkrack.Learned) { l.Servers[0].Weight = 0 },
-		"age":      func(l *chalkrack.Learned) { l.Servers[0].Age = -1 },
-		"for ever": func(l *chalkrack.Learned) { l.Servers[0].EjectedAbout = math.MaxInt64 },
-		"too many": func(l *chalkrack.Learned) { l.Pairs = make([][2]float64, 2000) },
+	for name, spoil := range map[string]func(*martendrum.Learned){
+		"odds":     func(l *martendrum.Learned) { l.Odds = 1.5 },
+		"level":    func(l *martendrum.Learned) { l.Level = -1 },
+		"weight 0": func(l *martendrum.Learned) { l.Servers[0].Weight = 0 },
+		"age":      func(l *martendrum.Learned) { l.Servers[0].Age = -1 },
+		"for ever": func(l *martendrum.Learned) { l.Servers[0].EjectedAbout = math.MaxInt64 },
+		"too many": func(l *martendrum.Learned) { l.Pairs = make([][2]float64, 2000) },
 	} {
 		l := learned()
 		spoil(&l)
@@ -76,7 +76,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := Encode(Snapshot{Learned: chalkrack.Learned{Delay: math.NaN()}}); err == nil {
+	if _, err := Encode(Snapshot{Learned: martendrum.Learned{Delay: math.NaN()}}); err == nil {
 		t.Error("what can't be read was written")
 	}
 }
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"chalkrack/internal/peers"
+	"martendrum/internal/peers"
 )
 
 // Config is what a Link is told.
--- a/internal/peers/link/link_test.go
+++ b/internal/peers/link/link_test.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/goleak"
 
-	"chalkrack/internal/peers"
-	"chalkrack/internal/standin/faultnet"
+	"martendrum/internal/peers"
+	"martendrum/internal/standin/faultnet"
 )
 
 const (
--- a/internal/record/backendtest/backendtest.go
+++ b/internal/record/backendtest/backendtest.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/record"
+	"martendrum/internal/record"
 )
 
 // Keep is what the tests keep rows for.
--- a/internal/record/conf/conf.go
+++ b/internal/record/conf/conf.go
@@ -8,13 +8,13 @@
 	"os"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/fleet/units"
-	"chalkrack/internal/record"
-	"chalkrack/internal/record/keeper"
-	"chalkrack/internal/record/postgres"
-	"chalkrack/internal/record/sqlite"
-	"chalkrack/internal/settings"
+	"martendrum"
+	"martendrum/internal/fleet/units"
+	"martendrum/internal/record"
+	"martendrum/internal/record/keeper"
+	"martendrum/internal/record/postgres"
+	"martendrum/internal/record/sqlite"
+	"martendrum/internal/settings"
 )
 
 // Config is the file. Relative paths in it are relative to its folder.
@@ -166,7 +166,7 @@
 			return out, fmt.Errorf("%s: class %s: the settings have no class of that name", c.path, k.Name)
 		}
 		class := set.Config.Classes[at]
-		if k.Away == pass && class.Effect == chalkrack.Unsafe {
+		if k.Away == pass && class.Effect == martendrum.Unsafe {
 			return out, fmt.Errorf("%s: class %s: away: its requests must not run twice, so that they can't go on without a record; want %q", c.path, k.Name, refuse)
 		}
 		wait := min(time.Duration(c.Wait.Share*float64(class.Aim)), set.Deadlines[at]/8)
--- a/internal/record/e2e/away_test.go
+++ b/internal/record/e2e/away_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/record"
-	"chalkrack/internal/standin/pgserver"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/record"
+	"martendrum/internal/standin/pgserver"
+	"martendrum/internal/standin/shop"
 )
 
 // gate is a store that can be held up: transactions that hold says wait until it is
--- a/internal/record/e2e/bench_test.go
+++ b/internal/record/e2e/bench_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/pgserver"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/standin/pgserver"
+	"martendrum/internal/standin/shop"
 )
 
 // client keeps one connection, as a point-of-sale process does.
--- a/internal/record/e2e/crash_test.go
+++ b/internal/record/e2e/crash_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/record"
-	"chalkrack/internal/standin/pgserver"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/record"
+	"martendrum/internal/standin/pgserver"
+	"martendrum/internal/standin/shop"
 )
 
 // process is a sidecar in a process of its own.
--- a/internal/record/e2e/handover_test.go
+++ b/internal/record/e2e/handover_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/proc"
+	"martendrum/internal/fleet/proc"
 )
 
 // logged is a process whose log can be waited on.
--- a/internal/record/e2e/main_test.go
+++ b/internal/record/e2e/main_test.go
@@ -22,16 +22,16 @@
 
 	driver "modernc.org/sqlite"
 
-	"chalkrack"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/front"
-	"chalkrack/internal/record"
-	"chalkrack/internal/record/keeper"
-	"chalkrack/internal/record/postgres"
-	"chalkrack/internal/record/sqlite"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/sidecar"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/front"
+	"martendrum/internal/record"
+	"martendrum/internal/record/keeper"
+	"martendrum/internal/record/postgres"
+	"martendrum/internal/record/sqlite"
+	"martendrum/internal/settings"
+	"martendrum/internal/sidecar"
+	"martendrum/internal/upstream"
 )
 
 // patience is how long a test waits for what must come.
@@ -113,7 +113,7 @@
 	}
 	l := &discovery.List{Index: 1, Whole: true}
 	for i, addr := range p.Servers {
-		l.Entries = append(l.Entries, discovery.Entry{Endpoint: chalkrack.Endpoint{Name: fmt.Sprint("s", i), Hint: 1}, Address: addr})
+		l.Entries = append(l.Entries, discovery.Entry{Endpoint: martendrum.Endpoint{Name: fmt.Sprint("s", i), Hint: 1}, Address: addr})
 	}
 	n.host.Listed(l)
 	if p.SQLite != "" || p.Postgres != "" {
--- a/internal/record/e2e/program_test.go
+++ b/internal/record/e2e/program_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/fleet/proc"
-	"chalkrack/internal/standin/pgserver"
-	"chalkrack/internal/standin/shop"
+	"martendrum/internal/fleet/proc"
+	"martendrum/internal/standin/pgserver"
+	"martendrum/internal/standin/shop"
 )
 
 const recordFile = `store = "sqlite"
@@ -32,8 +32,8 @@
 // build builds the programs as operators do.
 func build(t *testing.T, dir string) (sidecar, tool string) {
 	t.Helper()
-	sidecar, tool = filepath.Join(dir, "fawnrock-record"), filepath.Join(dir, "martendrum")
-	for _, args := range [][]string{{"build", "-tags", "record", "-o", sidecar, "chalkrack/cmd/fawnrock"}, {"build", "-o", tool, "chalkrack/cmd/martendrum"}} {
+	sidecar, tool = filepath.Join(dir, "sidecar-record"), filepath.Join(dir, "martendrum")
+	for _, args := range [][]string{{"build", "-tags", "record", "-o", sidecar, "martendrum/cmd/sidecar"}, {"build", "-o", tool, "martendrum/cmd/martendrum"}} {
 		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 			t.Fatalf("%v: %v\n%s", args, err, out)
 		}
--- a/internal/record/keeper/commit.go
+++ b/internal/record/keeper/commit.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/record"
+	"martendrum/internal/record"
 )
 
 // ErrAway says that the store was not asked: it does not answer, or too much waits
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -22,10 +22,10 @@
 	"sync/atomic"
 	"time"
 
-	"chalkrack/internal/front"
-	"chalkrack/internal/record"
-	"chalkrack/internal/sidecar"
-	"chalkrack/internal/upstream"
+	"martendrum/internal/front"
+	"martendrum/internal/record"
+	"martendrum/internal/sidecar"
+	"martendrum/internal/upstream"
 )
 
 // Class is a class of requests that is recorded.
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -17,8 +17,8 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"chalkrack/internal/pg"
-	"chalkrack/internal/record"
+	"martendrum/internal/pg"
+	"martendrum/internal/record"
 )
 
 var schema = pg.Schema{Name: "martendrum_schema", Lock: 0x6d6172746e, Migrations: [][]string{
--- a/internal/record/postgres/postgres_test.go
+++ b/internal/record/postgres/postgres_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/jackc/pgx/v5"
 
-	"chalkrack/internal/record"
-	bt "chalkrack/internal/record/backendtest"
-	"chalkrack/internal/standin/pgserver"
+	"martendrum/internal/record"
+	bt "martendrum/internal/record/backendtest"
+	"martendrum/internal/standin/pgserver"
 )
 
 var ctx = context.Background()
--- a/internal/record/sqlite/sqlite.go
+++ b/internal/record/sqlite/sqlite.go
@@ -18,8 +18,8 @@
 	driver "modernc.org/sqlite"
 	lib "modernc.org/sqlite/lib"
 
-	"chalkrack/internal/record"
-	"chalkrack/internal/sqlitefile"
+	"martendrum/internal/record"
+	"martendrum/internal/sqlitefile"
 )
 
 // migrations bring a file from version n to n+1. They are never changed once
--- a/internal/record/sqlite/sqlite_test.go
+++ b/internal/record/sqlite/sqlite_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/record"
-	bt "chalkrack/internal/record/backendtest"
+	"martendrum/internal/record"
+	bt "martendrum/internal/record/backendtest"
 )
 
 var ctx = context.Background()
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -19,7 +19,7 @@
 	"cmp"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 // Phase is how far a sidecar has come in its life.
@@ -105,7 +105,7 @@
 type Orders struct {
 	Phase   Phase
 	Verdict Verdict
-	Bounds  chalkrack.Bounds
+	Bounds  martendrum.Bounds
 }
 
 // Machine is one sidecar's return. Its methods take the time since any fixed moment.
@@ -198,7 +198,7 @@
 	}
 	o := Orders{Phase: m.phase, Verdict: m.verdict}
 	if m.cold {
-		o.Bounds = chalkrack.Bounds{Shed: m.shed(), Nominal: m.demand(), Spare: true}
+		o.Bounds = martendrum.Bounds{Shed: m.shed(), Nominal: m.demand(), Spare: true}
 	}
 	o.Bounds.Spare = o.Bounds.Spare || m.phase == Returning
 	return o
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"chalkrack"
+	"martendrum"
 )
 
 const ms = time.Millisecond
@@ -86,7 +86,7 @@
 		switch {
 		case room < warmLow && o.Bounds.Shed != 1-room:
 			t.Fatalf("at %v servers bear %.2f, and %.2f is shed", now, room, o.Bounds.Shed)
-		case room >= warmEnough && (o.Bounds != chalkrack.Bounds{} || o.Phase != Serving):
+		case room >= warmEnough && (o.Bounds != martendrum.Bounds{} || o.Phase != Serving):
 			t.Fatalf("at %v all is warm: %+v", now, o)
 		case room < warmLow && now > 4*time.Second && (o.Bounds.Nominal < 1.5 || o.Bounds.Nominal > 7):
 			t.Fatalf("at %v five a second come, taken for %.1f", now, o.Bounds.Nominal)
--- a/internal/recovery/trust.go
+++ b/internal/recovery/trust.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 // Trust is what becomes, after a restart, of something known before it.
@@ -51,8 +51,8 @@
 
 // Kept is what of a checkpoint is still a hint: what was learned, less what is of the
 // moment, and the usual demand with its weight from 0 to 1.
-func Kept(l chalkrack.Learned, age time.Duration, v Verdict) (_ chalkrack.Learned, weight float64) {
-	k := chalkrack.Learned{Delay: l.Delay, Odds: l.Odds, Taken: 1}
+func Kept(l martendrum.Learned, age time.Duration, v Verdict) (_ martendrum.Learned, weight float64) {
+	k := martendrum.Learned{Delay: l.Delay, Odds: l.Odds, Taken: 1}
 	fresh := func(n int) int { return int(float64(n) * math.Exp(-float64(age)/float64(timesMemory))) }
 	k.Primary = l.Primary[len(l.Primary)-fresh(len(l.Primary)):]
 	k.Copies = l.Copies[len(l.Copies)-fresh(len(l.Copies)):]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 // dialLeast is what a dial is given at least. It may take the settings' time, but a
@@ -20,7 +20,7 @@
 
 // Settings is what a deployment's settings say.
 type Settings struct {
-	Config    chalkrack.Config
+	Config    martendrum.Config
 	Deadlines []time.Duration // by class: how long a client waits at most
 
 	// What only a host on real sockets needs.
@@ -42,7 +42,7 @@
 type Class struct {
 	Name  string
 	Place int // in the balancer's configuration
-	Rules *chalkrack.Class
+	Rules *martendrum.Class
 	Wait  time.Duration // how long a client waits at most
 }
 
@@ -241,7 +241,7 @@
 )
 
 // check names the first field that is out of its range.
-func check(c *chalkrack.Config, e *env) error {
+func check(c *martendrum.Config, e *env) error {
 	var err error
 	need := func(ok bool, field, want string) {
 		if !ok && err == nil {
@@ -268,8 +268,8 @@
 	return err
 }
 
-func config(e *env) chalkrack.Config {
-	cfg := chalkrack.Config{
+func config(e *env) martendrum.Config {
+	cfg := martendrum.Config{
 		Instances:      e.ReplicasOfMe,
 		Zone:           e.Zone,
 		OverShareWorth: e.OverShareWorth,
@@ -296,7 +296,7 @@
 		cfg.Tenants = append(cfg.Tenants, t.AllowancePerS)
 	}
 	for _, c := range e.Classes {
-		class := chalkrack.Class{
+		class := martendrum.Class{
 			Aim:       micros(c.PromiseUs),
 			LateWorth: c.LateValue,
 			Worth:     c.Worth,
@@ -304,15 +304,15 @@
 		}
 		switch c.Effect {
 		case "by_key":
-			class.Effect = chalkrack.Keyed
+			class.Effect = martendrum.Keyed
 		case "once":
-			class.Effect = chalkrack.Unsafe
+			class.Effect = martendrum.Unsafe
 		}
 		switch c.DedupScope {
 		case "zone":
-			class.Scope = chalkrack.ScopeZone
+			class.Scope = martendrum.ScopeZone
 		case "cell":
-			class.Scope = chalkrack.ScopeGroup
+			class.Scope = martendrum.ScopeGroup
 		}
 		cfg.Classes = append(cfg.Classes, class)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"chalkrack"
+	"martendrum"
 )
 
 func TestParse(t *testing.T) {
@@ -20,8 +20,8 @@
 	c := s.Config
 	if c.Zone != "z" || c.OverShareWorth != 0.5 || c.Instances != 3 || len(c.Tenants) != 1 || c.Tenants[0] != 7.5 ||
 		c.MaxRetryAfter != 7*time.Microsecond || c.AskWithin != 0 || len(c.Classes) != 2 ||
-		c.Classes[0].Effect != chalkrack.Keyed || c.Classes[0].Scope != chalkrack.ScopeGroup ||
-		c.Classes[1].Effect != chalkrack.Unsafe || c.Classes[0].Aim != 400*time.Millisecond {
+		c.Classes[0].Effect != martendrum.Keyed || c.Classes[0].Scope != martendrum.ScopeGroup ||
+		c.Classes[1].Effect != martendrum.Unsafe || c.Classes[0].Aim != 400*time.Millisecond {
 		t.Errorf("config: %+v", c)
 	}
 	if s.ConnIdle != 30*time.Second || s.DialTimeout != 100*time.Millisecond || s.DrainGrace != 2*time.Second ||
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // BenchmarkHotPath is one small request through the sidecar and back, one after the
--- a/internal/sidecar/figures_test.go
+++ b/internal/sidecar/figures_test.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"testing"
 
-	"chalkrack/internal/figures"
+	"martendrum/internal/figures"
 )
 
 // read is all figures of a Host that start made, by full name.
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/standin/tcp"
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/standin/tcp"
 )
 
 // A client that leaves while its request waits for a connection, one whose body nobody
@@ -75,7 +75,7 @@
 	c := dialled(t, at)
 	io.WriteString(c, "POST /book HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
 	<-first
-	h.Listed(&discovery.List{Index: 2, Entries: []discovery.Entry{{Endpoint: chalkrack.Endpoint{Name: "late", Hint: 1}, Address: late}}})
+	h.Listed(&discovery.List{Index: 2, Entries: []discovery.Entry{{Endpoint: martendrum.Endpoint{Name: "late", Hint: 1}, Address: late}}})
 	close(breaks)
 	var latest time.Time
 	wait(t, "the repeat", func() bool {
--- a/internal/sidecar/meter.go
+++ b/internal/sidecar/meter.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/figures"
+	"martendrum"
+	"martendrum/internal/figures"
 )
 
 // Meter counts what becomes of attempts. Its methods may be called from any
@@ -17,17 +17,17 @@
 	// served says that the client gets its answer.
 	Began(isCopy bool)
 	Wrote()
-	Ended(o chalkrack.Outcome, isCopy, served bool)
+	Ended(o martendrum.Outcome, isCopy, served bool)
 }
 
 // unmetered counts nothing.
 type unmetered struct{}
 
-func (unmetered) Limited(figures.Reason)              {}
-func (unmetered) Own(time.Duration)                   {}
-func (unmetered) Began(bool)                          {}
-func (unmetered) Wrote()                              {}
-func (unmetered) Ended(chalkrack.Outcome, bool, bool) {}
+func (unmetered) Limited(figures.Reason)               {}
+func (unmetered) Own(time.Duration)                    {}
+func (unmetered) Began(bool)                           {}
+func (unmetered) Wrote()                               {}
+func (unmetered) Ended(martendrum.Outcome, bool, bool) {}
 
 // SetMeter makes the Host count. It is called before the first request.
 func (h *Host) SetMeter(m Meter) { h.meter, h.wrote = m, m.Wrote }
--- a/internal/sidecar/recorder.go
+++ b/internal/sidecar/recorder.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/front"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/front"
+	"martendrum/internal/upstream"
 )
 
 // Recorder keeps what becomes of requests beyond the life of this process, and knows
@@ -73,7 +73,7 @@
 func (h *Host) sendRecorded(e Entry, a *attempt) {
 	e.Sending(a.n, a.Server, func(ok bool) {
 		if !ok {
-			a.Done(chalkrack.NotSent, nil, chalkrack.Report{})
+			a.Done(martendrum.NotSent, nil, martendrum.Report{})
 			return
 		}
 		h.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,12 +14,12 @@
 	"sync/atomic"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/figures"
-	"chalkrack/internal/front"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/figures"
+	"martendrum/internal/front"
+	"martendrum/internal/settings"
+	"martendrum/internal/upstream"
 )
 
 const (
@@ -30,7 +30,7 @@
 	deadlineMargin = 5 * time.Millisecond
 )
 
-// Host is the chalkrack.Host of a real sidecar. One lock guards the Balancer and
+// Host is the martendrum.Host of a real sidecar. One lock guards the Balancer and
 // all that belongs to it. The Balancer's wishes are written down under the lock
 // and carried out after it is freed, by whoever brought the event.
 type Host struct {
@@ -47,12 +47,12 @@
 	unix  time.Duration // at start
 
 	mu      sync.Mutex
-	b       *chalkrack.Balancer
-	held    map[chalkrack.RequestID]*request
+	b       *martendrum.Balancer
+	held    map[martendrum.RequestID]*request
 	most    int // requests held at once
 	all     int // by this process and the other one together, while a tally is shared
 	tally   Tally
-	last    chalkrack.RequestID
+	last    martendrum.RequestID
 	alarms  alarms
 	alarm   *time.Timer
 	alarmAt time.Duration // when alarm goes off; 0: it is not set
@@ -63,7 +63,7 @@
 
 // request is one that is owed an answer or attempts' ends.
 type request struct {
-	id       chalkrack.RequestID
+	id       martendrum.RequestID
 	x        *front.Exchange
 	deadline time.Duration
 	wait     time.Duration // from its last byte to its deadline
@@ -99,7 +99,7 @@
 		watcher: watcher,
 		start:   start,
 		unix:    time.Duration(start.UnixNano()),
-		held:    make(map[chalkrack.RequestID]*request),
+		held:    make(map[martendrum.RequestID]*request),
 		meter:   unmetered{},
 		most:    cmp.Or(set.MostHeld, math.MaxInt),
 		all:     cmp.Or(set.MostHeld, math.MaxInt),
@@ -109,7 +109,7 @@
 	h.publish()
 	h.alarm = time.AfterFunc(time.Hour, h.ring)
 	var err error
-	h.locked(func(time.Duration) { h.b, err = chalkrack.New(set.Config, seed, h) })
+	h.locked(func(time.Duration) { h.b, err = martendrum.New(set.Config, seed, h) })
 	return h, err
 }
 
@@ -174,7 +174,7 @@
 
 // admit brings a request to the Balancer.
 func (h *Host) admit(now time.Duration, q *request) {
-	h.b.Arrive(now, chalkrack.Request{
+	h.b.Arrive(now, martendrum.Request{
 		ID:       q.id,
 		Class:    q.x.Rules.Place,
 		Rules:    q.x.Rules.Rules,
@@ -313,7 +313,7 @@
 }
 
 // Learned is what the Balancer has learned.
-func (h *Host) Learned() chalkrack.Learned {
+func (h *Host) Learned() martendrum.Learned {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.b.Learned(h.now())
@@ -321,13 +321,13 @@
 
 // Learn takes over what another process's Balancer had learned by age ago. It is called
 // when the list has come and before the first request.
-func (h *Host) Learn(l chalkrack.Learned, age time.Duration) {
+func (h *Host) Learn(l martendrum.Learned, age time.Duration) {
 	h.locked(func(now time.Duration) { h.b.Learn(now, l, age) })
 }
 
 // Steer lets f see the Balancer and set its bounds; arrivals is how many requests have
 // come so far. f must not block.
-func (h *Host) Steer(f func(now time.Duration, arrivals uint64, b *chalkrack.Balancer)) {
+func (h *Host) Steer(f func(now time.Duration, arrivals uint64, b *martendrum.Balancer)) {
 	h.locked(func(now time.Duration) { f(now, uint64(h.last), h.b) })
 }
 
@@ -340,7 +340,7 @@
 
 // Listed takes what discovery says.
 func (h *Host) Listed(l *discovery.List) {
-	endpoints := make([]chalkrack.Endpoint, len(l.Entries))
+	endpoints := make([]martendrum.Endpoint, len(l.Entries))
 	h.locked(func(now time.Duration) {
 		// The pool is told under the lock too: it must know of a server before an
 		// attempt goes there.
@@ -348,10 +348,10 @@
 		for n, e := range l.Entries {
 			endpoints[n] = e.Endpoint
 			listed[e.Name] = true
-			if e.State == chalkrack.Serving {
+			if e.State == martendrum.Serving {
 				h.pool.Serve(e.Name, e.Address, e.Started)
 			} else {
-				h.pool.Leave(e.Name, e.State == chalkrack.Gone)
+				h.pool.Leave(e.Name, e.State == martendrum.Gone)
 			}
 		}
 		if l.Whole {
@@ -369,8 +369,8 @@
 	h.locked(func(now time.Duration) { h.b.DiscoveryFailed(now) })
 }
 
-// Send implements chalkrack.Host.
-func (h *Host) Send(id chalkrack.RequestID, server string, timeout, within time.Duration) {
+// Send implements martendrum.Host.
+func (h *Host) Send(id martendrum.RequestID, server string, timeout, within time.Duration) {
 	q := h.held[id]
 	if q == nil {
 		return
@@ -386,7 +386,7 @@
 	}
 	a.isCopy = q.out > 0
 	h.meter.Began(a.isCopy)
-	a.Once = q.x.Rules.Rules.Effect == chalkrack.Unsafe
+	a.Once = q.x.Rules.Rules.Effect == martendrum.Unsafe
 	q.attempts = append(q.attempts, a)
 	q.out++
 	if entry := q.entry; entry != nil {
@@ -421,27 +421,27 @@
 	})
 }
 
-// Cancel implements chalkrack.Host.
-func (h *Host) Cancel(id chalkrack.RequestID, n int) {
+// Cancel implements martendrum.Host.
+func (h *Host) Cancel(id martendrum.RequestID, n int) {
 	if q := h.held[id]; q != nil && n < len(q.attempts) {
 		a := q.attempts[n]
 		a.unsent = !a.Abandon()
 		h.actions = append(h.actions, func() {
 			a.Close()
-			a.Done(chalkrack.Cancelled, nil, chalkrack.Report{})
+			a.Done(martendrum.Cancelled, nil, martendrum.Report{})
 		})
 	}
 }
 
-// Refuse implements chalkrack.Host.
-func (h *Host) Refuse(id chalkrack.RequestID, retryAfter time.Duration) {
+// Refuse implements martendrum.Host.
+func (h *Host) Refuse(id martendrum.RequestID, retryAfter time.Duration) {
 	h.end(id, func(x *front.Exchange) { x.Refuse(retryAfter) })
 }
 
-// Fail implements chalkrack.Host.
-func (h *Host) Fail(id chalkrack.RequestID) { h.end(id, (*front.Exchange).Fail) }
+// Fail implements martendrum.Host.
+func (h *Host) Fail(id martendrum.RequestID) { h.end(id, (*front.Exchange).Fail) }
 
-func (h *Host) end(id chalkrack.RequestID, answer func(*front.Exchange)) {
+func (h *Host) end(id martendrum.RequestID, answer func(*front.Exchange)) {
 	q := h.held[id]
 	if q == nil || q.over {
 		return
@@ -459,17 +459,17 @@
 	for _, a := range q.attempts {
 		if !a.done && a.Withdraw() {
 			a.unsent = true
-			h.actions = append(h.actions, func() { a.Done(chalkrack.NotSent, nil, chalkrack.Report{}) })
+			h.actions = append(h.actions, func() { a.Done(martendrum.NotSent, nil, martendrum.Report{}) })
 		}
 	}
 }
 
-// SetTimer implements chalkrack.Host.
+// SetTimer implements martendrum.Host.
 func (h *Host) SetTimer(cookie uint64, after time.Duration) {
 	h.after(&alarm{at: h.now() + max(after, 0), cookie: cookie})
 }
 
-// CloseIdle implements chalkrack.Host.
+// CloseIdle implements martendrum.Host.
 func (h *Host) CloseIdle(server string) {
 	h.actions = append(h.actions, func() { h.pool.CloseIdle(server) })
 }
@@ -485,7 +485,7 @@
 
 var probeRequest = &upstream.Request{Method: "GET", Head: []byte("GET /_load HTTP/1.1\r\nHost: server\r\n")}
 
-// Probe implements chalkrack.Host.
+// Probe implements martendrum.Host.
 func (h *Host) Probe(server string) {
 	p := &probe{host: h}
 	p.Attempt = upstream.Attempt{Request: probeRequest, Server: server, Deadline: time.Now().Add(probeMost), Sink: p}
@@ -499,8 +499,8 @@
 }
 
 // Done implements upstream.Sink.
-func (p *probe) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
-	if o != chalkrack.OK || ans == nil {
+func (p *probe) Done(o martendrum.Outcome, ans *upstream.Answer, rep martendrum.Report) {
+	if o != martendrum.OK || ans == nil {
 		return
 	}
 	if !rep.HasInFlight && !rep.HasUtil {
@@ -509,7 +509,7 @@
 	p.host.locked(func(now time.Duration) { p.host.b.Probed(now, p.Server, rep) })
 }
 
-// Subscribe implements chalkrack.Host.
+// Subscribe implements martendrum.Host.
 func (h *Host) Subscribe() {
 	h.actions = append(h.actions, h.AskNow)
 }
@@ -538,12 +538,12 @@
 }
 
 // Done implements upstream.Sink.
-func (a *attempt) Done(o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
+func (a *attempt) Done(o martendrum.Outcome, ans *upstream.Answer, rep martendrum.Report) {
 	a.host.locked(func(now time.Duration) { a.host.done(now, a, o, ans, rep) })
 }
 
 // done takes an attempt's outcome, of which only the first counts.
-func (h *Host) done(now time.Duration, a *attempt, o chalkrack.Outcome, ans *upstream.Answer, rep chalkrack.Report) {
+func (h *Host) done(now time.Duration, a *attempt, o martendrum.Outcome, ans *upstream.Answer, rep martendrum.Report) {
 	if a.done {
 		return
 	}
@@ -553,20 +553,20 @@
 	if ans != nil && ans.Rest != nil && q.entry != nil {
 		// The record would have to hold it whole, and serve it after Done.
 		slog.Warn("an answer too long for the record", "server", a.Server)
-		o, ans = chalkrack.Reset, nil
+		o, ans = martendrum.Reset, nil
 	}
-	served := !q.over && o == chalkrack.OK && ans != nil
+	served := !q.over && o == martendrum.OK && ans != nil
 	switch {
 	case q.over:
-		if o == chalkrack.OK && ans != nil {
+		if o == martendrum.OK && ans != nil {
 			h.tell(q, Served, ans, nil) // too late for the client, not for the record
 		}
 	case served:
 		h.over(q)
 		x := q.x
 		h.tell(q, Served, ans, func() { x.Serve(ans) })
-	case o == chalkrack.OK: // nothing to show for it
-		o = chalkrack.Reset
+	case o == martendrum.OK: // nothing to show for it
+		o = martendrum.Reset
 	}
 	over := q.over
 	h.meter.Ended(o, a.isCopy, served)
@@ -583,12 +583,12 @@
 		if a.done {
 			continue
 		}
-		o := chalkrack.TimedOut
+		o := martendrum.TimedOut
 		if !a.Abandon() {
-			o = chalkrack.ConnectFailed // not a byte of it went out
+			o = martendrum.ConnectFailed // not a byte of it went out
 		}
 		h.actions = append(h.actions, a.Close)
-		h.done(now, a, o, nil, chalkrack.Report{})
+		h.done(now, a, o, nil, martendrum.Report{})
 	}
 	if q.pending {
 		h.end(q.id, func(x *front.Exchange) { x.Refuse(h.set.Config.MaxRetryAfter / 10) }) // nothing was sent
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/figures"
-	"chalkrack/internal/front"
-	"chalkrack/internal/settings"
-	"chalkrack/internal/standin/tcp"
-	"chalkrack/internal/upstream"
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/figures"
+	"martendrum/internal/front"
+	"martendrum/internal/settings"
+	"martendrum/internal/standin/tcp"
+	"martendrum/internal/upstream"
 )
 
 // patience is how long a test waits for what must come.
@@ -49,7 +49,7 @@
 	}
 	l := &discovery.List{Index: 1, Whole: true}
 	for n, addr := range addrs {
-		l.Entries = append(l.Entries, discovery.Entry{Endpoint: chalkrack.Endpoint{Name: fmt.Sprint(n), Hint: 1}, Address: addr})
+		l.Entries = append(l.Entries, discovery.Entry{Endpoint: martendrum.Endpoint{Name: fmt.Sprint(n), Hint: 1}, Address: addr})
 	}
 	h.Listed(l)
 	srv := front.New(front.Config{MostConns: 100, MostBody: 1 << 20}, h)
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/standin/tcp"
+	"martendrum/internal/standin/tcp"
 )
 
 // served is a server that hands each connection's requests to answer, which returns
--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"chalkrack/internal/framing"
+	"martendrum/internal/framing"
 )
 
 // Lazy reads a connection through a buffer that it holds only while something of the
--- a/internal/sock/lazy_test.go
+++ b/internal/sock/lazy_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/framing/framingtest"
+	"martendrum/internal/framing/framingtest"
 )
 
 // patience is how long a test waits for what must come.
--- a/internal/standin/pgserver/server.go
+++ b/internal/standin/pgserver/server.go
@@ -24,7 +24,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
-	"chalkrack/internal/sqlitefile"
+	"martendrum/internal/sqlitefile"
 )
 
 // Config says what the server is. The zero Config lets the user "app" in without a
--- a/internal/standin/simhost/simhost.go
+++ b/internal/standin/simhost/simhost.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"chalkrack/internal/fleet/agent"
-	"chalkrack/internal/fleet/api"
-	"chalkrack/internal/fleet/proc"
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/proc"
 )
 
 // Host is a pretended machine; it outlives the agents on it.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -14,9 +14,9 @@
 	"sync"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/framing"
-	"chalkrack/internal/sock"
+	"martendrum"
+	"martendrum/internal/framing"
+	"martendrum/internal/sock"
 )
 
 const (
@@ -73,7 +73,7 @@
 	// Done tells the outcome; ans is set for OK. Only the first call counts. The rest
 	// of an answer that is not whole can be read until Done returns; what is not read
 	// by then costs the connection.
-	Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report)
+	Done(o martendrum.Outcome, ans *Answer, rep martendrum.Report)
 }
 
 // Attempt is one send of a request to one server.
@@ -112,7 +112,7 @@
 		c, addr, ok := p.take(a)
 		switch {
 		case !ok:
-			a.done(chalkrack.ConnectFailed)
+			a.done(martendrum.ConnectFailed)
 			return
 		case c == nil:
 			go a.dial(addr)
@@ -162,13 +162,13 @@
 	}
 }
 
-func (a *Attempt) done(o chalkrack.Outcome) { a.Sink.Done(o, nil, chalkrack.Report{}) }
+func (a *Attempt) done(o martendrum.Outcome) { a.Sink.Done(o, nil, martendrum.Report{}) }
 
 // guard keeps a panic to the attempt that it came from.
 func (a *Attempt) guard() {
 	if p := recover(); p != nil {
 		slog.Error("panic in an attempt", "panic", p, "stack", string(debug.Stack()))
-		a.done(chalkrack.Reset)
+		a.done(martendrum.Reset)
 	}
 }
 
@@ -176,7 +176,7 @@
 func (a *Attempt) dial(addr string) {
 	c := a.connect(addr)
 	if c == nil {
-		a.done(chalkrack.ConnectFailed)
+		a.done(martendrum.ConnectFailed)
 		return
 	}
 	go a.sendGuarded(c)
@@ -199,7 +199,7 @@
 func (a *Attempt) sendGuarded(c *conn) {
 	defer a.guard()
 	if !a.send(c) {
-		a.done(chalkrack.ConnectFailed)
+		a.done(martendrum.ConnectFailed)
 	}
 }
 
@@ -262,7 +262,7 @@
 		return false
 	case !begun:
 		a.pool.discard(c)
-		a.done(chalkrack.NotSent)
+		a.done(martendrum.NotSent)
 	case small || !whole:
 		a.sent(c, whole, err)
 	default:
@@ -349,9 +349,9 @@
 	case !whole:
 		slog.Debug("request not written", "server", a.Server, "err", err)
 		a.pool.discard(c)
-		a.done(chalkrack.ConnectFailed)
+		a.done(martendrum.ConnectFailed)
 	case failed:
-		a.done(chalkrack.Reset)
+		a.done(martendrum.Reset)
 	}
 }
 
@@ -387,7 +387,7 @@
 	a.mu.Unlock()
 	a.pool.noteKept(a, true)
 	if wrote { // else the writer knows best how far it came
-		a.done(chalkrack.Reset)
+		a.done(martendrum.Reset)
 	}
 }
 
@@ -401,14 +401,14 @@
 	defer func() {
 		if p := recover(); p != nil {
 			slog.Error("panic in an answer", "panic", p, "stack", string(debug.Stack()))
-			a.done(chalkrack.Reset)
+			a.done(martendrum.Reset)
 			goesOn = false
 		}
 	}()
 	resp, ans, err := c.readAnswer(a.Request.Method)
 	if err != nil {
 		slog.Warn("bad answer", "server", a.Server, "err", err)
-		a.done(chalkrack.Reset)
+		a.done(martendrum.Reset)
 		return false
 	}
 	a.pool.noteKept(a, false)
@@ -416,18 +416,18 @@
 	if resp.StatusCode == http.StatusOK && ans.Rest != nil {
 		rest := &given{c: c, from: ans.Rest, left: answerMost}
 		ans.Rest = rest
-		a.Sink.Done(chalkrack.OK, ans, rep)
+		a.Sink.Done(martendrum.OK, ans, rep)
 		return rest.whole && !resp.Close && c.in.Buffered() == 0 && a.isWritten()
 	}
 	// The next request must find nothing of this answer on the connection.
 	goesOn = !resp.Close && ans.Rest == nil && c.in.Buffered() == 0 && a.isWritten()
 	if resp.StatusCode == http.StatusOK {
-		a.Sink.Done(chalkrack.OK, ans, rep)
+		a.Sink.Done(martendrum.OK, ans, rep)
 		return goesOn
 	}
-	o := chalkrack.ServerError
+	o := martendrum.ServerError
 	if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && resp.Header.Get("Srv-Declined") == "1" {
-		o = chalkrack.Full
+		o = martendrum.Full
 	}
 	a.Sink.Done(o, nil, rep)
 	return goesOn
@@ -551,7 +551,7 @@
 
 // ParseLoad reads a load report: name=value, with commas between. A value that
 // is no load is left out: one that is not a number would spoil every comparison.
-func ParseLoad(text string) (rep chalkrack.Report) {
+func ParseLoad(text string) (rep martendrum.Report) {
 	for text != "" {
 		var field string
 		field, text, _ = strings.Cut(text, ",")
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/framing/framingtest"
-	"chalkrack/internal/sock"
+	"martendrum/internal/framing/framingtest"
+	"martendrum/internal/sock"
 )
 
 // FuzzAnswerBody reads a server's answer, chunked, of a stated length or ended by its
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/sock"
+	"martendrum/internal/sock"
 )
 
 // Config is what a Pool is told.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,23 +9,23 @@
 	"testing"
 	"time"
 
-	"chalkrack"
-	"chalkrack/internal/sock"
-	"chalkrack/internal/standin/tcp"
+	"martendrum"
+	"martendrum/internal/sock"
+	"martendrum/internal/standin/tcp"
 )
 
 // patience is how long a test waits for what must come.
 const patience = 20 * time.Second
 
 type ending struct {
-	o   chalkrack.Outcome
+	o   martendrum.Outcome
 	ans *Answer
-	rep chalkrack.Report
+	rep martendrum.Report
 }
 
 type sink chan ending
 
-func (s sink) Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report) {
+func (s sink) Done(o martendrum.Outcome, ans *Answer, rep martendrum.Report) {
 	select {
 	case s <- ending{o, ans, rep}:
 	default: // only the first counts
@@ -97,7 +97,7 @@
 			t.Parallel()
 			addr := serve(t, func(_, _ int, c net.Conn) { io.WriteString(c, text) })
 			p := newPool(addr)
-			if e := ask(t, p); e.o != chalkrack.Reset || e.ans != nil {
+			if e := ask(t, p); e.o != martendrum.Reset || e.ans != nil {
 				t.Errorf("outcome %v with %v, want a reset with nothing", e.o, e.ans)
 			}
 			for n := 0; p.Conns() > 0; n++ {
@@ -119,7 +119,7 @@
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		})
-		if e := ask(t, newPool(addr)); e.o != chalkrack.Reset || e.ans != nil {
+		if e := ask(t, newPool(addr)); e.o != martendrum.Reset || e.ans != nil {
 			t.Errorf("%d bytes and a reset: outcome %v with %v", len(body), e.o, e.ans)
 		}
 	}
@@ -141,12 +141,12 @@
 	<-old
 	eventually(t, "a kept connection", func() bool { return p.idles("s") == 1 })
 	p.Leave("s", true)
-	if e := ask(t, p); e.o != chalkrack.ConnectFailed {
+	if e := ask(t, p); e.o != martendrum.ConnectFailed {
 		t.Errorf("with no server of that name: %v", e.o)
 	}
 	p.Serve("s", tell(anew), time.Second)
 	for range 3 {
-		if e := ask(t, p); e.o != chalkrack.OK {
+		if e := ask(t, p); e.o != martendrum.OK {
 			t.Errorf("outcome %v", e.o)
 		}
 		<-anew
@@ -175,7 +175,7 @@
 			seen := make(map[string]bool)
 			for n := range 20 {
 				e := ask(t, p)
-				if e.o != chalkrack.OK || seen[string(e.ans.Body)] {
+				if e.o != martendrum.OK || seen[string(e.ans.Body)] {
 					t.Fatalf("answer %d: %v %v, want one of its own", n, e.o, e.ans)
 				}
 				seen[string(e.ans.Body)] = true
@@ -195,7 +195,7 @@
 	p := newPool(addr)
 	p.rest = time.Hour
 	for n := range 4 {
-		if e := ask(t, p); e.o != chalkrack.OK {
+		if e := ask(t, p); e.o != martendrum.OK {
 			t.Fatalf("request %d: %v", n, e.o)
 		}
 		if got := <-conns; got != n {
@@ -228,7 +228,7 @@
 		<-hold
 	})
 	defer close(hold)
-	if e := ask(t, newPool(addr)); e.o != chalkrack.Reset || e.ans != nil {
+	if e := ask(t, newPool(addr)); e.o != martendrum.Reset || e.ans != nil {
 		t.Errorf("outcome %v with %v, want a reset", e.o, e.ans)
 	}
 }
@@ -261,7 +261,7 @@
 		for len(conns) > 0 {
 			last = max(last, <-conns)
 		}
-		if e := send(t, p, true); e.o != chalkrack.OK {
+		if e := send(t, p, true); e.o != martendrum.OK {
 			t.Fatalf("unrepeatable request: %v", e.o)
 		}
 		if got := <-conns; got > last != breaks {
@@ -282,7 +282,7 @@
 	p.rest = 0
 	p.broke = 1
 	for n := range 10 {
-		if e := send(t, p, true); e.o != chalkrack.OK {
+		if e := send(t, p, true); e.o != martendrum.OK {
 			t.Fatalf("request %d: %v", n, e.o)
 		}
 		if got := <-conns; got != n {
@@ -316,7 +316,7 @@
 	})
 	p := newPool(addr)
 	p.rest = 0
-	if e := ask(t, p); e.o != chalkrack.OK {
+	if e := ask(t, p); e.o != martendrum.OK {
 		t.Fatal(e.o)
 	}
 	eventually(t, "an idle connection", func() bool { return p.idles("s") == 1 })
@@ -338,7 +338,7 @@
 	p.Start(a)
 	select {
 	case e := <-s:
-		if e.o != chalkrack.OK || string(e.ans.Body) != "yes" {
+		if e.o != martendrum.OK || string(e.ans.Body) != "yes" {
 			t.Errorf("outcome %v with %v, want an answer of its own", e.o, e.ans)
 		}
 	case <-time.After(patience):
@@ -393,7 +393,7 @@
 		p.Start(a)
 		select {
 		case e := <-s:
-			if e.o != chalkrack.NotSent {
+			if e.o != martendrum.NotSent {
 				t.Errorf("%d kept: outcome %v", kept, e.o)
 			}
 		case <-time.After(patience):
@@ -402,7 +402,7 @@
 		if len(ran) > 0 {
 			t.Errorf("%d kept: it was sent", kept)
 		}
-		if ask(t, p).o != chalkrack.OK { // leaves a kept connection
+		if ask(t, p).o != martendrum.OK { // leaves a kept connection
 			t.Error("a request in time failed")
 		}
 		<-ran
@@ -420,7 +420,7 @@
 
 // Load reports that are no numbers change nothing.
 func TestParseLoad(t *testing.T) {
-	for text, want := range map[string]chalkrack.Report{
+	for text, want := range map[string]martendrum.Report{
 		"inflight=7,queue=2,util=0.61":    {HasInFlight: true, InFlight: 7, HasUtil: true, Util: 0.61},
 		"inflight=NaN,util=Inf":           {},
 		"inflight=-3,util=-0.1":           {},
@@ -441,7 +441,7 @@
 	p := newPool(serve(t, func(_, _ int, c net.Conn) {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}))
-	if e := ask(t, p); e.o != chalkrack.OK || e.ans.Rest == nil {
+	if e := ask(t, p); e.o != martendrum.OK || e.ans.Rest == nil {
 		t.Fatalf("outcome %v with %v, want one that still comes", e.o, e.ans)
 	}
 	for n := 0; p.Conns() > 0; n++ {
--- a/pick_test.go
+++ b/pick_test.go
@@ -1,4 +1,4 @@
-package chalkrack
+package martendrum
 
 import (
 	"fmt"
