A silent watch and a lost call after it stay within 6 s where discovery is asked

Cause: openings after a silent watch were made one after the other: 2.6 s of silence, 0.4 s of spread, 2 s of a lost call, 0.5 s of backoff and 2 s of the next added up to 7.5 s. Change: after a watch fell silent, a second call is made beside the first one a second later, and the first to be answered is taken (Pace.Again, Watcher.openEither). The place where a call is made moves to call.go. Pace.Worst adds both up.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,7 +6,6 @@
 package discovery
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,7 +13,6 @@
 	"math"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,8 +109,8 @@
 	Pace   Pace
 
 	mu    sync.Mutex
-	conn  net.Conn // of the watch
-	busy  bool     // in Watch
+	conns map[net.Conn]struct{} // of the watch, two while a second call is made beside the first
+	busy  bool                  // in Watch
 	shut  bool
 	moves int // how often Addr has changed
 
@@ -134,16 +132,21 @@
 	defer w.mu.Unlock()
 	w.Addr, w.Index, w.Pace = addr, 0, pace
 	w.moves++
-	if w.conn != nil {
-		w.conn.Close()
-	}
+	w.closeConns()
 }
 
 // place is where to watch from which version on, and how many moves led there.
-func (w *Watcher) place() (addr string, index int64, moves int, pace Pace) {
+type place struct {
+	addr  string
+	index int64
+	moves int
+	pace  Pace
+}
+
+func (w *Watcher) place() place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.Addr, w.Index, w.moves, w.Pace
+	return place{addr: w.Addr, index: w.Index, moves: w.moves, pace: w.Pace}
 }
 
 // Follow keeps a watch open until Close, and calls Failed at each break.
@@ -160,8 +163,7 @@
 			backoff = backoffMin // it worked: what was missed is wanted at once
 		}
 		time.Sleep(backoff/2 + rand.N(backoff))
-		_, _, _, pace := w.place()
-		backoff = min(2*backoff, pace.Back*2/3)
+		backoff = min(2*backoff, w.place().pace.Back*2/3)
 	}
 }
 
@@ -170,9 +172,36 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.shut = true
-	if w.conn != nil {
-		w.conn.Close()
+	w.closeConns()
+}
+
+// closeConns ends the calls that are open; the lock is held.
+func (w *Watcher) closeConns() {
+	for conn := range w.conns {
+		conn.Close()
+	}
+}
+
+// own makes conn one that Move and Close end, unless one of them has come before it.
+func (w *Watcher) own(conn net.Conn, moves int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.shut || w.moves != moves {
+		return false
+	}
+	if w.conns == nil {
+		w.conns = make(map[net.Conn]struct{})
 	}
+	w.conns[conn] = struct{}{}
+	return true
+}
+
+// release closes conn, which nobody reads any more.
+func (w *Watcher) release(conn net.Conn) {
+	w.mu.Lock()
+	delete(w.conns, conn)
+	w.mu.Unlock()
+	conn.Close()
 }
 
 func (w *Watcher) closed() bool {
@@ -196,12 +225,14 @@
 	}
 	w.busy = true
 	w.mu.Unlock()
+	silent := false
 	for {
-		addr, index, moves, pace := w.place()
-		err := w.watch(addr, index, moves, pace.Call)
-		silent, ok := errors.AsType[*SilentError](err)
+		at := w.place()
+		err := w.watch(at, silent)
+		fell, ok := errors.AsType[*SilentError](err)
+		silent = ok && fell.During == Watching
 		w.mu.Lock()
-		again := w.moves != moves && !w.shut
+		again := w.moves != at.moves && !w.shut
 		if w.shut || !again && !ok {
 			w.busy = false // under one lock with the look at moves: none is overlooked
 			w.mu.Unlock()
@@ -209,8 +240,8 @@
 		}
 		w.mu.Unlock()
 		if !again {
-			slog.Warn("discovery fell silent: asked again", "err", err, "advice", silent.Advice())
-			time.Sleep(rand.N(max(pace.Spread, backoffMin)))
+			slog.Warn("discovery fell silent: asked again", "err", err, "advice", fell.Advice())
+			time.Sleep(rand.N(max(at.pace.Spread, backoffMin)))
 		}
 	}
 }
@@ -223,48 +254,30 @@
 	return fmt.Errorf("discovery: %s: %w", during, err)
 }
 
-func (w *Watcher) watch(addr string, index int64, moves int, call time.Duration) error {
-	until := time.Now().Add(call)
-	d := net.Dialer{Deadline: until, KeepAlive: -1}
-	conn, err := d.Dial("tcp", addr)
-	if err != nil {
-		return silence(err, addr, Connecting)
-	}
-	defer conn.Close()
-	w.mu.Lock()
-	w.conn = conn
-	stale := w.shut || w.moves != moves
-	w.mu.Unlock()
-	if stale {
-		return net.ErrClosed
-	}
-	path := "/catalog/members?watch=1"
-	if index > 0 {
-		path += fmt.Sprintf("&after=%d", index)
-	}
-	conn.SetDeadline(until)
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
-		return silence(err, addr, Asking)
+// watch makes a call and follows what it brings. After a watch that fell silent, a second
+// call may be made beside it.
+func (w *Watcher) watch(at place, silent bool) error {
+	var f *feed
+	var err error
+	if silent && at.pace.Again > 0 {
+		f, err = w.openEither(at)
+	} else {
+		f, err = w.open(at, at.pace.Call)
 	}
-	br := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return silence(err, addr, Asking)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery: answered %s", resp.Status)
+		return err
 	}
-	in := newStream(resp.Body, conn.SetDeadline, func() { w.heard.Store(time.Now().UnixNano()) })
+	defer w.release(f.conn)
 	for {
-		list, err := in.next()
+		list, err := f.stream.next()
 		if broken, ok := errors.AsType[*json.SyntaxError](err); ok {
-			w.distrust(moves)
+			w.distrust(at.moves)
 			return fmt.Errorf("discovery: no list: %w", broken)
 		}
 		if err != nil {
-			return silence(err, addr, Watching)
+			return silence(err, at.addr, Watching)
 		}
-		if err := w.take(list, moves); err != nil {
+		if err := w.take(list, at.moves); err != nil {
 			return err
 		}
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -180,6 +180,86 @@
 	}
 }
 
+// A watch that falls silent and the call after it, which is lost, together cost no more than
+// the time after which what discovery has counts as told, also where the next answer is slow.
+func TestSilentWatchAndLostCall(t *testing.T) {
+	const slow = 1200 * time.Millisecond // an answer of a discovery with much to do
+	for name, lost := range map[string]func(c net.Conn){
+		"no answer":   hold,
+		"a head":      func(c net.Conn) { io.WriteString(c, answer); hold(c) },
+		"turned away": func(c net.Conn) { io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silent := make(chan time.Time, 1)
+			addr := tcp.Requests(t, func(conn, _ int, c net.Conn, _ *http.Request) bool {
+				switch conn {
+				case 0:
+					io.WriteString(c, answer+indented)
+					silent <- time.Now()
+					hold(c)
+				case 1:
+					lost(c)
+				default:
+					time.Sleep(slow)
+					io.WriteString(c, answer+strings.Replace(indented, "7", "9", 1))
+					hold(c)
+				}
+				return false
+			})
+			w := &watched{lists: make(chan *List, 100), failed: make(chan error, 100)}
+			w.Watcher = &Watcher{Addr: addr, Pace: Asked(), Listed: func(l *List) { w.lists <- l }, Failed: func(err error) { w.failed <- err }}
+			t.Cleanup(w.Close)
+			go func() { w.failed <- w.Watch() }()
+			w.next(t, patience)
+			since := <-silent
+			if l := w.next(t, patience); l.Index != 9 {
+				t.Errorf("it got %+v", l)
+			}
+			if late := time.Since(since); late > toldMost-toldMargin {
+				t.Errorf("told %v after the watch fell silent", late)
+			}
+		})
+	}
+}
+
+// A move that comes while a second call is awaited is followed at once, and Close ends
+// both calls.
+func TestMoveDuringSecondCall(t *testing.T) {
+	asked := make(chan int, 10)
+	addr := tcp.Requests(t, func(conn, _ int, c net.Conn, _ *http.Request) bool {
+		asked <- conn
+		if conn == 0 {
+			io.WriteString(c, answer+indented)
+		}
+		hold(c)
+		return false
+	})
+	w := &watched{lists: make(chan *List, 100), failed: make(chan error, 100)}
+	w.Watcher = &Watcher{Addr: addr, Pace: Asked(), Listed: func(l *List) { w.lists <- l }, Failed: func(err error) { w.failed <- err }}
+	t.Cleanup(w.Close)
+	go func() { w.failed <- w.Watch() }()
+	w.next(t, patience)
+	for conn := range 3 {
+		if got := <-asked; got != conn {
+			t.Fatalf("call %d came as %d", conn, got)
+		}
+	}
+	there := tcp.Requests(t, func(_, _ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, answer+strings.Replace(indented, "7", "3", 1))
+		hold(c)
+		return false
+	})
+	moved := time.Now()
+	w.Move(there, w.Pace)
+	if l := w.next(t, patience); l.Index != 3 {
+		t.Errorf("after the move: %+v", l)
+	}
+	if took := time.Since(moved); took > Asked().Again {
+		t.Errorf("the move was followed after %v", took)
+	}
+}
+
 // drip writes s ever again until the connection ends.
 func drip(c net.Conn, s string) {
 	for {
--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -16,6 +16,10 @@
 	Spread time.Duration // over which those whose watches fell silent together ask again
 	Back   time.Duration // from a failed call to the next, at most
 	First  time.Duration // from a process's start to its first call, at most
+	// Again is when, after a watch fell silent, a second call is made beside the first one,
+	// which has brought nothing yet: the clock of what the watch missed runs on, and a lost
+	// call must not cost its whole wait. 0: there is time for one after the other.
+	Again time.Duration
 }
 
 // Asked is the pace where discovery is one service that works through the calls of all
@@ -25,6 +29,7 @@
 	p := Pace{Spread: 400 * time.Millisecond, Back: 500 * time.Millisecond}
 	p.Call = toldMost - toldMargin - silenceMost - p.Spread - p.Back
 	p.First = toldMost - toldMargin - p.Call - p.Back
+	p.Again = p.Call / 2
 	return p
 }
 
@@ -42,7 +47,17 @@
 const pushedLeast = 100 * time.Millisecond
 
 // Worst is the longest time from a change that discovery has and can tell to its arrival,
-// less the way: over a watch that fell silent just before, or a call that was lost.
+// less the way: over a watch that fell silent just before and the call after it that was
+// lost, or over a call that was lost at another time.
 func (p Pace) Worst() time.Duration {
-	return max(silenceMost+p.Spread+p.Back+p.Call, p.Call+p.Back+p.Call, p.First+p.Back+p.Call)
+	silent := silenceMost + p.Spread + p.Call + p.Back + p.Call
+	if p.Again > 0 {
+		silent = silenceMost + p.Spread + p.Again + p.secondCall()
+	}
+	return max(silent, p.Call+p.Back+p.Call, p.First+p.Back+p.Call)
+}
+
+// secondCall is how long the call that is made beside another one may take.
+func (p Pace) secondCall() time.Duration {
+	return toldMost - toldMargin - silenceMost - p.Spread - p.Again
 }
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -161,3 +161,58 @@
 		}
 	}
 }
+
+// Three hundred watches that fall silent together ask again within Spread, and a second time
+// where a slow discovery has not answered by then: all are told in time, with two calls each
+// at most, also where the first call of every tenth is lost.
+func TestSecondCallsAreNoStorm(t *testing.T) {
+	const count = 300
+	pace := Asked()
+	for _, cost := range []time.Duration{time.Millisecond, 5 * time.Millisecond} {
+		w := &askWorld{cost: cost}
+		rng := rand.New(rand.NewPCG(1, 1))
+		told := make([]time.Duration, count)
+		for i := range count {
+			call := func(lost bool, most time.Duration) {
+				w.calls++
+				w.free = max(w.now, w.free) + w.cost
+				answered := w.free
+				if lost || answered-w.now > most {
+					return
+				}
+				w.at(answered, func() {
+					if told[i] == 0 {
+						told[i] = w.now
+					}
+				})
+			}
+			first := silenceMost + time.Duration(rng.Int64N(int64(pace.Spread)))
+			lost := rng.IntN(10) == 0
+			w.at(first, func() { call(lost, pace.Call) })
+			w.at(first+pace.Again, func() {
+				if told[i] == 0 {
+					call(false, pace.secondCall())
+				}
+			})
+		}
+		for len(w.queue) > 0 {
+			e := heap.Pop(&w.queue).(askEvent)
+			w.now = e.at
+			e.do()
+		}
+		worst := time.Duration(0)
+		for i, at := range told {
+			if at == 0 {
+				t.Fatalf("%v a call: sidecar %d was never told", cost, i)
+			}
+			worst = max(worst, at)
+		}
+		t.Logf("%v a call: the last told after %v, %d calls", cost, worst, w.calls)
+		if worst > toldMost-toldMargin {
+			t.Errorf("%v a call: the last was told after %v", cost, worst)
+		}
+		if w.calls > 2*count {
+			t.Errorf("%v a call: %d calls", cost, w.calls)
+		}
+	}
+}
