internal/fleet/connect: dialling an agent and saying hello, apart from the commands' client

Need: agents will call other agents; the dialling stood in the operators' client, which links far more. Seen: build, vet and the client's tests; no behaviour changes.

--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -8,14 +8,11 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"net"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/connect"
 	"martendrum/internal/fleet/inventory"
 	"martendrum/internal/fleet/pki"
 	"martendrum/internal/msgpackrpc"
@@ -121,11 +118,10 @@
 		}
 		if said, ok := errors.AsType[*msgpackrpc.RemoteError](err); ok {
 			a.heard()
-			e := &api.Error{}
-			if msgpack.Unmarshal(said.Value, e) != nil || e.Code == "" {
-				e = api.Errorf(api.Internal, "host %s: %v", a.Host.Name, said)
+			if refusal, ok := errors.AsType[*api.Error](connect.Refusal(err)); ok {
+				return refusal
 			}
-			return e
+			return api.Errorf(api.Internal, "host %s: %v", a.Host.Name, said)
 		}
 		a.drop(conn)
 		if fresh || !again || ctx.Err() != nil {
@@ -170,34 +166,9 @@
 	if conn != nil && conn.Err() == nil {
 		return conn, false, nil
 	}
-	kind, rest, _ := strings.Cut(a.Host.Address, ":")
-	network := "tcp"
-	if kind == "unix" {
-		network = "unix"
-	}
-	var nc net.Conn
-	if kind == "tls" {
-		nc, err = (&tls.Dialer{Config: a.fleet.tls}).DialContext(ctx, network, rest)
-	} else {
-		nc, err = (&net.Dialer{}).DialContext(ctx, network, rest)
-	}
-	if err != nil {
-		return nil, false, err
-	}
-	conn = msgpackrpc.NewClient(nc, msgpackrpc.Limits{Message: 4 << 20, Send: a.fleet.Timeout}, nil)
-	var hello api.HelloOut
-	err = conn.Call(ctx, api.Hello, []any{&api.HelloIn{Oldest: api.Oldest, Version: api.Version, Client: a.fleet.Who}}, &hello)
-	if err == nil && hello.Agent != a.Host.Name {
-		err = fmt.Errorf("the agent at %s is %q: the inventory is wrong, or the address is another's", a.Host.Address, hello.Agent)
-	}
+	target := connect.Target{Agent: a.Host.Name, Address: a.Host.Address, TLS: a.fleet.tls}
+	conn, err = connect.Dial(ctx, target, a.fleet.Who, msgpackrpc.Limits{Message: 4 << 20, Send: a.fleet.Timeout})
 	if err != nil {
-		conn.Close()
-		if said, ok := errors.AsType[*msgpackrpc.RemoteError](err); ok {
-			e := &api.Error{}
-			if msgpack.Unmarshal(said.Value, e) == nil && e.Code != "" {
-				return nil, false, e
-			}
-		}
 		return nil, false, err
 	}
 	a.mu.Lock()
--- /dev/null
+++ b/internal/fleet/connect/connect.go
@@ -0,0 +1,69 @@
+// Package connect opens connections to agents: it dials an address of the inventory's form,
+// says hello and checks who answers. It keeps no connection and decides nothing.
+package connect
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/msgpackrpc"
+)
+
+// Target is an agent and how to reach it.
+type Target struct {
+	Agent   string      // its name
+	Address string      // unix:PATH, tls:HOST:PORT, or tcp:HOST:PORT without TLS
+	TLS     *tls.Config // for tls: addresses
+}
+
+// Dial connects to an agent and says hello for caller. Errors are *api.Error where the agent
+// said no. ctx bounds the dialling and the hello, not the connection.
+func Dial(ctx context.Context, target Target, caller string, limits msgpackrpc.Limits) (*msgpackrpc.Client, error) {
+	nc, err := dial(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	conn := msgpackrpc.NewClient(nc, limits, nil)
+	var hello api.HelloOut
+	err = conn.Call(ctx, api.Hello, []any{&api.HelloIn{Oldest: api.Oldest, Version: api.Version, Client: caller}}, &hello)
+	if err == nil && hello.Agent != target.Agent {
+		err = fmt.Errorf("the agent at %s is %q: the inventory is wrong, or the address is another's", target.Address, hello.Agent)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, Refusal(err)
+	}
+	return conn, nil
+}
+
+func dial(ctx context.Context, target Target) (net.Conn, error) {
+	kind, rest, _ := strings.Cut(target.Address, ":")
+	switch kind {
+	case "tls":
+		return (&tls.Dialer{Config: target.TLS}).DialContext(ctx, "tcp", rest)
+	case "unix":
+		return (&net.Dialer{}).DialContext(ctx, "unix", rest)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", rest)
+}
+
+// Refusal is the *api.Error that an agent answered with, or err itself where it answered
+// with none.
+func Refusal(err error) error {
+	said, ok := errors.AsType[*msgpackrpc.RemoteError](err)
+	if !ok {
+		return err
+	}
+	refusal := &api.Error{}
+	if msgpack.Unmarshal(said.Value, refusal) != nil || refusal.Code == "" {
+		return err
+	}
+	return refusal
+}
