--- /dev/null
+++ b/internal/fleet/distribution/errors.go
@@ -0,0 +1,136 @@
+package distribution
+
+import "fmt"
+
+// InvalidError says what of a change can't be.
+type InvalidError struct {
+	What   string // the field
+	Name   string // of the resource or the value
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("settings: %s %.200q: %s", e.What, e.Name, e.Reason)
+}
+
+// Advice says what an operator can do.
+func (e *InvalidError) Advice() string { return "correct the " + e.What + " and publish again" }
+
+// ConflictError says that a resource is at another revision than the one that a change was
+// made for.
+type ConflictError struct {
+	Name    string
+	Want    Revision // zero: it should not have been there
+	Current Revision // zero: it is not there
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	current := "not there"
+	if !e.Current.IsZero() {
+		current = "at revision " + e.Current.String()
+	}
+	want := "be new"
+	if !e.Want.IsZero() {
+		want = "be at " + e.Want.String()
+	}
+	return fmt.Sprintf("settings: resource %q is %s; it was to %s", e.Name, current, want)
+}
+
+// Advice says what an operator can do.
+func (e *ConflictError) Advice() string {
+	return "somebody changed it meanwhile: look at what it holds now, then publish against its revision"
+}
+
+// LimitError says that a bound would be passed.
+type LimitError struct {
+	What string
+	Most int
+}
+
+// Error implements error.
+func (e *LimitError) Error() string { return fmt.Sprintf("settings: %s: %d at most", e.What, e.Most) }
+
+// Advice says what an operator can do.
+func (e *LimitError) Advice() string {
+	return "remove resources that nothing needs any more, or join small ones into one"
+}
+
+// FencedError says that a writer or a copy is of an epoch below one that is known.
+type FencedError struct {
+	Epoch, Known int64
+	Writer       string // of the known epoch, "" if that is not known
+}
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("settings: epoch %d is over: the writer is %q since epoch %d", e.Epoch, e.Writer, e.Known)
+}
+
+// Advice says what an operator can do.
+func (e *FencedError) Advice() string {
+	return fmt.Sprintf("publish at %q; changes that only the earlier writer acknowledged after the promotion are void: publish them again", e.Writer)
+}
+
+// NotWriterError says that changes are made elsewhere.
+type NotWriterError struct {
+	Here, Writer string
+	Epoch        int64
+}
+
+// Error implements error.
+func (e *NotWriterError) Error() string {
+	return fmt.Sprintf("settings: %q is not the writer; that is %q in epoch %d", e.Here, e.Writer, e.Epoch)
+}
+
+// Advice says what an operator can do.
+func (e *NotWriterError) Advice() string {
+	return fmt.Sprintf("ask %q, or promote a relay if it is lost", e.Writer)
+}
+
+// AheadError says that a reader holds more than the one it asks: a relay that has not caught
+// up, or a log that was put back to an older state.
+type AheadError struct{ Have, Asked Revision }
+
+// Error implements error.
+func (e *AheadError) Error() string {
+	return fmt.Sprintf("settings: asked for what comes after %v; here is nothing after %v", e.Asked, e.Have)
+}
+
+// Advice says what an operator can do.
+func (e *AheadError) Advice() string {
+	return "nothing while a relay catches up; if it stays so the writer lost changes: promote the relay that has the most"
+}
+
+// UnreachableError says that no relay answers. What was accepted stays in force.
+type UnreachableError struct {
+	Tried int
+	Last  error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("settings: none of %d relays answers, the last: %v", e.Tried, e.Last)
+}
+
+// Unwrap returns the last relay's error.
+func (e *UnreachableError) Unwrap() error { return e.Last }
+
+// Advice says what an operator can do.
+func (e *UnreachableError) Advice() string {
+	return "the last accepted settings stay in force; look whether the relays run and are reached from this host"
+}
+
+// FullError says that a relay serves as many subscribers as it may.
+type FullError struct{ Most int }
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("settings: this relay serves %d subscribers, its limit", e.Most)
+}
+
+// Advice says what an operator can do.
+func (e *FullError) Advice() string {
+	return "nothing, subscribers go to the next relay; if all are full, add relays or raise relay.subscribers"
+}
--- /dev/null
+++ b/internal/fleet/distribution/registry.go
@@ -0,0 +1,341 @@
+package distribution
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// HostState is what a subscriber says of itself.
+type HostState struct {
+	Received Revision `msgpack:"received" json:"received"` // that its copy holds
+	// Settled says that all it holds is accepted or refused by its instances.
+	Settled bool `msgpack:"settled" json:"settled"`
+	// Applied is the last revision at which it was settled.
+	Applied Revision  `msgpack:"applied" json:"applied"`
+	Refused []Refusal `msgpack:"refused,omitempty" json:"refused,omitempty"`
+	Waiting string    `msgpack:"waiting,omitempty" json:"waiting,omitempty"` // for what, where it is not settled
+}
+
+// refusalsMost is how many refusals of one host are passed on.
+const refusalsMost = 8
+
+// HostReport is what is known of a host where it subscribes.
+type HostReport struct {
+	Host string `msgpack:"host" json:"host"`
+	// Session is later the later the host connected, wherever that was.
+	Session int64     `msgpack:"session" json:"session"`
+	Present bool      `msgpack:"present" json:"present"`
+	Since   time.Time `msgpack:"since" json:"since"` // of Present
+	State   HostState `msgpack:"state" json:"state"`
+	Relay   string    `msgpack:"relay" json:"relay"`
+}
+
+// HostsMost is how many hosts a Registry knows.
+const HostsMost = 1 << 16
+
+// forgetAfter is how long a host that is away is known.
+const forgetAfter = 24 * time.Hour
+
+// entry is a host in a Registry.
+type entry struct {
+	report HostReport
+	// Of a subscriber of this relay: what it wants, and the latest change that concerns it.
+	interest  Interest
+	concerned Revision
+}
+
+// Registry knows how far each host is: a relay's own subscribers, and at the writer the hosts
+// of all relays.
+type Registry struct {
+	relay     string // its own name
+	most      int    // subscribers of its own
+	present   int
+	position  Revision            // of its own copy
+	positions map[string]Revision // of other relays
+	hosts     map[string]*entry
+	dirty     map[string]bool // own subscribers whose report has changed
+}
+
+// NewRegistry returns an empty Registry of the named relay with room for so many subscribers.
+func NewRegistry(relay string, most int) *Registry {
+	return &Registry{relay: relay, most: most, positions: make(map[string]Revision),
+		hosts: make(map[string]*entry), dirty: make(map[string]bool)}
+}
+
+// Join takes a subscriber in, or one that was there under an earlier session. Errors are of
+// *FullError; of *FencedError where the host has a later session here.
+func (g *Registry) Join(now time.Time, interest Interest, session int64, state HostState) error {
+	e := g.hosts[interest.Host]
+	if e != nil && e.report.Session > session {
+		return &InvalidError{What: "session", Name: interest.Host, Reason: "a later one is open"}
+	}
+	fresh := e == nil || !e.report.Present || e.report.Relay != g.relay
+	if fresh && (g.present >= g.most || e == nil && len(g.hosts) >= HostsMost) {
+		return &FullError{Most: g.most}
+	}
+	if fresh {
+		g.present++
+	}
+	if e == nil {
+		e = &entry{}
+		g.hosts[interest.Host] = e
+	}
+	e.interest, e.concerned = interest, Revision{}
+	e.report = HostReport{Host: interest.Host, Session: session, Present: true, Since: now.UTC(), Relay: g.relay}
+	g.setState(e, state)
+	return nil
+}
+
+// Told notes that a subscriber was sent an update up to a revision.
+func (g *Registry) Told(host string, session int64, update *Update) {
+	e := g.own(host, session)
+	if e == nil {
+		return
+	}
+	if !update.Empty() {
+		e.concerned = update.Revision
+	}
+}
+
+// Acknowledge takes what a subscriber says of itself.
+func (g *Registry) Acknowledge(host string, session int64, state HostState) {
+	if e := g.own(host, session); e != nil {
+		g.setState(e, state)
+	}
+}
+
+// own is a present subscriber of this relay, nil if that session is none.
+func (g *Registry) own(host string, session int64) *entry {
+	e := g.hosts[host]
+	if e == nil || e.report.Session != session || e.report.Relay != g.relay || !e.report.Present {
+		return nil
+	}
+	return e
+}
+
+func (g *Registry) setState(e *entry, state HostState) {
+	if len(state.Refused) > refusalsMost {
+		state.Refused = state.Refused[:refusalsMost]
+	}
+	e.report.State = state
+	g.dirty[e.report.Host] = true
+}
+
+// Leave notes that a subscriber's connection has ended.
+func (g *Registry) Leave(now time.Time, host string, session int64) {
+	e := g.own(host, session)
+	if e == nil {
+		return
+	}
+	e.report.State = g.effective(e)
+	e.report.Present, e.report.Since = false, now.UTC()
+	g.present--
+	g.dirty[host] = true
+}
+
+// Subscribers is how many of its own are present.
+func (g *Registry) Subscribers() int { return g.present }
+
+// Advance notes that the relay's own copy has moved on: who is not concerned by the changes
+// holds the new revision without being told.
+func (g *Registry) Advance(state *State) {
+	before := g.position
+	g.position = state.Revision()
+	for host, e := range g.hosts {
+		if e.report.Relay != g.relay || !e.report.Present {
+			continue
+		}
+		if !state.reaches(before) {
+			e.concerned = g.position
+			g.dirty[host] = true
+			continue
+		}
+		if concerned, ok := state.Concerned(before, e.interest); ok {
+			e.concerned = concerned
+			g.dirty[host] = true
+		}
+	}
+}
+
+// effective is the state of one's own subscriber with what it need not be told: one that is
+// settled, and has received all that concerns it, is at the relay's position.
+func (g *Registry) effective(e *entry) HostState {
+	state := e.report.State
+	if state.Settled && !e.concerned.After(state.Received) {
+		if g.position.After(state.Received) {
+			state.Received, state.Applied = g.position, g.position
+		}
+	} else {
+		state.Settled = false
+	}
+	return state
+}
+
+// Reports takes out up to most reports of one's own subscribers that have changed, and says
+// whether these were all.
+func (g *Registry) Reports(most int) (reports []HostReport, all bool) {
+	for host := range g.dirty {
+		if len(reports) >= most {
+			return reports, false
+		}
+		delete(g.dirty, host)
+		e := g.hosts[host]
+		if e == nil || e.report.Relay != g.relay {
+			continue
+		}
+		report := e.report
+		if report.Present {
+			report.State = g.effective(e)
+		}
+		reports = append(reports, report)
+	}
+	return reports, true
+}
+
+// ReportAll lets Reports begin anew: who takes them has forgotten what it was told.
+func (g *Registry) ReportAll() {
+	for host, e := range g.hosts {
+		if e.report.Relay == g.relay {
+			g.dirty[host] = true
+		}
+	}
+}
+
+// Position is that of the relay's own copy.
+func (g *Registry) Position() Revision { return g.position }
+
+// Merge takes what another relay reports; of two reports of a host the later session's
+// counts. position is the zero value while more reports follow.
+func (g *Registry) Merge(relay string, position Revision, reports []HostReport) {
+	if !position.IsZero() {
+		g.positions[relay] = position
+	}
+	for _, report := range reports {
+		e := g.hosts[report.Host]
+		if e != nil && e.report.Session > report.Session {
+			continue
+		}
+		if e == nil {
+			if len(g.hosts) >= HostsMost {
+				continue
+			}
+			e = &entry{}
+			g.hosts[report.Host] = e
+		}
+		if e.report.Relay == g.relay && e.report.Present {
+			g.present-- // it went on to another relay
+		}
+		report.Relay = relay
+		e.report, e.interest = report, Interest{}
+	}
+}
+
+// Lost notes that a relay reports no more: its hosts are away until they turn up elsewhere.
+func (g *Registry) Lost(now time.Time, relay string) {
+	for _, e := range g.hosts {
+		if e.report.Relay == relay && e.report.Present {
+			e.report.State = g.stateOf(e)
+			e.report.Present, e.report.Since = false, now.UTC()
+		}
+	}
+	delete(g.positions, relay)
+}
+
+// Forget drops hosts that have been away for a day.
+func (g *Registry) Forget(now time.Time) {
+	maps.DeleteFunc(g.hosts, func(host string, e *entry) bool {
+		forgotten := !e.report.Present && now.Sub(e.report.Since) > forgetAfter
+		if forgotten {
+			delete(g.dirty, host)
+		}
+		return forgotten
+	})
+}
+
+// stateOf is a host's state with what its relay's position tells.
+func (g *Registry) stateOf(e *entry) HostState {
+	if e.report.Relay == g.relay {
+		if e.report.Present {
+			return g.effective(e)
+		}
+		return e.report.State
+	}
+	state := e.report.State
+	position := g.positions[e.report.Relay]
+	if e.report.Present && state.Settled && position.After(state.Applied) {
+		state.Received, state.Applied = position, position
+	}
+	return state
+}
+
+// Status says how far a revision is.
+type Status struct {
+	Revision Revision `msgpack:"revision" json:"revision"` // asked for
+	Latest   Revision `msgpack:"latest" json:"latest"`     // of who answers
+	Hosts    int      `msgpack:"hosts" json:"hosts"`       // that are known
+	InForce  int      `msgpack:"in_force" json:"in_force"` // hold it in all instances that it concerns
+	Refused  int      `msgpack:"refused" json:"refused"`   // by an instance; the last accepted settings are in force
+	Behind   int      `msgpack:"behind" json:"behind"`     // present, and not so far yet
+	Away     int      `msgpack:"away" json:"away"`         // not so far when they were last heard of
+	// Missing names some of the hosts where it is not in force, the refused first.
+	Missing []HostReport `msgpack:"missing,omitempty" json:"missing,omitempty"`
+}
+
+// Status counts the hosts by how far a revision is there; zero asks for the latest. It names
+// up to most hosts where that is not in force.
+func (g *Registry) Status(revision Revision, most int) Status {
+	if revision.IsZero() {
+		revision = g.position
+	}
+	status := Status{Revision: revision, Latest: g.position}
+	var missing []HostReport
+	for _, e := range g.hosts {
+		state := g.stateOf(e)
+		status.Hosts++
+		switch standing(revision, e.report.Present, state) {
+		case inForce:
+			status.InForce++
+			continue
+		case refused:
+			status.Refused++
+		case behind:
+			status.Behind++
+		case away:
+			status.Away++
+		}
+		report := e.report
+		report.State = state
+		missing = append(missing, report)
+	}
+	slices.SortFunc(missing, func(x, y HostReport) int {
+		return cmp.Or(len(y.State.Refused)-len(x.State.Refused), strings.Compare(x.Host, y.Host))
+	})
+	status.Missing = missing[:min(len(missing), most)]
+	return status
+}
+
+// How far a revision is at a host.
+type level int
+
+const (
+	inForce level = iota
+	refused
+	behind
+	away
+)
+
+func standing(revision Revision, present bool, state HostState) level {
+	if slices.ContainsFunc(state.Refused, func(r Refusal) bool { return !r.Revision.After(revision) }) {
+		return refused
+	}
+	if !revision.After(state.Applied) {
+		return inForce
+	}
+	if present {
+		return behind
+	}
+	return away
+}
--- /dev/null
+++ b/internal/fleet/distribution/replica.go
@@ -0,0 +1,143 @@
+package distribution
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Replica is a subscriber's copy: the resources that concern its instances.
+type Replica struct {
+	revision  Revision
+	interest  string // the interest that the copy was made for, by its hash
+	resources map[string]Resource
+}
+
+// NewReplica returns an empty copy for an interest.
+func NewReplica(interest Interest) *Replica {
+	return &Replica{interest: interest.hash(), resources: make(map[string]Resource)}
+}
+
+// Revision is what the copy holds.
+func (r *Replica) Revision() Revision { return r.revision }
+
+// Take takes a whole update, and says whether it changed any resource. Errors are of
+// *InvalidError and *FencedError; the copy stays as it is.
+func (r *Replica) Take(update Update) (changed bool, err error) {
+	if err := checkUpdate(&update, r.revision); err != nil {
+		return false, err
+	}
+	if update.Snapshot {
+		before := r.resources
+		r.resources = make(map[string]Resource)
+		for _, resource := range update.Resources {
+			r.resources[resource.Name] = resource
+		}
+		r.revision = update.Revision
+		return !maps.EqualFunc(before, r.resources, sameRevision), nil
+	}
+	for _, resource := range update.Resources {
+		if resource.Removed {
+			delete(r.resources, resource.Name)
+		} else {
+			r.resources[resource.Name] = resource
+		}
+	}
+	r.revision = update.Revision
+	return len(update.Resources) > 0, nil
+}
+
+func sameRevision(x, y Resource) bool { return x.Revision == y.Revision && x.Hash == y.Hash }
+
+// For returns the resources that concern an instance of the host, in the order in which they
+// are merged.
+func (r *Replica) For(host string, labels map[string]string) []Resource {
+	var concerned []Resource
+	for _, resource := range r.resources {
+		if resource.Scope.Matches(resource.Name, host, labels) {
+			concerned = append(concerned, resource)
+		}
+	}
+	inMergeOrder(concerned)
+	return concerned
+}
+
+// hash tells interests apart.
+func (i Interest) hash() string {
+	text, err := json.Marshal(i)
+	if err != nil {
+		panic(err) // strings only
+	}
+	return string(text)
+}
+
+// Keys of a subscriber's rows.
+const (
+	replicaKey     = "replica"
+	replicaPrefix  = "replica/"
+	acceptedPrefix = "accepted/"
+)
+
+// replicaRow is the row that says where a Replica stands.
+type replicaRow struct {
+	Revision Revision `json:"revision"`
+	Interest string   `json:"interest"`
+}
+
+// Batch is the rows that keep the copy; before is what it was when it was kept last, nil for
+// not yet.
+func (r *Replica) Batch(before *Replica) Batch {
+	batch := Batch{Put: []Row{row(replicaKey, replicaRow{Revision: r.revision, Interest: r.interest})}}
+	for name, resource := range r.resources {
+		if before == nil || !sameRevision(before.resources[name], resource) {
+			batch.Put = append(batch.Put, row(replicaPrefix+name, resource))
+		}
+	}
+	if before == nil {
+		return batch
+	}
+	for name := range before.resources {
+		if _, there := r.resources[name]; !there {
+			batch.Drop = append(batch.Drop, replicaPrefix+name)
+		}
+	}
+	return batch
+}
+
+// Clone returns a copy for Batch.
+func (r *Replica) Clone() *Replica {
+	return &Replica{revision: r.revision, interest: r.interest, resources: maps.Clone(r.resources)}
+}
+
+// RestoreReplica returns the copy that the rows hold. What was kept for another interest
+// counts as of no revision, so that the next update is a snapshot; its epoch is remembered.
+func RestoreReplica(interest Interest, rows []Row) (*Replica, error) {
+	r := NewReplica(interest)
+	for _, line := range rows {
+		var err error
+		switch {
+		case line.Key == replicaKey:
+			var kept replicaRow
+			err = json.Unmarshal(line.Value, &kept)
+			r.revision = kept.Revision
+			if kept.Interest != r.interest {
+				r.revision = Revision{Epoch: kept.Revision.Epoch}
+			}
+		case strings.HasPrefix(line.Key, replicaPrefix):
+			var resource Resource
+			if err = json.Unmarshal(line.Value, &resource); err == nil {
+				err = resource.Check()
+			}
+			r.resources[resource.Name] = resource
+		}
+		if err != nil {
+			return nil, fmt.Errorf("settings: row %q: %w", line.Key, err)
+		}
+	}
+	return r, nil
+}
+
+// Names returns the names of the resources that the copy holds, in order.
+func (r *Replica) Names() []string { return slices.Sorted(maps.Keys(r.resources)) }
--- /dev/null
+++ b/internal/fleet/distribution/resource.go
@@ -0,0 +1,171 @@
+package distribution
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of one resource.
+const (
+	ContentMost = 64 << 10 // bytes
+	labelsMost  = 16
+	labelMost   = 128 // bytes of a label's key or value
+	authorMost  = 200 // bytes
+)
+
+var (
+	nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$`)
+	// instanceKeys differ from instance to instance and can't be distributed.
+	instanceKeys = []string{"listen", "name", "seed"}
+)
+
+// Resource is a named piece of settings: an overlay for the configuration of the instances
+// in its scope, as a JSON merge patch (RFC 7396).
+type Resource struct {
+	Name     string    `msgpack:"name" json:"name"`
+	Scope    Scope     `msgpack:"scope" json:"scope"`
+	Content  []byte    `msgpack:"content,omitempty" json:"content,omitempty"` // a JSON object
+	Removed  bool      `msgpack:"removed,omitempty" json:"removed,omitempty"` // without content
+	Revision Revision  `msgpack:"revision" json:"revision"`                   // that made it so
+	Hash     string    `msgpack:"hash" json:"hash"`                           // SHA-256 of name, scope and content
+	Author   string    `msgpack:"author,omitempty" json:"author,omitempty"`
+	At       time.Time `msgpack:"at" json:"at"`
+}
+
+// Scope says whom a resource concerns: the instances that have all of its labels, on the
+// hosts of its share.
+type Scope struct {
+	Labels map[string]string `msgpack:"labels,omitempty" json:"labels,omitempty"`
+	// Share is the part of all hosts, above 0 and up to 1, that is drawn by a hash of the
+	// resource's and the host's name. A larger share holds all hosts of a smaller one.
+	Share float64 `msgpack:"share,omitempty" json:"share,omitempty"` // 0 means 1
+}
+
+// Interest is what a subscriber wants to hear of.
+type Interest struct {
+	Host string `msgpack:"host"`
+	// Instances are the labels of each instance of the host, those of the host among them.
+	Instances []map[string]string `msgpack:"instances"`
+}
+
+// Matches says whether the scope of the named resource holds an instance with these labels on
+// that host.
+func (s Scope) Matches(resource, host string, labels map[string]string) bool {
+	for key, value := range s.Labels {
+		if have, ok := labels[key]; !ok || have != value {
+			return false
+		}
+	}
+	return s.holdsHost(resource, host)
+}
+
+func (s Scope) holdsHost(resource, host string) bool {
+	if s.Share == 0 || s.Share == 1 {
+		return true
+	}
+	drawn := float64(xxhash.Sum64String(resource+"\x00"+host)) / math.MaxUint64
+	return drawn < s.Share
+}
+
+// Concerned says whether the scope of the named resource holds any instance of the interest.
+func (i Interest) Concerned(resource string, scope Scope) bool {
+	return slices.ContainsFunc(i.Instances, func(labels map[string]string) bool {
+		return scope.Matches(resource, i.Host, labels)
+	})
+}
+
+// Hash returns the resource's hash as it should be.
+func hashOf(r *Resource) string {
+	// Maps are encoded in the order of their keys.
+	scope, _ := json.Marshal(r.Scope)
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%s\n%s\n%v\n", r.Name, scope, r.Removed)
+	sum.Write(r.Content)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// Check says what is wrong with a resource. It checks all that a receiver relies on.
+func (r *Resource) Check() error {
+	invalid := func(what, format string, values ...any) error {
+		return &InvalidError{What: what, Name: r.Name, Reason: fmt.Sprintf(format, values...)}
+	}
+	if !nameForm.MatchString(r.Name) {
+		return invalid("name", "want letters, digits, '.', '_', '/' or '-', 128 at most")
+	}
+	if err := r.Scope.check(r.Name); err != nil {
+		return err
+	}
+	if len(r.Author) > authorMost {
+		return invalid("author", "%d bytes; %d at most", len(r.Author), authorMost)
+	}
+	if r.Hash != hashOf(r) {
+		return invalid("hash", "it is not that of the content")
+	}
+	if r.Removed {
+		if len(r.Content) > 0 {
+			return invalid("content", "a removed resource has none")
+		}
+		return nil
+	}
+	return checkContent(r.Name, r.Content)
+}
+
+func (s Scope) check(name string) error {
+	if s.Share < 0 || s.Share > 1 || math.IsNaN(s.Share) {
+		return &InvalidError{What: "scope", Name: name, Reason: fmt.Sprintf("a share of %v; want above 0, and 1 at most", s.Share)}
+	}
+	if len(s.Labels) > labelsMost {
+		return &InvalidError{What: "scope", Name: name, Reason: fmt.Sprintf("%d labels; %d at most", len(s.Labels), labelsMost)}
+	}
+	for key, value := range s.Labels {
+		if key == "" || len(key) > labelMost || len(value) > labelMost {
+			return &InvalidError{What: "scope", Name: name, Reason: fmt.Sprintf("label %.40q: a key, and %d bytes at most", key, labelMost)}
+		}
+	}
+	return nil
+}
+
+func checkContent(name string, content []byte) error {
+	if len(content) > ContentMost {
+		return &InvalidError{What: "content", Name: name, Reason: fmt.Sprintf("%d bytes; %d at most", len(content), ContentMost)}
+	}
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(content, &object); err != nil {
+		return &InvalidError{What: "content", Name: name, Reason: fmt.Sprintf("not a JSON object: %v", err)}
+	}
+	if object == nil {
+		return &InvalidError{What: "content", Name: name, Reason: "not a JSON object: null"}
+	}
+	for _, key := range instanceKeys {
+		if _, there := object[key]; there {
+			return &InvalidError{What: "content", Name: name, Reason: fmt.Sprintf("%q differs from instance to instance", key)}
+		}
+	}
+	return nil
+}
+
+// clone returns a copy that shares nothing that is changed.
+func (s Scope) clone() Scope {
+	s.Labels = maps.Clone(s.Labels)
+	return s
+}
+
+// inMergeOrder sorts resources in the order in which they are merged: the more labels a scope
+// has the later, and by name where that is the same.
+func inMergeOrder(resources []Resource) {
+	slices.SortFunc(resources, func(x, y Resource) int {
+		if n := len(x.Scope.Labels) - len(y.Scope.Labels); n != 0 {
+			return n
+		}
+		return compareNames(x, y)
+	})
+}
--- /dev/null
+++ b/internal/fleet/distribution/revision.go
@@ -0,0 +1,44 @@
+package distribution
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Revision is the place of a change in the order of all changes of a fleet's settings. The
+// zero value is before the first change.
+type Revision struct {
+	// Epoch is the writer's: each promotion of a writer raises it.
+	Epoch int64 `msgpack:"e" json:"epoch"`
+	// Number counts the changes, over all epochs.
+	Number int64 `msgpack:"n" json:"number"`
+}
+
+// Compare returns -1, 0 or 1 as r is before, at or after other.
+func (r Revision) Compare(other Revision) int {
+	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Number, other.Number))
+}
+
+// After says whether r is after other.
+func (r Revision) After(other Revision) bool { return r.Compare(other) > 0 }
+
+// IsZero says whether r is before the first change.
+func (r Revision) IsZero() bool { return r == Revision{} }
+
+// String returns the form that ParseRevision reads, such as "1.42".
+func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Epoch, r.Number) }
+
+// ParseRevision reads the form of String.
+func ParseRevision(text string) (Revision, error) {
+	epoch, number, _ := strings.Cut(text, ".")
+	e, err := strconv.ParseInt(epoch, 10, 64)
+	if err == nil && e >= 0 {
+		var n int64
+		if n, err = strconv.ParseInt(number, 10, 64); err == nil && n >= 0 {
+			return Revision{Epoch: e, Number: n}, nil
+		}
+	}
+	return Revision{}, &InvalidError{What: "revision", Name: text, Reason: "want EPOCH.NUMBER, such as 1.42"}
+}
--- /dev/null
+++ b/internal/fleet/distribution/state.go
@@ -0,0 +1,353 @@
+package distribution
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Limits bound a State.
+type Limits struct {
+	Resources int // that are there at once
+	History   int // changes that are kept
+}
+
+// DefaultLimits are those of a fleet of tens of thousands of servers.
+func DefaultLimits() Limits { return Limits{Resources: 20000, History: 20000} }
+
+// Change is a line of the history: which resource a revision concerns, and whom it concerned
+// before.
+type Change struct {
+	Revision Revision `msgpack:"revision" json:"revision"`
+	Name     string   `msgpack:"name" json:"name"`
+	Scope    Scope    `msgpack:"scope" json:"scope"`
+	Before   *Scope   `msgpack:"before,omitempty" json:"before,omitempty"` // nil: it was not there
+	Removed  bool     `msgpack:"removed,omitempty" json:"removed,omitempty"`
+}
+
+// concerns says whether the change has to reach the interest.
+func (c *Change) concerns(interest Interest) bool {
+	return !c.Removed && interest.Concerned(c.Name, c.Scope) || c.Before != nil && interest.Concerned(c.Name, *c.Before)
+}
+
+// Update is a part of a State, or what changed in it.
+type Update struct {
+	// After is the revision that a delta goes on from; of a snapshot it is zero.
+	After    Revision `msgpack:"after" json:"after"`
+	Revision Revision `msgpack:"revision" json:"revision"` // that the reader holds then
+	Snapshot bool     `msgpack:"snapshot,omitempty" json:"snapshot,omitempty"`
+	// More says that the update goes on: the reader asks again with Query.After at Revision
+	// and, of a snapshot, with Query.Began.
+	More bool `msgpack:"more,omitempty" json:"more,omitempty"`
+	// Began is the revision at which a snapshot that goes on was begun.
+	Began     Revision   `msgpack:"began" json:"began"`
+	Resources []Resource `msgpack:"resources,omitempty" json:"resources,omitempty"` // by revision
+	Changes   []Change   `msgpack:"changes,omitempty" json:"changes,omitempty"`     // of a delta, for relays
+}
+
+// Empty says that an update brings nothing but its revision.
+func (u *Update) Empty() bool { return !u.Snapshot && len(u.Resources) == 0 && len(u.Changes) == 0 }
+
+// Query is what a reader asks a State for.
+type Query struct {
+	After Revision // that the reader holds
+	Began Revision // of a snapshot that the reader goes on with; zero: none
+	Bytes int      // of one update, about; 0: no bound
+	// Interest narrows the answer down; nil is everything, with the history.
+	Interest *Interest
+}
+
+// State is the settings of a fleet at a revision with the history before it: the writer's, or
+// a relay's copy.
+type State struct {
+	limits    Limits
+	revision  Revision
+	compacted Revision // the history holds what came after it
+	resources map[string]Resource
+	history   []Change // by revision
+}
+
+// NewState returns a State before the first change.
+func NewState(limits Limits) *State {
+	return &State{limits: limits, resources: make(map[string]Resource)}
+}
+
+// Revision is that of the latest change.
+func (s *State) Revision() Revision { return s.revision }
+
+// Resource returns a resource that is there.
+func (s *State) Resource(name string) (Resource, bool) {
+	r, ok := s.resources[name]
+	return r, ok
+}
+
+// Resources returns all resources by name.
+func (s *State) Resources() []Resource {
+	return slices.SortedFunc(maps.Values(s.resources), compareNames)
+}
+
+func compareNames(x, y Resource) int { return strings.Compare(x.Name, y.Name) }
+
+func compareRevisions(x, y Resource) int {
+	return cmp.Or(x.Revision.Compare(y.Revision), strings.Compare(x.Name, y.Name))
+}
+
+// Read answers a reader: with what changed after the revision that it holds or, where the
+// history does not hold that, with a snapshot. The error is of *AheadError where the reader
+// holds more than the State.
+func (s *State) Read(query Query) (Update, error) {
+	if query.After.After(s.revision) {
+		return Update{}, &AheadError{Have: s.revision, Asked: query.After}
+	}
+	if !query.Began.IsZero() && s.reaches(query.Began) {
+		return s.snapshot(query), nil
+	}
+	if query.Began.IsZero() && s.reaches(query.After) {
+		return s.delta(query), nil
+	}
+	query.After, query.Began = Revision{}, s.revision
+	return s.snapshot(query), nil
+}
+
+// reaches says whether the history holds all that came after a revision.
+func (s *State) reaches(after Revision) bool {
+	return after.Epoch == s.revision.Epoch && !s.compacted.After(after)
+}
+
+// changesAfter is the end of the history.
+func (s *State) changesAfter(after Revision) []Change {
+	first, _ := slices.BinarySearchFunc(s.history, after, func(c Change, after Revision) int {
+		if c.Revision.After(after) {
+			return 1
+		}
+		return -1
+	})
+	return s.history[first:]
+}
+
+// Concerned returns the revision of the latest change after the given one that concerns the
+// interest, and false if none does.
+func (s *State) Concerned(after Revision, interest Interest) (Revision, bool) {
+	changes := s.changesAfter(after)
+	for n := len(changes) - 1; n >= 0; n-- {
+		if changes[n].concerns(interest) {
+			return changes[n].Revision, true
+		}
+	}
+	return Revision{}, false
+}
+
+func (s *State) delta(query Query) Update {
+	changes := s.changesAfter(query.After)
+	update := Update{After: query.After, Revision: s.revision}
+	update.Resources = s.changed(changes, query.Interest)
+	if query.Interest == nil {
+		update.Changes = slices.Clone(changes)
+	}
+	update.cut(query.Bytes)
+	return update
+}
+
+// changed returns the resources of the changes as they are now, each once, and marks those
+// that are there no more for the interest as removed.
+func (s *State) changed(changes []Change, interest *Interest) []Resource {
+	latest := make(map[string]Resource)
+	for n := range changes {
+		change := &changes[n]
+		if interest == nil || change.concerns(*interest) {
+			latest[change.Name] = s.seenBy(interest, change)
+		}
+	}
+	return slices.SortedFunc(maps.Values(latest), compareRevisions)
+}
+
+// seenBy is the resource of a change as the interest sees it now.
+func (s *State) seenBy(interest *Interest, change *Change) Resource {
+	r, there := s.resources[change.Name]
+	if there && (interest == nil || interest.Concerned(r.Name, r.Scope)) {
+		return r
+	}
+	removed := Resource{Name: change.Name, Removed: true, Revision: change.Revision}
+	if there {
+		removed.Revision = r.Revision
+	}
+	removed.Hash = hashOf(&removed)
+	return removed
+}
+
+func (s *State) snapshot(query Query) Update {
+	update := Update{Snapshot: true, Revision: s.revision, Began: query.Began}
+	for _, r := range s.resources {
+		if r.Revision.After(query.After) && (query.Interest == nil || query.Interest.Concerned(r.Name, r.Scope)) {
+			update.Resources = append(update.Resources, r)
+		}
+	}
+	// What the reader got before and is there no more.
+	for _, r := range s.changed(s.changesAfter(query.Began), query.Interest) {
+		if r.Removed && r.Revision.After(query.After) {
+			update.Resources = append(update.Resources, r)
+		}
+	}
+	slices.SortFunc(update.Resources, compareRevisions)
+	update.cut(query.Bytes)
+	return update
+}
+
+// resourceOverhead is about what a resource takes beside its content, in bytes.
+const resourceOverhead = 300
+
+// cut ends an update that is longer than most bytes early; one resource stays.
+func (u *Update) cut(most int) {
+	if most <= 0 {
+		return
+	}
+	bytes := 0
+	for n := range u.Resources {
+		bytes += len(u.Resources[n].Content) + resourceOverhead
+		if bytes <= most || n == 0 {
+			continue
+		}
+		u.Resources, u.More = u.Resources[:n], true
+		u.Revision = u.Resources[n-1].Revision
+		u.Changes = slices.DeleteFunc(u.Changes, func(c Change) bool { return c.Revision.After(u.Revision) })
+		return
+	}
+}
+
+// Row is a line of what a store keeps; Batch is rows to write and to delete in one
+// transaction.
+type Row struct {
+	Key   string
+	Value []byte
+}
+
+// Batch is what must be on disk before the change that it comes with is acted on.
+type Batch struct {
+	Put  []Row
+	Drop []string // keys
+}
+
+// Prefixes of the rows' keys, and the key of the row that holds the revision.
+const (
+	resourcePrefix = "resource/"
+	changePrefix   = "change/"
+	revisionKey    = "revision"
+)
+
+// place is the row that says where a State stands.
+type place struct {
+	Revision  Revision `json:"revision"`
+	Compacted Revision `json:"compacted"`
+}
+
+func changeKey(r Revision) string {
+	return fmt.Sprintf("%s%020d.%020d", changePrefix, r.Epoch, r.Number)
+}
+
+func row(key string, value any) Row {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // types of this package's own
+	}
+	return Row{Key: key, Value: data}
+}
+
+func resourceRow(r *Resource) Row { return row(resourcePrefix+r.Name, r) }
+
+// Restore returns the State that the rows hold. Rows with other keys are left alone.
+func Restore(limits Limits, rows []Row) (*State, error) {
+	s := NewState(limits)
+	for _, r := range rows {
+		var err error
+		switch {
+		case strings.HasPrefix(r.Key, resourcePrefix):
+			var resource Resource
+			if err = json.Unmarshal(r.Value, &resource); err == nil {
+				err = resource.Check()
+			}
+			s.resources[resource.Name] = resource
+		case strings.HasPrefix(r.Key, changePrefix):
+			var change Change
+			err = json.Unmarshal(r.Value, &change)
+			s.history = append(s.history, change)
+		case r.Key == revisionKey:
+			var at place
+			err = json.Unmarshal(r.Value, &at)
+			s.revision, s.compacted = at.Revision, at.Compacted
+		}
+		if err != nil {
+			return nil, fmt.Errorf("settings: row %q: %w", r.Key, err)
+		}
+	}
+	slices.SortFunc(s.history, func(x, y Change) int { return x.Revision.Compare(y.Revision) })
+	return s, nil
+}
+
+// step is a change of a State that was worked out and not made yet.
+type step struct {
+	batch     Batch
+	resources []Resource // removed ones are taken out
+	drop      []string   // resources that are there no more, beside those
+	changes   []Change
+	revision  Revision
+	compacted Revision
+	fresh     bool // a snapshot: the history begins anew
+}
+
+// prepare works out the rows of a step.
+func (s *State) prepare(next step) step {
+	for n := range next.resources {
+		r := &next.resources[n]
+		if r.Removed {
+			next.batch.Drop = append(next.batch.Drop, resourcePrefix+r.Name)
+		} else {
+			next.batch.Put = append(next.batch.Put, resourceRow(r))
+		}
+	}
+	for _, name := range next.drop {
+		next.batch.Drop = append(next.batch.Drop, resourcePrefix+name)
+	}
+	next.compacted = s.compacted
+	old := s.history
+	if next.fresh {
+		next.compacted = next.revision
+		for _, c := range old {
+			next.batch.Drop = append(next.batch.Drop, changeKey(c.Revision))
+		}
+		old = nil
+	}
+	for _, c := range next.changes {
+		next.batch.Put = append(next.batch.Put, row(changeKey(c.Revision), c))
+	}
+	for over := len(old) + len(next.changes) - s.limits.History; over > 0 && len(old) > 0; over-- {
+		next.compacted = old[0].Revision
+		next.batch.Drop = append(next.batch.Drop, changeKey(old[0].Revision))
+		old = old[1:]
+	}
+	next.batch.Put = append(next.batch.Put, row(revisionKey, place{Revision: next.revision, Compacted: next.compacted}))
+	return next
+}
+
+// take makes a step that was prepared and is on disk.
+func (s *State) take(next step) {
+	for _, r := range next.resources {
+		if r.Removed {
+			delete(s.resources, r.Name)
+		} else {
+			s.resources[r.Name] = r
+		}
+	}
+	for _, name := range next.drop {
+		delete(s.resources, name)
+	}
+	if next.fresh {
+		s.history = nil
+	}
+	s.history = append(s.history, next.changes...)
+	s.revision, s.compacted = next.revision, next.compacted
+	first := len(s.history) - len(s.changesAfter(s.compacted))
+	s.history = slices.Delete(s.history, 0, first)
+}
