--- /dev/null
+++ b/cmd/martendrum/settings.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/distribution"
+)
+
+// publication is the flags of `change publish`.
+type publication struct {
+	file, relay, only string
+	scope             []string
+	share             float64
+	fresh, remove     bool
+}
+
+func publishCommand(g *global) *cobra.Command {
+	p := &publication{}
+	c := &cobra.Command{Use: "publish NAME", Short: "Publish settings for the hosts that follow the relays", Args: cobra.ExactArgs(1),
+		Long: `A resource is an overlay (a JSON merge patch) for the configuration of all instances in its
+scope. Publishing writes a new revision at the settings' writer and ends; relays and agents
+carry it on, also to hosts that are away now. "martendrum list --settings" tells where it is
+in force. To take a change back, publish the earlier content.`,
+		Example: `  martendrum change publish limits/checkout --file limits.json --scope service=checkout
+  martendrum change publish limits/checkout --file new.json --scope service=checkout --if 1.42
+  martendrum change publish trial --file trial.json --share 0.05
+  martendrum change publish trial --remove`}
+	f := c.Flags()
+	f.StringVar(&p.file, "file", "", "the overlay, a JSON object")
+	f.StringArrayVar(&p.scope, "scope", nil, "KEY=VALUE, a label that an instance must have; all of them, where there are several")
+	f.Float64Var(&p.share, "share", 1, "the part of the hosts, drawn by a hash of their names")
+	f.StringVar(&p.only, "if", "", "only if the resource is at this revision")
+	f.BoolVar(&p.fresh, "new", false, "only if there is no resource of this name")
+	f.BoolVar(&p.remove, "remove", false, "remove the resource")
+	f.StringVar(&p.relay, "relay", "", "ask this relay for the writer (default: those that the inventory labels relay = \"true\")")
+	c.MarkFlagsMutuallyExclusive("file", "remove")
+	c.MarkFlagsOneRequired("file", "remove")
+	c.MarkFlagsMutuallyExclusive("if", "new")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		put, err := p.put(args[0])
+		if err != nil {
+			return err
+		}
+		f, err := g.open()
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		out, err := f.Publish(c.Context(), p.relay, put)
+		if err != nil {
+			return settingsFailed(err)
+		}
+		if g.json {
+			return printJSON(out)
+		}
+		if !out.Changed {
+			fmt.Printf("%s is so already, since revision %v\n", out.Resource.Name, out.Resource.Revision)
+			return nil
+		}
+		fmt.Printf("%s is at revision %v; `martendrum list --settings --revision %v` tells where it is in force\n",
+			out.Resource.Name, out.Resource.Revision, out.Resource.Revision)
+		return nil
+	}
+	return c
+}
+
+// put is the change that the flags ask for.
+func (p *publication) put(name string) (distribution.Put, error) {
+	put := distribution.Put{Name: name, Remove: p.remove}
+	if p.share != 1 {
+		put.Scope.Share = p.share
+	}
+	for _, label := range p.scope {
+		key, value, ok := strings.Cut(label, "=")
+		if !ok || key == "" {
+			return put, fmt.Errorf("--scope %q; want KEY=VALUE", label)
+		}
+		if put.Scope.Labels == nil {
+			put.Scope.Labels = make(map[string]string)
+		}
+		put.Scope.Labels[key] = value
+	}
+	if p.fresh {
+		put.If = &distribution.Revision{}
+	}
+	if p.only != "" {
+		revision, err := distribution.ParseRevision(p.only)
+		if err != nil {
+			return put, err
+		}
+		put.If = &revision
+	}
+	if p.file != "" {
+		content, err := os.ReadFile(p.file)
+		if err != nil {
+			return put, err
+		}
+		put.Content = content
+	}
+	return put, nil
+}
+
+// settingsFailed gives an error its exit code: what the writer turned down is bad use, or
+// some of the work failed; else it could not be reached.
+func settingsFailed(err error) error {
+	if refusal, ok := errors.AsType[*api.Error](err); ok && refusal.Code != api.SettingsInvalid {
+		return &exitError{exitSome, err}
+	}
+	return err
+}
+
+func promoteCommand(g *global) *cobra.Command {
+	return &cobra.Command{Use: "promote HOST", Short: "Make a relay the writer of the distributed settings", Args: cobra.ExactArgs(1),
+		Long: `Promote a relay when the writer is lost. The epoch rises; what the earlier writer says
+after that is void, and changes that no relay had copied from it are lost: publish them again.
+Promote the relay that has the latest revision (martendrum list --settings --relay HOST).`,
+		RunE: func(c *cobra.Command, args []string) error {
+			f, err := g.open()
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			out, err := f.Promote(c.Context(), args[0])
+			if err != nil {
+				return settingsFailed(err)
+			}
+			if g.json {
+				return printJSON(out)
+			}
+			fmt.Printf("%s writes since epoch %d\n", out.Writer, out.Epoch)
+			return nil
+		}}
+}
+
+// settingsView is the flags of `list --settings`.
+type settingsView struct {
+	show, resources bool
+	revision, relay string
+	most            int
+}
+
+func (v *settingsView) add(c *cobra.Command) {
+	f := c.Flags()
+	f.BoolVar(&v.show, "settings", false, "tell where a revision of the distributed settings is in force, and where not")
+	f.StringVar(&v.revision, "revision", "", "with --settings: this revision (default: the latest)")
+	f.BoolVar(&v.resources, "resources", false, "with --settings: the wanted resources instead")
+	f.StringVar(&v.relay, "relay", "", "with --settings: ask this relay")
+	f.IntVar(&v.most, "most", 20, "with --settings: name so many hosts where it is not in force")
+}
+
+// list prints how far a revision is. Where it is not in force everywhere the exit code is 1.
+func (v *settingsView) list(c *cobra.Command, g *global, f *client.Fleet) error {
+	if v.resources {
+		return v.listResources(c, g, f)
+	}
+	var revision distribution.Revision
+	if v.revision != "" {
+		var err error
+		if revision, err = distribution.ParseRevision(v.revision); err != nil {
+			return err
+		}
+	}
+	out, err := f.InForce(c.Context(), v.relay, revision, v.most)
+	if err != nil {
+		return settingsFailed(err)
+	}
+	if g.json {
+		if err := printJSON(out); err != nil {
+			return err
+		}
+	} else {
+		printInForce(out)
+	}
+	if !out.Complete || out.Status.InForce < out.Status.Hosts {
+		return &exitError{exitSome, nil}
+	}
+	return nil
+}
+
+func printInForce(out *api.SettingsStatusOut) {
+	s := &out.Status
+	fmt.Printf("revision %v (latest %v), writer %s in epoch %d\n", s.Revision, s.Latest, out.Writer.Writer, out.Writer.Epoch)
+	fmt.Printf("in force at %d of %d hosts; refused at %d, behind at %d, away at %d\n", s.InForce, s.Hosts, s.Refused, s.Behind, s.Away)
+	if !out.Complete {
+		fmt.Println("the writer does not answer: these are the hosts of the relays that do")
+	}
+	if len(s.Missing) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tRELAY\tIN FORCE\tRECEIVED\tPRESENT\tNOTE")
+	for _, host := range s.Missing {
+		note := host.State.Waiting
+		for _, refusal := range host.State.Refused {
+			note = fmt.Sprintf("%s refused %s of revision %v: %s", refusal.Instance, refusal.Resource, refusal.Revision, refusal.Reason)
+		}
+		present := "yes, for " + ago(host.Since)
+		if !host.Present {
+			present = "away for " + ago(host.Since)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%s\t%s\n", host.Host, host.Relay, host.State.Applied, host.State.Received, present, note)
+	}
+	w.Flush()
+}
+
+func (v *settingsView) listResources(c *cobra.Command, g *global, f *client.Fleet) error {
+	revision, resources, err := f.Resources(c.Context(), v.relay, "")
+	if err != nil {
+		return settingsFailed(err)
+	}
+	if g.json {
+		return printJSON(resources)
+	}
+	fmt.Printf("revision %v\n", revision)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tREVISION\tSCOPE\tSHARE\tBYTES\tAT\tBY")
+	for _, r := range resources {
+		share := r.Scope.Share
+		if share == 0 {
+			share = 1
+		}
+		fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%d\t%s ago\t%s\n", r.Name, r.Revision, r.Scope.Labels, share, len(r.Content), ago(r.At), r.Author)
+	}
+	return w.Flush()
+}
+
+// printInstanceSettings is the lines of `inspect`.
+func printInstanceSettings(s *api.InstanceSettings) {
+	if s == nil {
+		return
+	}
+	relay := s.Relay
+	if relay == "" {
+		relay = "none answers"
+	}
+	fmt.Printf("\ndistributed settings: revision %v received, relay %s\n", s.Received, relay)
+	for _, accepted := range s.Accepted {
+		fmt.Printf("  %s of revision %v is in force\n", accepted.Name, accepted.Revision)
+	}
+	for _, refusal := range s.Refused {
+		fmt.Printf("  %s of revision %v was refused: %s\n", refusal.Resource, refusal.Revision, refusal.Reason)
+	}
+	if s.Waiting != "" {
+		fmt.Printf("  changes wait: %s\n", s.Waiting)
+	}
+}
--- a/cmd/martendrum/staged.go
+++ b/cmd/martendrum/staged.go
@@ -51,7 +51,8 @@
   martendrum change start --overlay new.json --all          # settings alone: SIGHUP, no restart
   martendrum change watch 20261201-201500-5f2c1a
   martendrum change resume 20261201-201500-5f2c1a --go-on   # it holds, and you have looked`}
-	c.AddCommand(startCommand(g), resumeCommand(g), watchCommand(g), evidenceCommand(g))
+	c.AddCommand(startCommand(g), resumeCommand(g), watchCommand(g), evidenceCommand(g),
+		publishCommand(g), promoteCommand(g))
 	for _, op := range opCommands(g) {
 		switch op.Name() {
 		case "abort":
--- a/cmd/martendrum/view.go
+++ b/cmd/martendrum/view.go
@@ -39,6 +39,8 @@
 		Long: "List the instances of the fleet. Hosts that don't answer are listed too, and make the exit code 1\n(3 if none answers).",
 	}
 	sel := selectFlags(list)
+	settings := &settingsView{}
+	settings.add(list)
 	list.RunE = func(c *cobra.Command, _ []string) error {
 		f, err := g.open()
 		if err == nil {
@@ -48,6 +50,9 @@
 			return err
 		}
 		defer f.Close()
+		if settings.show {
+			return settings.list(c, g, f)
+		}
 		return listed(g, f.List(c.Context(), sel))
 	}
 
@@ -74,6 +79,7 @@
 				fmt.Fprintf(w, "%s\t%s\n", l[0], l[1])
 			}
 			w.Flush()
+			printInstanceSettings(out.Settings)
 			fmt.Println("\nlatest steps:")
 			for _, s := range out.Steps {
 				fmt.Printf("  %s  %s %s: %s %s\n", s.Started.Format(time.RFC3339), s.Action, s.Kind, s.Status, s.Reason)
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -29,6 +29,8 @@
 
 	"martendrum/internal/filelock"
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/distribution/node"
 	"martendrum/internal/fleet/lease"
 	"martendrum/internal/fleet/life"
 	"martendrum/internal/fleet/proc"
@@ -96,7 +98,8 @@
 	releases *release.Dir
 	started  time.Time
 	flock    *os.File
-	id       string // of the state folder, in the name of each launch
+	rows     []distribution.Row // of the record's settings, until the distribution has begun
+	id       string             // of the state folder, in the name of each launch
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -112,7 +115,9 @@
 	heldAt     map[string]time.Time // of open staged operations: when somebody last held them
 	boundary   int64                // up to which figures were taken
 	leases     lease.Table
-	back       *comeback // of the instances after a power loss; nil: all may start
+	back       *comeback     // of the instances after a power loss; nil: all may start
+	settings   *subscription // nil: the host does not follow relays
+	relay      *node.Relay   // nil: the agent is none; set before it serves
 	change     int64
 	changed    chan struct{} // closed at the next change
 	unwritable string        // why the last write of the record failed
@@ -152,6 +157,17 @@
 		}
 		a.wg.Go(func() { a.takeFigures(j) })
 	}
+	if err := a.startDistribution(a.rows); err != nil {
+		a.cancel()
+		a.wg.Wait()
+		if a.relay != nil {
+			a.relay.Close()
+		}
+		a.store.Close()
+		filelock.Release(a.flock)
+		return nil, fmt.Errorf("agent %s: %w", cfg.Name, err)
+	}
+	a.rows = nil
 	for _, name := range a.names {
 		i := a.inst[name]
 		a.wg.Go(func() { a.run(i) })
@@ -163,6 +179,9 @@
 // Close ends the agent and leaves the sidecars running.
 func (a *Agent) Close() {
 	a.cancel()
+	if a.relay != nil {
+		a.relay.Close()
+	}
 	a.wg.Wait()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -197,6 +216,7 @@
 	if err != nil {
 		return err
 	}
+	a.rows = snap.Settings
 	rows := make(map[string]store.Instance)
 	for _, r := range snap.Instances {
 		rows[r.Name] = r
@@ -470,6 +490,7 @@
 	for _, i := range a.inst {
 		if i.dirty {
 			c.Instances = append(c.Instances, i.row)
+			c.Settings = append(c.Settings, i.settingsRows()...)
 			for _, s := range a.steps {
 				if s.Instance == i.cfg.Name {
 					c.Steps = append(c.Steps, *s)
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
 	"martendrum/internal/fleet/life"
 	"martendrum/internal/fleet/units"
 )
@@ -61,6 +63,9 @@
 		Slot units.Duration `toml:"slot"` // 0: never
 		Keep units.Duration `toml:"keep"`
 	} `toml:"figures"`
+	Distribution Distribution `toml:"distribution"`
+	// Relay, where set, makes the agent one of the machines that serve settings.
+	Relay  *RelayConfig `toml:"relay"`
 	Limits struct {
 		KillAfter   units.Duration `toml:"kill_after"`
 		HealthEach  units.Duration `toml:"health_each"`
@@ -77,6 +82,28 @@
 	Instances []InstanceConfig `toml:"instance"`
 }
 
+// Distribution is how settings reach the host; see package distribution. Without relays
+// there is none.
+type Distribution struct {
+	// Subscribe lets the host's instances follow the relays.
+	Subscribe bool                 `toml:"subscribe"`
+	Region    string               `toml:"region"` // of this host, as the relays' entries name them
+	Zone      string               `toml:"zone"`
+	Coalesce  units.Duration       `toml:"coalesce"` // changes within it are applied together
+	Writer    string               `toml:"writer"`   // the relay that writes until an operator promotes another
+	Relays    []distribution.Relay `toml:"relay"`
+}
+
+// RelayConfig bounds what a relay serves.
+type RelayConfig struct {
+	Subscribers int `toml:"subscribers"`
+	Resources   int `toml:"resources"`
+	History     int `toml:"history"` // changes
+}
+
+// subscribersMost is how many subscribers one relay may have: each costs a descriptor.
+const subscribersMost = 16000
+
 // InstanceConfig is one sidecar of the host.
 type InstanceConfig struct {
 	Name   string            `toml:"name"`
@@ -118,6 +145,7 @@
 	c.Record.Store, c.Record.Statement, c.Record.Connect = SQLite, units.Duration(2*time.Second), units.Duration(2*time.Second)
 	c.Recovery.WaveLeast, c.Recovery.WaveLongest = units.Duration(300*time.Millisecond), units.Duration(10*time.Second)
 	c.Recovery.Shop, c.Recovery.Zone = "shop", "zone"
+	c.Distribution.Coalesce = units.Duration(time.Second)
 	if err := units.Load(path, c); err != nil {
 		return nil, err
 	}
@@ -128,12 +156,58 @@
 	if err := units.Beside(path, paths...); err != nil {
 		return nil, err
 	}
+	if c.Relay != nil {
+		c.Relay.fill()
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
+// fill sets what a [relay] section leaves out.
+func (c *RelayConfig) fill() {
+	limits := distribution.DefaultLimits()
+	c.Subscribers = cmp.Or(c.Subscribers, 4000)
+	c.Resources = cmp.Or(c.Resources, limits.Resources)
+	c.History = cmp.Or(c.History, limits.History)
+}
+
+// checkDistribution says what is wrong with the sections [distribution] and [relay].
+func (c *Config) checkDistribution() error {
+	d := &c.Distribution
+	names := make(map[string]bool)
+	for n, relay := range d.Relays {
+		kind, rest, _ := strings.Cut(relay.Address, ":")
+		switch {
+		case !nameForm.MatchString(relay.Name) || names[relay.Name]:
+			return fmt.Errorf("distribution.relay %d: its name %q is missing or there twice", n+1, relay.Name)
+		case rest == "" || kind != "tls" && kind != "tcp" && kind != "unix":
+			return fmt.Errorf("distribution.relay %s: address %q; want tls:HOST:PORT, unix:PATH or tcp:HOST:PORT", relay.Name, relay.Address)
+		case kind == "tls" && (c.TLS.CA == "" || c.TLS.Cert == "" || c.TLS.Key == ""):
+			return fmt.Errorf("distribution.relay %s: tls.ca, tls.cert and tls.key are needed for it; `martendrum ca` makes them", relay.Name)
+		}
+		names[relay.Name] = true
+	}
+	switch {
+	case d.Coalesce < 0 || d.Coalesce > units.Duration(10*time.Second):
+		return fmt.Errorf("distribution.coalesce: %v; want 0s to 10s", time.Duration(d.Coalesce))
+	case d.Subscribe && len(d.Relays) == 0:
+		return fmt.Errorf("distribution.subscribe: no [[distribution.relay]] is there to ask")
+	case len(d.Relays) > 0 && !names[d.Writer]:
+		return fmt.Errorf("distribution.writer: %q is none of the relays", d.Writer)
+	case c.Relay == nil:
+		return nil
+	case !names[c.Name]:
+		return fmt.Errorf("relay: this agent, %s, is none of [[distribution.relay]]", c.Name)
+	case c.Relay.Subscribers < 1 || c.Relay.Subscribers > subscribersMost:
+		return fmt.Errorf("relay.subscribers: %d; want 1 to %d", c.Relay.Subscribers, subscribersMost)
+	case c.Relay.Resources < 1 || c.Relay.History < 1:
+		return fmt.Errorf("relay.resources and relay.history must be 1 at least")
+	}
+	return nil
+}
+
 func (c *Config) check() error {
 	l := &c.Limits
 	switch {
@@ -182,6 +256,9 @@
 	case len(c.Instances) > MostInstances:
 		return fmt.Errorf("instance: %d of them; an agent looks after %d at most", len(c.Instances), MostInstances)
 	}
+	if err := c.checkDistribution(); err != nil {
+		return err
+	}
 	if c.Listen.Plain != "" {
 		host, _, err := net.SplitHostPort(c.Listen.Plain)
 		if err != nil {
@@ -226,21 +303,34 @@
 	return nil
 }
 
-// render makes an instance's configuration: its own file, the release's overlay
-// merged over it (RFC 7396), and the seed.
-func render(base, overlay []byte, seed string) ([]byte, error) {
-	var b, o map[string]any
-	if err := json.Unmarshal(base, &b); err != nil {
+// render makes an instance's configuration: its own file, the release's overlay merged over
+// it (RFC 7396), then the distributed settings in their order, and the seed.
+func render(base, overlay []byte, settings []distribution.Resource, seed string) ([]byte, error) {
+	var config map[string]any
+	if err := json.Unmarshal(base, &config); err != nil {
 		return nil, fmt.Errorf("the instance's configuration: %w", err)
 	}
 	if len(overlay) > 0 {
-		if err := json.Unmarshal(overlay, &o); err != nil {
+		if err := mergeJSON(config, overlay); err != nil {
 			return nil, fmt.Errorf("the release's overlay: %w", err)
 		}
 	}
-	merge(b, o)
-	b["seed"] = seed
-	return json.MarshalIndent(b, "", " ")
+	for _, resource := range settings {
+		if err := mergeJSON(config, resource.Content); err != nil {
+			return nil, fmt.Errorf("settings %s of revision %v: %w", resource.Name, resource.Revision, err)
+		}
+	}
+	config["seed"] = seed
+	return json.MarshalIndent(config, "", " ")
+}
+
+func mergeJSON(into map[string]any, patch []byte) error {
+	var from map[string]any
+	if err := json.Unmarshal(patch, &from); err != nil {
+		return err
+	}
+	merge(into, from)
+	return nil
 }
 
 func merge(into, from map[string]any) {
--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
 	"martendrum/internal/fleet/life"
 	"martendrum/internal/fleet/proc"
 	"martendrum/internal/fleet/release"
@@ -57,6 +58,9 @@
 	prev    *Process       // the process being replaced, nil for none
 	prevRow store.Instance // the row as it told of prev
 
+	applier *distribution.Applier // of distributed settings; nil: the host does not subscribe
+	attempt *settingsAttempt      // of the applier, nil for none
+
 	wantSum string    // of the configuration last written for it
 	hupAt   time.Time // of the step's SIGHUP
 	retryAt time.Time
@@ -96,10 +100,11 @@
 		a.mu.Unlock()
 		a.act(i, kinds)
 		a.observe(i)
+		settingsDue := a.applySettings(i)
 
 		a.mu.Lock()
 		p, next := i.proc, i.life.Next()
-		near := held || i.step != nil || i.life.Phase() == life.Starting
+		near := held || i.step != nil || i.attempt != nil || i.life.Phase() == life.Starting
 		a.mu.Unlock()
 		if p != nil && !time.Now().Before(healthAt) {
 			a.health(i, p)
@@ -110,6 +115,7 @@
 			}
 			healthAt = time.Now().Add(each)
 			a.observe(i)
+			settingsDue = a.applySettings(i)
 		}
 		wait := time.Hour
 		until := func(t time.Time) {
@@ -118,6 +124,7 @@
 			}
 		}
 		until(next)
+		until(settingsDue)
 		if p != nil {
 			until(healthAt)
 		}
@@ -244,6 +251,9 @@
 		return kinds
 	}
 	i.proc, i.sum, i.record, i.hands = p, "", "", false
+	if i.applier != nil {
+		i.applier.Forgive(now) // another process may take what the last one refused
+	}
 	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
 	kinds := i.life.Launched(now)
 	a.told(i, nil)
@@ -273,8 +283,20 @@
 	})
 }
 
-// configure writes an instance's configuration.
+// configure writes an instance's configuration, with the distributed settings that it
+// accepted last.
 func (a *Agent) configure(i *instance, hash, seed string) error {
+	a.mu.Lock()
+	var settings []distribution.Resource
+	if i.applier != nil {
+		settings = i.applier.Accepted()
+	}
+	a.mu.Unlock()
+	return a.configureWith(i, hash, settings, seed)
+}
+
+// configureWith writes an instance's configuration with the given distributed settings.
+func (a *Agent) configureWith(i *instance, hash string, settings []distribution.Resource, seed string) error {
 	base, err := os.ReadFile(i.cfg.Config)
 	if err != nil {
 		return err
@@ -283,7 +305,7 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
-	data, err := render(base, overlay, seed)
+	data, err := render(base, overlay, settings, seed)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -36,6 +36,8 @@
 type caller struct {
 	role, id string
 	who      string
+	// certified says that id is the name in a certificate of the fleet's CA.
+	certified bool
 }
 
 // limits of a connection to an agent. A chunk of a release fits into a message.
@@ -44,7 +46,11 @@
 // Serve opens the configured listeners and answers until ctx ends. ready, if not
 // nil, is told the addresses once all listen.
 func (a *Agent) Serve(ctx context.Context, ready func(addrs []net.Addr)) error {
-	srv := &msgpackrpc.Server{Handler: a.handle, Limits: limits, Conns: conns, Welcome: a.welcome}
+	most := conns
+	if a.cfg.Relay != nil {
+		most += a.cfg.Relay.Subscribers + len(a.cfg.Distribution.Relays)
+	}
+	srv := &msgpackrpc.Server{Handler: a.handle, Limits: limits, Conns: most, Welcome: a.welcome}
 	var lns []net.Listener
 	closeAll := func() {
 		for _, ln := range lns {
@@ -133,7 +139,7 @@
 			return err
 		}
 		cert := nc.ConnectionState().PeerCertificates[0]
-		c.id, c.role = cert.Subject.CommonName, ""
+		c.id, c.role, c.certified = cert.Subject.CommonName, "", true
 		for _, role := range []string{api.View, api.Operate} {
 			if slices.Contains(cert.Subject.OrganizationalUnit, role) {
 				c.role = role
@@ -215,6 +221,17 @@
 		api.StepStart:    typed(api.Operate, (*Agent).stepStart),
 		api.OpNote:       typed(api.Operate, (*Agent).opNote),
 		api.Figures:      typed(api.View, (*Agent).figures),
+
+		api.SettingsPut:     typed(api.Operate, (*Agent).settingsPut),
+		api.SettingsPromote: typed(api.Operate, (*Agent).settingsPromote),
+		api.SettingsGet:     typed(api.View, (*Agent).settingsGet),
+		api.SettingsStatus:  typed(api.View, (*Agent).settingsStatus),
+		// Those of hosts and relays, which have no role: each checks who asks.
+		api.SettingsWatch:   typed("", (*Agent).settingsWatch),
+		api.SettingsAck:     typed("", (*Agent).settingsAck),
+		api.SettingsFollow:  typed("", (*Agent).settingsFollow),
+		api.SettingsReport:  typed("", (*Agent).settingsReport),
+		api.SettingsWriting: typed("", (*Agent).settingsWriting),
 	}
 }
 
@@ -281,7 +298,7 @@
 		a.mu.Unlock()
 		return nil, err
 	}
-	out := &api.InspectOut{Instance: a.status(i)}
+	out := &api.InspectOut{Instance: a.status(i), Settings: a.instanceSettings(i)}
 	for _, s := range a.steps {
 		if s.Instance == in.Instance {
 			out.Steps = append(out.Steps, *s)
--- /dev/null
+++ b/internal/fleet/agent/serve_settings.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/distribution/node"
+	"martendrum/internal/fleet/store"
+)
+
+// serving returns the relay of this agent.
+func (a *Agent) serving() (*node.Relay, error) {
+	if a.relay == nil {
+		return nil, api.Errorf(api.NotRelay, "agent %s is no relay: its configuration has no [relay]", a.cfg.Name)
+	}
+	return a.relay, nil
+}
+
+// speaksFor says whether a caller may speak for a host: over TLS, only with its
+// certificate.
+func (a *Agent) speaksFor(c *caller, name string) error {
+	if !c.certified || c.id == name {
+		return nil
+	}
+	return api.Errorf(api.Forbidden, "%s may not speak for %s at agent %s", c.id, name, a.cfg.Name)
+}
+
+// relayOnly says whether a caller may speak for a relay.
+func (a *Agent) relayOnly(c *caller, name string) error {
+	for _, relay := range a.cfg.Distribution.Relays {
+		if relay.Name == name {
+			return a.speaksFor(c, name)
+		}
+	}
+	return api.Errorf(api.Forbidden, "%s is none of the relays of agent %s", name, a.cfg.Name)
+}
+
+func (a *Agent) settingsPut(_ context.Context, c *caller, in *distribution.Put) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	in.Author = fmt.Sprintf("%.200s", c.who)
+	out, err := relay.Put(*in)
+	if err != nil {
+		return nil, node.Refusal(err)
+	}
+	if out.Changed {
+		a.auditSettings(c, "settings.put", in.Name, out.Resource.Revision.String())
+	}
+	return out, nil
+}
+
+func (a *Agent) settingsPromote(_ context.Context, c *caller, _ *api.Empty) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	out, err := relay.Promote()
+	if err != nil {
+		return nil, node.Refusal(err)
+	}
+	a.auditSettings(c, "settings.promote", a.cfg.Name, fmt.Sprint("epoch ", out.Epoch))
+	return out, nil
+}
+
+// auditSettings notes who did what. It is done already: an entry that can't be written is
+// only logged.
+func (a *Agent) auditSettings(c *caller, what, target, result string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.commit(&store.Change{Audit: []api.AuditEntry{{At: time.Now(), Who: c.who, What: what, Target: target, Result: result}}})
+}
+
+func (a *Agent) settingsGet(_ context.Context, _ *caller, in *api.SettingsGetIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	return relay.Get(in), nil
+}
+
+func (a *Agent) settingsStatus(_ context.Context, _ *caller, in *api.SettingsStatusIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	return relay.Status(in), nil
+}
+
+func (a *Agent) settingsWatch(ctx context.Context, c *caller, in *api.SettingsWatchIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	if err := a.speaksFor(c, in.Host); err != nil {
+		return nil, err
+	}
+	if in.Interest != nil && (in.Interest.Host != in.Host || len(in.Interest.Instances) > MostInstances) {
+		return nil, api.Errorf(api.BadParams, "an interest of host %q with %d instances for %q", in.Interest.Host, len(in.Interest.Instances), in.Host)
+	}
+	out, err := relay.Watch(ctx, in)
+	return out, node.Refusal(err)
+}
+
+func (a *Agent) settingsAck(_ context.Context, c *caller, in *api.SettingsAckIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	if err := a.speaksFor(c, in.Host); err != nil {
+		return nil, err
+	}
+	relay.Ack(in)
+	return &api.Empty{}, nil
+}
+
+func (a *Agent) settingsFollow(ctx context.Context, c *caller, in *api.SettingsFollowIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	if err := a.relayOnly(c, in.Relay); err != nil {
+		return nil, err
+	}
+	out, err := relay.Follow(ctx, in)
+	return out, node.Refusal(err)
+}
+
+func (a *Agent) settingsReport(_ context.Context, c *caller, in *api.SettingsReportIn) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	if err := a.relayOnly(c, in.Relay); err != nil {
+		return nil, err
+	}
+	out, err := relay.Report(in)
+	return out, node.Refusal(err)
+}
+
+func (a *Agent) settingsWriting(_ context.Context, c *caller, in *api.SettingsWriter) (any, error) {
+	relay, err := a.serving()
+	if err != nil {
+		return nil, err
+	}
+	if c.certified {
+		if err := a.relayOnly(c, c.id); err != nil {
+			return nil, err
+		}
+	}
+	out, err := relay.Learn(*in)
+	return out, node.Refusal(err)
+}
--- /dev/null
+++ b/internal/fleet/agent/settings.go
@@ -0,0 +1,333 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"maps"
+	"syscall"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/connect"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/distribution/node"
+	"martendrum/internal/fleet/life"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/msgpackrpc"
+)
+
+// settingsAttempt is distributed settings on their way into an instance: its file is written
+// and the process has got SIGHUP.
+type settingsAttempt struct {
+	process *Process
+	sent    time.Time // the SIGHUP
+}
+
+// unconfirmedAfter is when settings count as taken by a program that does not tell which
+// configuration it runs.
+const unconfirmedAfter = time.Second
+
+// subscription is the host's copy of the settings that concern its instances. The agent's
+// lock guards it.
+type subscription struct {
+	interest   distribution.Interest
+	replica    *distribution.Replica
+	subscriber *node.Subscriber
+	applied    distribution.Revision // the last at which all instances were settled
+}
+
+// startDistribution begins to serve and to follow settings as the configuration says. rows
+// are those of the record.
+func (a *Agent) startDistribution(rows []distribution.Row) error {
+	if a.cfg.Relay != nil {
+		if err := a.startRelay(rows); err != nil {
+			return err
+		}
+	}
+	if !a.cfg.Distribution.Subscribe {
+		return nil
+	}
+	return a.startSubscriber(rows)
+}
+
+func (a *Agent) startRelay(rows []distribution.Row) error {
+	dial, err := a.relayDialer()
+	if err != nil {
+		return err
+	}
+	a.relay, err = node.NewRelay(node.RelayConfig{
+		Name: a.cfg.Name, Relays: a.cfg.Distribution.Relays, Writer: a.cfg.Distribution.Writer,
+		Subscribers: a.cfg.Relay.Subscribers,
+		Limits:      distribution.Limits{Resources: a.cfg.Relay.Resources, History: a.cfg.Relay.History},
+		Dial:        dial, Store: a.store,
+	}, random(), rows)
+	return err
+}
+
+func (a *Agent) startSubscriber(rows []distribution.Row) error {
+	interest := a.interest()
+	replica, err := distribution.RestoreReplica(interest, rows)
+	if err != nil {
+		return err
+	}
+	for _, i := range a.inst {
+		i.applier = distribution.NewApplier(i.cfg.Name, time.Duration(a.cfg.Distribution.Coalesce))
+		if err := i.applier.Restore(rows); err != nil {
+			return err
+		}
+	}
+	dial, err := a.relayDialer()
+	if err != nil {
+		return err
+	}
+	s := &subscription{interest: interest, replica: replica}
+	s.subscriber = node.NewSubscriber(node.SubscriberConfig{
+		Interest: interest, Region: a.cfg.Distribution.Region, Zone: a.cfg.Distribution.Zone,
+		Relays: a.cfg.Distribution.Relays, Limits: distribution.DefaultLimits(), Dial: dial, Copy: settingsCopy{a},
+	})
+	a.settings = s
+	a.want(time.Now())
+	a.wg.Go(func() { s.subscriber.Run(a.ctx) })
+	return nil
+}
+
+// interest is the labels of each instance with those of the host.
+func (a *Agent) interest() distribution.Interest {
+	interest := distribution.Interest{Host: a.cfg.Name}
+	for _, name := range a.names {
+		interest.Instances = append(interest.Instances, a.settingsLabels(a.inst[name]))
+	}
+	return interest
+}
+
+// settingsLabels are the labels by which a scope names an instance: its own, and those of
+// its host where it has none of that name.
+func (a *Agent) settingsLabels(i *instance) map[string]string {
+	labels := map[string]string{"host": a.cfg.Name, "instance": i.cfg.Name}
+	if a.cfg.Distribution.Region != "" {
+		labels["region"] = a.cfg.Distribution.Region
+	}
+	if a.cfg.Distribution.Zone != "" {
+		labels["zone"] = a.cfg.Distribution.Zone
+	}
+	maps.Copy(labels, i.cfg.Labels)
+	return labels
+}
+
+// relayDialer connects to relays with the agent's own certificate.
+func (a *Agent) relayDialer() (node.Dialer, error) {
+	var config *tls.Config
+	if t := &a.cfg.TLS; t.Cert != "" {
+		var err error
+		if config, err = pki.TLS(t.CA, t.Cert, t.Key); err != nil {
+			return nil, err
+		}
+	}
+	return func(ctx context.Context, relay distribution.Relay) (node.Conn, error) {
+		target := connect.Target{Agent: relay.Name, Address: relay.Address, TLS: config}
+		client, err := connect.Dial(ctx, target, "agent "+a.cfg.Name, msgpackrpc.Limits{Message: limits.Message})
+		if err != nil {
+			return nil, err
+		}
+		return connect.Caller{Client: client}, nil
+	}, nil
+}
+
+// settingsCopy is the agent as its subscriber sees it.
+type settingsCopy struct{ agent *Agent }
+
+// Take implements node.Copy: the update is in the record before any instance gets it.
+func (c settingsCopy) Take(update distribution.Update) error {
+	a := c.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.settings
+	before := s.replica.Clone()
+	changed, err := s.replica.Take(update)
+	if err != nil {
+		return err
+	}
+	if !changed && before.Revision().Epoch == s.replica.Revision().Epoch {
+		return nil // the record may lag behind: the same is asked for again
+	}
+	batch := s.replica.Batch(before)
+	if err := a.commit(&store.Change{Settings: batch.Put, DropSettings: batch.Drop}); err != nil {
+		s.replica = before
+		return err
+	}
+	a.want(time.Now())
+	return nil
+}
+
+// State implements node.Copy.
+func (c settingsCopy) State() distribution.HostState {
+	c.agent.mu.Lock()
+	defer c.agent.mu.Unlock()
+	return c.agent.hostState()
+}
+
+// want tells each instance's applier what concerns it; the lock is held.
+func (a *Agent) want(now time.Time) {
+	if a.settings.replica.Revision().IsZero() {
+		return // nothing was ever heard: what was accepted stays
+	}
+	for _, i := range a.inst {
+		i.applier.Want(now, a.settings.replica.For(a.cfg.Name, a.settingsLabels(i)))
+		i.poke()
+	}
+}
+
+// hostState is how far the host is; the lock is held.
+func (a *Agent) hostState() distribution.HostState {
+	s := a.settings
+	state := distribution.HostState{Received: s.replica.Revision(), Settled: true}
+	for _, name := range a.names {
+		i := a.inst[name]
+		if i.row.Desired == api.Running && i.applier.Pending() {
+			state.Settled = false
+			if state.Waiting == "" {
+				state.Waiting = name + ": " + a.settingsWait(i, time.Now())
+			}
+		}
+		state.Refused = append(state.Refused, i.applier.Refused()...)
+	}
+	if state.Settled {
+		s.applied = state.Received
+	}
+	state.Applied = s.applied
+	return state
+}
+
+// settingsWait is why an instance is not given settings now, "" if it may be. An operation
+// that holds a live lease, or has a step under way, goes first: it decides what the instance
+// runs, and what is distributed follows when it lets go. The lock is held.
+func (a *Agent) settingsWait(i *instance, now time.Time) string {
+	switch lease := a.leases.ByInstance[i.cfg.Name]; {
+	case i.step != nil:
+		return "operation " + i.step.Op + " changes it"
+	case lease.Live(now):
+		return "operation " + lease.Op + " holds it"
+	case i.proc == nil || i.life.Phase() != life.Ready:
+		return fmt.Sprintf("it is %s", i.life.Phase())
+	case i.prev != nil:
+		return "a new process takes over"
+	case now.Sub(i.row.Launched) < hupAfter:
+		return "its process has just begun"
+	case i.attempt != nil:
+		return "its answer is awaited"
+	}
+	return ""
+}
+
+// applySettings carries distributed settings into an instance, a step at each call, and
+// returns when it should be called again; the zero time is at the next event.
+func (a *Agent) applySettings(i *instance) time.Time {
+	a.mu.Lock()
+	if i.applier == nil {
+		a.mu.Unlock()
+		return time.Time{}
+	}
+	now := time.Now()
+	if i.attempt != nil {
+		refused := a.settleAttempt(i, now)
+		hash := i.row.Running
+		a.mu.Unlock()
+		if refused {
+			a.restoreSettings(i, hash)
+		}
+		return time.Time{}
+	}
+	due, pending := i.applier.Due()
+	if !pending {
+		a.mu.Unlock()
+		return time.Time{}
+	}
+	if now.Before(due) {
+		a.mu.Unlock()
+		return due
+	}
+	if a.settingsWait(i, now) != "" {
+		a.mu.Unlock()
+		return now.Add(closeEach)
+	}
+	settings, process, hash := i.applier.Begin(), i.proc, i.row.Running
+	i.attempt = &settingsAttempt{process: process, sent: now}
+	a.mu.Unlock()
+	err := a.configureWith(i, hash, settings, random())
+	if err == nil {
+		err = process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		a.mu.Lock()
+		i.attempt = nil
+		i.applier.Abandon()
+		a.mu.Unlock()
+	}
+	return now.Add(closeEach)
+}
+
+// settleAttempt looks how an attempt stands, and says whether the instance refused it. The
+// lock is held.
+func (a *Agent) settleAttempt(i *instance, now time.Time) (refused bool) {
+	waited := now.Sub(i.attempt.sent)
+	switch {
+	case i.proc != i.attempt.process || i.step != nil:
+		i.attempt = nil
+		i.applier.Abandon()
+		return false
+	case i.sum == i.wantSum, i.sum == "" && waited > unconfirmedAfter:
+		a.endAttempt(i, true, "")
+	case waited > hupWithin:
+		a.endAttempt(i, false, complaint(a.logPath(i.cfg.Name)))
+		return true
+	}
+	return false
+}
+
+func (a *Agent) endAttempt(i *instance, accepted bool, reason string) {
+	i.attempt = nil
+	i.applier.Done(accepted, reason)
+	if a.commit(&store.Change{Settings: []distribution.Row{i.applier.Row()}}) != nil {
+		i.dirty = true // written again with its row
+	}
+	a.settings.subscriber.Changed()
+}
+
+// restoreSettings puts the last accepted settings back into the file of an instance that has
+// refused others: it still runs the last ones.
+func (a *Agent) restoreSettings(i *instance, hash string) {
+	if err := a.configure(i, hash, random()); err != nil {
+		a.mu.Lock()
+		i.retryAt = time.Now().Add(retryEach)
+		a.mu.Unlock()
+	}
+}
+
+// settingsRows are an instance's rows of the distribution; the lock is held.
+func (i *instance) settingsRows() []distribution.Row {
+	if i.applier == nil {
+		return nil
+	}
+	return []distribution.Row{i.applier.Row()}
+}
+
+// instanceSettings is what inspect tells of an instance's distributed settings; the lock is
+// held.
+func (a *Agent) instanceSettings(i *instance) *api.InstanceSettings {
+	if i.applier == nil {
+		return nil
+	}
+	out := &api.InstanceSettings{Received: a.settings.replica.Revision(), Relay: a.settings.subscriber.Relay(), Refused: i.applier.Refused()}
+	for _, resource := range i.applier.Accepted() {
+		out.Accepted = append(out.Accepted, api.AcceptedSettings{Name: resource.Name, Revision: resource.Revision})
+	}
+	if i.applier.Pending() {
+		out.Waiting = a.settingsWait(i, time.Now())
+		if out.Waiting == "" {
+			out.Waiting = "changes are gathered"
+		}
+	}
+	return out
+}
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -195,6 +195,8 @@
 	Steps    []Step   `msgpack:"steps" json:"steps"` // the latest first
 	Config   string   `msgpack:"config" json:"config"`
 	Log      string   `msgpack:"log" json:"log"`
+	// Settings is nil where the host follows no relays.
+	Settings *InstanceSettings `msgpack:"settings,omitempty" json:"settings,omitempty"`
 }
 
 type LogsIn struct {
--- a/internal/fleet/api/distribution.go
+++ b/internal/fleet/api/distribution.go
@@ -122,3 +122,18 @@
 type SettingsReportOut struct {
 	Again bool `msgpack:"again"`
 }
+
+// InstanceSettings is what an instance has of the distributed settings.
+type InstanceSettings struct {
+	Received distribution.Revision  `msgpack:"received" json:"received"` // by its host
+	Relay    string                 `msgpack:"relay" json:"relay"`       // that its host asks, "" for none that answers
+	Accepted []AcceptedSettings     `msgpack:"accepted" json:"accepted"`
+	Refused  []distribution.Refusal `msgpack:"refused,omitempty" json:"refused,omitempty"`
+	Waiting  string                 `msgpack:"waiting,omitempty" json:"waiting,omitempty"` // for what, where changes are pending
+}
+
+// AcceptedSettings is a resource that an instance runs.
+type AcceptedSettings struct {
+	Name     string                `msgpack:"name" json:"name"`
+	Revision distribution.Revision `msgpack:"revision" json:"revision"`
+}
--- a/internal/fleet/connect/connect.go
+++ b/internal/fleet/connect/connect.go
@@ -67,3 +67,12 @@
 	}
 	return refusal
 }
+
+// Caller makes calls whose only parameter is a map, and returns what an agent refuses as
+// *api.Error.
+type Caller struct{ *msgpackrpc.Client }
+
+// Call makes a call. out may be nil.
+func (c Caller) Call(ctx context.Context, method string, in, out any) error {
+	return Refusal(c.Client.Call(ctx, method, []any{in}, out))
+}
--- a/internal/fleet/distribution/choose.go
+++ b/internal/fleet/distribution/choose.go
@@ -91,5 +91,18 @@
 	c.wait = 0
 }
 
+// Better says whether a relay that comes before the one in use may be asked again.
+func (c *Chooser) Better(now time.Time, inUse string) bool {
+	for _, r := range c.order {
+		if r.Name == inUse {
+			return false
+		}
+		if f, ok := c.failed[r.Name]; !ok || !now.Before(f.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // Preferred is the relay that a host asks when all live.
 func (c *Chooser) Preferred() Relay { return c.order[0] }
--- /dev/null
+++ b/internal/fleet/distribution/node/relay.go
@@ -0,0 +1,391 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/store"
+)
+
+// RelayConfig is what a Relay is told.
+type RelayConfig struct {
+	Name        string // its own, one of Relays
+	Relays      []distribution.Relay
+	Writer      string // who writes in the first epoch
+	Subscribers int    // at once, at most
+	Limits      distribution.Limits
+	Dial        Dialer
+	Store       Store
+}
+
+// writerKey is the key of the row that holds the highest epoch and its writer.
+const writerKey = "writer"
+
+// Relay serves a copy of the settings, and is the writer where the highest epoch that it knows
+// names it. Close ends it.
+type Relay struct {
+	cfg     RelayConfig
+	process string // new with each start
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	// writing is held over a change of the copy, from its proposal until it is made; mu is
+	// taken within it.
+	writing sync.Mutex
+	unsure  bool // what the store holds is not known; guarded by writing
+
+	mu       sync.Mutex
+	state    *distribution.State
+	registry *distribution.Registry
+	writer   api.SettingsWriter
+	changed  chan struct{}            // closed at the next change of state or writer
+	reported map[string]relayReported // by relay; at the writer
+	told     map[string]bool          // relays that know of this epoch; at the writer
+}
+
+// relayReported is the last report of a relay.
+type relayReported struct {
+	process string
+	at      time.Time
+}
+
+// NewRelay restores a relay from its store's rows and starts it.
+func NewRelay(cfg RelayConfig, process string, rows []distribution.Row) (*Relay, error) {
+	state, err := distribution.Restore(cfg.Limits, rows)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{cfg: cfg, process: process, state: state, registry: distribution.NewRegistry(cfg.Name, cfg.Subscribers),
+		writer: api.SettingsWriter{Writer: cfg.Writer, Epoch: 1}, changed: make(chan struct{}),
+		reported: make(map[string]relayReported), told: make(map[string]bool)}
+	for _, row := range rows {
+		if row.Key != writerKey {
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &r.writer); err != nil {
+			return nil, fmt.Errorf("settings: row %q: %w", row.Key, err)
+		}
+	}
+	r.registry.Advance(state)
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.wg.Go(r.follow)
+	r.wg.Go(r.report)
+	r.wg.Go(r.keep)
+	return r, nil
+}
+
+// Close ends the relay. Nothing of it runs when it returns.
+func (r *Relay) Close() {
+	r.cancel()
+	r.wg.Wait()
+}
+
+// Writer is the highest epoch that is known, and who writes in it.
+func (r *Relay) Writer() api.SettingsWriter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writer
+}
+
+func (r *Relay) writes() bool { return r.Writer().Writer == r.cfg.Name }
+
+// relay is one of the configured relays; false if there is none of that name.
+func (r *Relay) relay(name string) (distribution.Relay, bool) {
+	for _, other := range r.cfg.Relays {
+		if other.Name == name {
+			return other, true
+		}
+	}
+	return distribution.Relay{}, false
+}
+
+// bump wakes those who wait; the lock is held.
+func (r *Relay) bump() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// commit writes rows to disk. After an error it is not known what the store holds.
+func (r *Relay) commit(batch distribution.Batch) error {
+	ctx, cancel := context.WithTimeout(r.ctx, commitMost)
+	defer cancel()
+	err := r.cfg.Store.Commit(ctx, &store.Change{Settings: batch.Put, DropSettings: batch.Drop})
+	if err != nil {
+		r.unsure = true
+		return api.Errorf(api.Unwritable, "relay %s: the settings can't be written: %v", r.cfg.Name, err)
+	}
+	return nil
+}
+
+// sure reads the store again after a write of unknown outcome, so that what it holds and
+// what is served are the same: a revision never gets a second content. writing is held.
+func (r *Relay) sure() error {
+	if !r.unsure {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, commitMost)
+	defer cancel()
+	snapshot, err := r.cfg.Store.Load(ctx)
+	if err != nil {
+		return api.Errorf(api.Unwritable, "relay %s: the settings can't be read again: %v", r.cfg.Name, err)
+	}
+	state, err := distribution.Restore(r.cfg.Limits, snapshot.Settings)
+	if err != nil {
+		return err
+	}
+	r.unsure = false
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+	r.registry.Advance(state)
+	r.bump()
+	return nil
+}
+
+// make carries a step out that state has worked out: to disk, then into memory.
+func (r *Relay) make(step *distribution.Step) error {
+	if err := r.commit(step.Batch()); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Make(step)
+	r.registry.Advance(r.state)
+	r.bump()
+	return nil
+}
+
+// Put makes a change, at the writer only. Once it returns without an error the change is on
+// the writer's disk. Errors are those of State.Propose, *distribution.NotWriterError, and
+// *api.Error with the code api.Unwritable.
+func (r *Relay) Put(put distribution.Put) (*api.SettingsPutOut, error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if err := r.sure(); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	writer := r.writer
+	if writer.Writer != r.cfg.Name {
+		r.mu.Unlock()
+		return nil, &distribution.NotWriterError{Here: r.cfg.Name, Writer: writer.Writer, Epoch: writer.Epoch}
+	}
+	resource, step, err := r.state.Propose(time.Now(), writer.Epoch, put)
+	r.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if step == nil {
+		return &api.SettingsPutOut{Resource: resource}, nil
+	}
+	if err := r.make(step); err != nil {
+		return nil, err
+	}
+	return &api.SettingsPutOut{Resource: resource, Changed: true}, nil
+}
+
+// Promote makes this relay the writer, in an epoch above all that it knows. It goes on from
+// its copy; what only the earlier writer has is void.
+func (r *Relay) Promote() (*api.SettingsWriter, error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if err := r.sure(); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	next := api.SettingsWriter{Writer: r.cfg.Name, Epoch: r.writer.Epoch + 1}
+	step := r.state.Promote(next.Epoch)
+	r.mu.Unlock()
+	batch := step.Batch()
+	batch.Put = append(batch.Put, writerRow(next))
+	if err := r.commit(batch); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writer = next
+	r.told = make(map[string]bool)
+	r.reported = make(map[string]relayReported)
+	r.state.Make(step)
+	r.registry.Advance(r.state)
+	r.bump()
+	slog.Warn("this relay is the settings' writer now", "relay", r.cfg.Name, "epoch", next.Epoch, "revision", r.state.Revision().String())
+	return &next, nil
+}
+
+func writerRow(writer api.SettingsWriter) distribution.Row {
+	value, err := json.Marshal(writer)
+	if err != nil {
+		panic(err) // a string and a number
+	}
+	return distribution.Row{Key: writerKey, Value: value}
+}
+
+// Learn takes what another relay knows of the writer, and returns what is known here then.
+func (r *Relay) Learn(heard api.SettingsWriter) (*api.SettingsWriter, error) {
+	if heard.Epoch <= r.Writer().Epoch {
+		known := r.Writer()
+		return &known, nil
+	}
+	if _, known := r.relay(heard.Writer); !known {
+		return nil, &distribution.InvalidError{What: "writer", Name: heard.Writer, Reason: "no relay of this configuration"}
+	}
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if heard.Epoch > r.Writer().Epoch {
+		if err := r.commit(distribution.Batch{Put: []distribution.Row{writerRow(heard)}}); err != nil {
+			return nil, err
+		}
+		r.mu.Lock()
+		if r.writer.Writer == r.cfg.Name {
+			slog.Warn("another relay is the settings' writer now", "relay", r.cfg.Name, "writer", heard.Writer, "epoch", heard.Epoch)
+		}
+		r.writer = heard
+		r.registry.ReportAll()
+		r.bump()
+		r.mu.Unlock()
+	}
+	known := r.Writer()
+	return &known, nil
+}
+
+// Get returns resources by name.
+func (r *Relay) Get(in *api.SettingsGetIn) *api.SettingsGetOut {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &api.SettingsGetOut{Revision: r.state.Revision()}
+	bytes := 0
+	for _, resource := range r.state.Resources() {
+		if !strings.HasPrefix(resource.Name, in.Prefix) || in.After != "" && resource.Name <= in.After {
+			continue
+		}
+		bytes += len(resource.Content) + 1000
+		if bytes > pageBytes && len(out.Resources) > 0 {
+			out.More = true
+			break
+		}
+		out.Resources = append(out.Resources, resource)
+	}
+	return out
+}
+
+// statusMost is how many hosts one answer names.
+const statusMost = 500
+
+// Status says how far a revision is: at the writer of all hosts, elsewhere of those that
+// subscribe here.
+func (r *Relay) Status(in *api.SettingsStatusIn) *api.SettingsStatusOut {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &api.SettingsStatusOut{Status: r.registry.Status(in.Revision, min(max(in.Most, 0), statusMost)),
+		Writer: r.writer, Relay: r.cfg.Name, Complete: r.writer.Writer == r.cfg.Name}
+}
+
+// Watch answers a subscriber with what is after the revision that it holds, once there is
+// something, or with nothing new after its wait. ctx is the connection's.
+func (r *Relay) Watch(ctx context.Context, in *api.SettingsWatchIn) (*api.SettingsWatchOut, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if in.Interest != nil && in.State != nil {
+		if err := r.registry.Join(now, *in.Interest, in.Session, *in.State); err != nil {
+			return nil, err
+		}
+		context.AfterFunc(ctx, func() { r.leave(in.Host, in.Session) })
+	}
+	interest, ok := r.registry.Interest(in.Host, in.Session)
+	if !ok || !r.registry.Seen(now, in.Host, in.Session) {
+		return nil, &distribution.InvalidError{What: "session", Name: in.Host, Reason: "it is not open here; connect anew"}
+	}
+	update, err := r.read(ctx, in.Wait, distribution.Query{After: in.After, Began: in.Began, Bytes: pageBytes, Interest: &interest})
+	if err != nil {
+		return nil, err
+	}
+	r.registry.Told(in.Host, in.Session, &update)
+	return &api.SettingsWatchOut{Update: update, Writer: r.writer}, nil
+}
+
+// read waits until the state has an answer to a query that brings something; the lock is
+// held but while it waits.
+func (r *Relay) read(ctx context.Context, wait time.Duration, query distribution.Query) (distribution.Update, error) {
+	timer := time.NewTimer(min(max(wait, 0), 2*watchWait))
+	defer timer.Stop()
+	for {
+		update, err := r.state.Read(query)
+		ahead := errors.As(err, new(*distribution.AheadError))
+		if err != nil && !ahead || err == nil && !update.Empty() {
+			return update, err
+		}
+		changed, over := r.changed, false
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		case <-r.ctx.Done():
+			over = true
+		}
+		r.mu.Lock()
+		if over {
+			return r.state.Read(query)
+		}
+	}
+}
+
+func (r *Relay) leave(host string, session int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.Leave(time.Now(), host, session)
+}
+
+// Ack takes a subscriber's word on how far it is.
+func (r *Relay) Ack(in *api.SettingsAckIn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.Seen(time.Now(), in.Host, in.Session)
+	r.registry.Acknowledge(in.Host, in.Session, in.State)
+}
+
+// Follow answers another relay that copies the log, at the writer only.
+func (r *Relay) Follow(ctx context.Context, in *api.SettingsFollowIn) (*api.SettingsWatchOut, error) {
+	if _, err := r.Learn(api.SettingsWriter{Writer: in.Writer, Epoch: in.Epoch}); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writer.Writer != r.cfg.Name {
+		return nil, &distribution.NotWriterError{Here: r.cfg.Name, Writer: r.writer.Writer, Epoch: r.writer.Epoch}
+	}
+	update, err := r.read(ctx, in.Wait, distribution.Query{After: in.After, Began: in.Began, Bytes: pageBytes})
+	if err != nil {
+		return nil, err
+	}
+	return &api.SettingsWatchOut{Update: update, Writer: r.writer}, nil
+}
+
+// Report takes another relay's word on its subscribers, at the writer only.
+func (r *Relay) Report(in *api.SettingsReportIn) (*api.SettingsReportOut, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writer.Writer != r.cfg.Name {
+		return nil, &distribution.NotWriterError{Here: r.cfg.Name, Writer: r.writer.Writer, Epoch: r.writer.Epoch}
+	}
+	if in.Epoch > r.writer.Epoch {
+		return nil, &distribution.FencedError{Epoch: r.writer.Epoch, Known: in.Epoch}
+	}
+	known, there := r.reported[in.Relay]
+	r.reported[in.Relay] = relayReported{process: in.Process, at: time.Now()}
+	r.registry.Merge(in.Relay, in.Position, in.Hosts)
+	return &api.SettingsReportOut{Again: !there || known.process != in.Process}, nil
+}
--- /dev/null
+++ b/internal/fleet/distribution/node/relay_loops.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+)
+
+// Times of a relay's loops.
+const (
+	// retryEach is about how often the writer is looked for while it does not answer.
+	retryEach = time.Second
+	// reportEach is how often changed reports go to the writer, reportLeast how often a relay
+	// reports that it lives.
+	reportEach  = 250 * time.Millisecond
+	reportLeast = 3 * time.Second
+	reportMost  = 1000 // hosts in one message
+	// relaySilent is when a relay that does not report counts as lost.
+	relaySilent = 12 * time.Second
+	// subscriberSilent is when a subscriber that does not ask counts as away.
+	subscriberSilent = 2 * (watchWait + watchSlack)
+	keepEach         = time.Second
+)
+
+// follow copies the log of whoever is the writer, until the relay is closed.
+func (r *Relay) follow() {
+	logged := false
+	for r.ctx.Err() == nil {
+		if r.writes() {
+			r.waitForChange()
+			continue
+		}
+		err := r.followWriter()
+		if err != nil && !logged && r.ctx.Err() == nil {
+			slog.Warn("the settings' writer can't be followed; what is here is served on", "relay", r.cfg.Name, "writer", r.Writer().Writer, "err", err)
+		}
+		logged = err != nil
+		if !pause(r.ctx, jittered(retryEach)) {
+			return
+		}
+		r.askAnother()
+	}
+}
+
+func (r *Relay) waitForChange() {
+	r.mu.Lock()
+	changed := r.changed
+	r.mu.Unlock()
+	select {
+	case <-changed:
+	case <-r.ctx.Done():
+	}
+}
+
+// dial connects to a relay.
+func (r *Relay) dial(relay distribution.Relay) (Conn, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, dialMost)
+	defer cancel()
+	return r.cfg.Dial(ctx, relay)
+}
+
+// exchange tells another relay who writes, and learns what that one knows.
+func (r *Relay) exchange(conn Conn) error {
+	var heard api.SettingsWriter
+	if err := call(r.ctx, conn, callMost, api.SettingsWriting, r.Writer(), &heard); err != nil {
+		return err
+	}
+	_, err := r.Learn(heard)
+	return err
+}
+
+// askAnother asks a relay drawn at random who writes: the one known may be lost, and another
+// promoted while this relay was away.
+func (r *Relay) askAnother() {
+	other := r.cfg.Relays[rand.IntN(len(r.cfg.Relays))]
+	if other.Name == r.cfg.Name {
+		return
+	}
+	conn, err := r.dial(other)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if err := r.exchange(conn); err != nil {
+		slog.Debug("a relay did not tell who writes", "relay", other.Name, "err", err)
+	}
+}
+
+// followWriter copies what the writer has until something fails or another one writes.
+func (r *Relay) followWriter() error {
+	writer := r.Writer()
+	relay, ok := r.relay(writer.Writer)
+	if !ok {
+		return &distribution.InvalidError{What: "writer", Name: writer.Writer, Reason: "no relay of this configuration"}
+	}
+	conn, err := r.dial(relay)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if err := r.exchange(conn); err != nil {
+		return err
+	}
+	reader := distribution.NewReader(r.cfg.Limits)
+	for r.Writer() == writer {
+		if err := r.followOnce(conn, reader, writer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Relay) followOnce(conn Conn, reader *distribution.Reader, writer api.SettingsWriter) error {
+	r.mu.Lock()
+	query := reader.Query(r.state.Revision(), nil)
+	r.mu.Unlock()
+	in := &api.SettingsFollowIn{Relay: r.cfg.Name, Epoch: writer.Epoch, Writer: writer.Writer, After: query.After, Began: query.Began, Wait: watchWait}
+	var out api.SettingsWatchOut
+	if err := call(r.ctx, conn, watchWait+watchSlack, api.SettingsFollow, in, &out); err != nil {
+		return err
+	}
+	whole, err := reader.Take(out.Update)
+	if err != nil || whole == nil {
+		return err
+	}
+	return r.take(*whole)
+}
+
+// take takes an update of the writer's into the copy.
+func (r *Relay) take(update distribution.Update) error {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if err := r.sure(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	if known := r.writer; update.Revision.Epoch < known.Epoch && !update.Revision.IsZero() {
+		r.mu.Unlock()
+		return &distribution.FencedError{Epoch: update.Revision.Epoch, Known: known.Epoch, Writer: known.Writer}
+	}
+	step, err := r.state.Follow(update)
+	r.mu.Unlock()
+	if err != nil || step == nil {
+		return err
+	}
+	return r.make(step)
+}
+
+// report tells the writer of the subscribers here, until the relay is closed.
+func (r *Relay) report() {
+	var conn Conn
+	var to api.SettingsWriter
+	var last time.Time
+	drop := func() {
+		if conn != nil {
+			conn.Close()
+			conn = nil
+		}
+	}
+	defer drop()
+	for pause(r.ctx, reportEach) {
+		writer := r.Writer()
+		if writer.Writer == r.cfg.Name || writer != to {
+			drop()
+			to = writer
+		}
+		relay, ok := r.relay(writer.Writer)
+		if writer.Writer == r.cfg.Name || !ok {
+			continue
+		}
+		if conn == nil {
+			var err error
+			if conn, err = r.dial(relay); err != nil {
+				conn = nil
+				pause(r.ctx, jittered(retryEach))
+				continue
+			}
+			r.reportAll()
+		}
+		if err := r.reportOnce(conn, writer, &last); err != nil {
+			slog.Debug("the settings' writer did not take a report", "relay", r.cfg.Name, "err", err)
+			drop()
+			pause(r.ctx, jittered(retryEach))
+		}
+	}
+}
+
+func (r *Relay) reportAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.ReportAll()
+}
+
+// reportOnce sends what has changed since the last report, in as many messages as it needs.
+func (r *Relay) reportOnce(conn Conn, writer api.SettingsWriter, last *time.Time) error {
+	for all := false; !all; {
+		in := &api.SettingsReportIn{Relay: r.cfg.Name, Epoch: writer.Epoch, Process: r.process}
+		r.mu.Lock()
+		moved := r.registry.Moved()
+		in.Hosts, all = r.registry.Reports(reportMost)
+		if all {
+			in.Position = r.registry.Position()
+		}
+		r.mu.Unlock()
+		if len(in.Hosts) == 0 && !moved && time.Since(*last) < reportLeast {
+			return nil
+		}
+		var out api.SettingsReportOut
+		if err := call(r.ctx, conn, callMost, api.SettingsReport, in, &out); err != nil {
+			r.reportAll()
+			return err
+		}
+		*last = time.Now()
+		if out.Again {
+			r.reportAll()
+			all = false
+		}
+	}
+	return nil
+}
+
+// keep does what is due by the clock, until the relay is closed.
+func (r *Relay) keep() {
+	for pause(r.ctx, keepEach) {
+		now := time.Now()
+		r.mu.Lock()
+		r.registry.Sweep(now, subscriberSilent)
+		r.registry.Forget(now)
+		for name, reported := range r.reported {
+			if now.Sub(reported.at) > relaySilent {
+				r.registry.Lost(now, name)
+				delete(r.reported, name)
+			}
+		}
+		r.mu.Unlock()
+		r.announce()
+	}
+}
+
+// announce tells each other relay once who writes, where this one does in a later epoch than
+// the first.
+func (r *Relay) announce() {
+	for _, other := range r.cfg.Relays {
+		r.mu.Lock()
+		skip := r.writer.Writer != r.cfg.Name || r.writer.Epoch <= 1 || r.told[other.Name] || other.Name == r.cfg.Name
+		r.mu.Unlock()
+		if skip {
+			continue
+		}
+		conn, err := r.dial(other)
+		if err != nil {
+			continue
+		}
+		err = r.exchange(conn)
+		conn.Close()
+		if err == nil {
+			r.mu.Lock()
+			r.told[other.Name] = true
+			r.mu.Unlock()
+		} else if !errors.Is(err, context.Canceled) {
+			slog.Warn("a relay did not take the new writer", "relay", other.Name, "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/distribution/node/subscriber.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+)
+
+// Copy is a subscriber's copy and those who act on it. Its methods may be called from several
+// goroutines.
+type Copy interface {
+	// Take takes a whole update and keeps it; an error leaves the copy as it is.
+	Take(update distribution.Update) error
+	// State says how far the host is.
+	State() distribution.HostState
+}
+
+// SubscriberConfig is what a Subscriber is told.
+type SubscriberConfig struct {
+	Interest distribution.Interest
+	Region   string // of the host, "" if not known
+	Zone     string
+	Relays   []distribution.Relay
+	Limits   distribution.Limits
+	Dial     Dialer
+	Copy     Copy
+}
+
+// Subscriber keeps a copy up to date: it asks one relay at a time, and goes on with the next
+// one when that fails. Run is its loop.
+type Subscriber struct {
+	cfg     SubscriberConfig
+	chooser *distribution.Chooser
+
+	mu      sync.Mutex
+	session int64  // of the latest connection
+	conn    Conn   // nil: not connected
+	relay   string // of conn
+	acking  bool
+	stale   bool // the state has changed since the last acknowledgement
+	lastErr error
+	failed  int // relays in a row
+	wg      sync.WaitGroup
+}
+
+// moveEach is about how often a subscriber looks whether a relay that it would rather ask is
+// back. It is spread wide, so that a relay that returns is not asked by all at once.
+const moveEach = 30 * time.Second
+
+// NewSubscriber returns a Subscriber that does not run yet.
+func NewSubscriber(cfg SubscriberConfig) *Subscriber {
+	return &Subscriber{cfg: cfg, chooser: distribution.NewChooser(cfg.Interest.Host, cfg.Region, cfg.Zone, cfg.Relays)}
+}
+
+// Run asks relays until ctx ends. Nothing of it runs when it returns.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer s.wg.Wait()
+	for ctx.Err() == nil {
+		relay, wait := s.chooser.Next(time.Now(), rand.Float64)
+		if !pause(ctx, wait) {
+			return
+		}
+		err := s.ask(ctx, relay)
+		if err == nil || ctx.Err() != nil {
+			continue // it moves to a relay that it would rather ask
+		}
+		s.chooser.Failed(time.Now(), relay.Name)
+		s.note(err)
+	}
+}
+
+// note remembers a failure, and logs when none of the relays is left.
+func (s *Subscriber) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastErr = err
+	s.failed++
+	if s.failed == len(s.cfg.Relays) {
+		unreachable := &distribution.UnreachableError{Tried: s.failed, Last: err}
+		slog.Warn("no relay answers", "host", s.cfg.Interest.Host, "err", unreachable, "advice", unreachable.Advice())
+	}
+}
+
+// Err is nil while a relay answers, else of *distribution.UnreachableError.
+func (s *Subscriber) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastErr == nil {
+		return nil
+	}
+	return &distribution.UnreachableError{Tried: s.failed, Last: s.lastErr}
+}
+
+// Relay is the relay that answers, "" for none.
+func (s *Subscriber) Relay() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay
+}
+
+// nextSession is above all earlier ones, those of an earlier process of the host among them
+// unless the clock went back.
+func (s *Subscriber) nextSession(now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.session = max(s.session+1, now.UnixMicro())
+	return s.session
+}
+
+// ask connects to a relay and follows it until it fails, or nil where another is better.
+func (s *Subscriber) ask(ctx context.Context, relay distribution.Relay) error {
+	dialing, cancel := context.WithTimeout(ctx, dialMost)
+	conn, err := s.cfg.Dial(dialing, relay)
+	cancel()
+	if err != nil {
+		return err
+	}
+	session := s.nextSession(time.Now())
+	defer func() {
+		s.connected(nil, "")
+		conn.Close()
+	}()
+	reader := distribution.NewReader(s.cfg.Limits)
+	move := time.Now().Add(moveEach/3 + rand.N(moveEach))
+	state := s.cfg.Copy.State()
+	in := &api.SettingsWatchIn{Host: s.cfg.Interest.Host, Session: session, Interest: &s.cfg.Interest, State: &state}
+	for {
+		if err := s.watch(ctx, conn, reader, in); err != nil {
+			return err
+		}
+		if in.Interest != nil {
+			in.Interest, in.State = nil, nil
+			s.chooser.Served(relay.Name)
+			s.connected(conn, relay.Name)
+		}
+		if now := time.Now(); now.After(move) {
+			if s.chooser.Better(now, relay.Name) {
+				return nil
+			}
+			move = now.Add(moveEach/3 + rand.N(moveEach))
+		}
+	}
+}
+
+// connected notes the connection in use, and that a relay answers.
+func (s *Subscriber) connected(conn Conn, relay string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn, s.relay = conn, relay
+	if conn != nil {
+		s.lastErr, s.failed = nil, 0
+	}
+}
+
+// watch makes one call and takes what it brings.
+func (s *Subscriber) watch(ctx context.Context, conn Conn, reader *distribution.Reader, in *api.SettingsWatchIn) error {
+	query := reader.Query(s.cfg.Copy.State().Received, nil)
+	// The waits of many hosts must not end together.
+	in.After, in.Began, in.Wait = query.After, query.Began, watchWait*3/4+rand.N(watchWait/4)
+	var out api.SettingsWatchOut
+	if err := call(ctx, conn, watchWait+watchSlack, api.SettingsWatch, in, &out); err != nil {
+		return err
+	}
+	whole, err := reader.Take(out.Update)
+	if err != nil || whole == nil {
+		return err
+	}
+	quiet := whole.Empty()
+	if err := s.cfg.Copy.Take(*whole); err != nil {
+		return err
+	}
+	if quiet {
+		return nil // the relay knows
+	}
+	s.Changed()
+	return nil
+}
+
+// Changed tells that the copy's state has changed: the relay is told. It does not wait.
+func (s *Subscriber) Changed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = true
+	if s.acking || s.conn == nil {
+		return
+	}
+	s.acking = true
+	conn, session := s.conn, s.session
+	s.wg.Go(func() { s.acknowledge(conn, session) })
+}
+
+// acknowledge tells the relay how far the host is until nothing is new. A call that fails is
+// not made again: the connection fails with it, and the next one begins with the state.
+func (s *Subscriber) acknowledge(conn Conn, session int64) {
+	for {
+		s.mu.Lock()
+		if !s.stale || s.conn != conn {
+			s.acking = false
+			s.mu.Unlock()
+			return
+		}
+		s.stale = false
+		s.mu.Unlock()
+		in := &api.SettingsAckIn{Host: s.cfg.Interest.Host, Session: session, State: s.cfg.Copy.State()}
+		if err := call(context.Background(), conn, callMost, api.SettingsAck, in, nil); err != nil {
+			conn.Close()
+		}
+	}
+}
--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -45,6 +45,7 @@
 	// Of a subscriber of this relay: what it wants, and the latest change that concerns it.
 	interest  Interest
 	concerned Revision
+	seen      time.Time // when it asked last
 }
 
 // Registry knows how far each host is: a relay's own subscribers, and at the writer the hosts
@@ -54,6 +55,7 @@
 	most      int    // subscribers of its own
 	present   int
 	position  Revision            // of its own copy
+	reported  Revision            // position as Moved was last asked
 	positions map[string]Revision // of other relays
 	hosts     map[string]*entry
 	dirty     map[string]bool // own subscribers whose report has changed
@@ -83,12 +85,39 @@
 		e = &entry{}
 		g.hosts[interest.Host] = e
 	}
-	e.interest, e.concerned = interest, Revision{}
+	e.interest, e.concerned, e.seen = interest, Revision{}, now
 	e.report = HostReport{Host: interest.Host, Session: session, Present: true, Since: now.UTC(), Relay: g.relay}
 	g.setState(e, state)
 	return nil
 }
 
+// Seen notes that a subscriber asks; false says that this session is none here.
+func (g *Registry) Seen(now time.Time, host string, session int64) bool {
+	e := g.own(host, session)
+	if e != nil {
+		e.seen = now
+	}
+	return e != nil
+}
+
+// Interest is what a subscriber that is present wants; false if that session is none here.
+func (g *Registry) Interest(host string, session int64) (Interest, bool) {
+	if e := g.own(host, session); e != nil {
+		return e.interest, true
+	}
+	return Interest{}, false
+}
+
+// Sweep takes those for away that have not asked for so long: their machine is lost, or cut
+// off, and their connection never told.
+func (g *Registry) Sweep(now time.Time, silent time.Duration) {
+	for host, e := range g.hosts {
+		if e.report.Relay == g.relay && e.report.Present && now.Sub(e.seen) > silent {
+			g.Leave(now, host, e.report.Session)
+		}
+	}
+}
+
 // Told notes that a subscriber was sent an update up to a revision.
 func (g *Registry) Told(host string, session int64, update *Update) {
 	e := g.own(host, session)
@@ -204,6 +233,13 @@
 	}
 }
 
+// Moved says whether the position has changed since Moved was last asked.
+func (g *Registry) Moved() bool {
+	moved := g.position != g.reported
+	g.reported = g.position
+	return moved
+}
+
 // Position is that of the relay's own copy.
 func (g *Registry) Position() Revision { return g.position }
 
@@ -339,3 +375,21 @@
 	}
 	return away
 }
+
+// Add adds the counts of another relay's subscribers, of which most missing hosts are named.
+// A host that both know is counted twice.
+func (s *Status) Add(other Status, most int) {
+	if other.Latest.After(s.Latest) {
+		s.Latest = other.Latest
+	}
+	if other.Revision.After(s.Revision) {
+		s.Revision = other.Revision
+	}
+	s.Hosts += other.Hosts
+	s.InForce += other.InForce
+	s.Refused += other.Refused
+	s.Behind += other.Behind
+	s.Away += other.Away
+	s.Missing = append(s.Missing, other.Missing...)
+	s.Missing = s.Missing[:min(len(s.Missing), most)]
+}
--- a/internal/fleet/store/postgres/postgres.go
+++ b/internal/fleet/store/postgres/postgres.go
@@ -34,6 +34,7 @@
 		granted BIGINT NOT NULL, expires BIGINT NOT NULL, PRIMARY KEY (agent, instance))`},
 	{`CREATE TABLE martendrum_audit (agent TEXT NOT NULL, n BIGINT NOT NULL, at BIGINT NOT NULL, who TEXT NOT NULL, what TEXT NOT NULL,
 		target TEXT NOT NULL, result TEXT NOT NULL, PRIMARY KEY (agent, n))`},
+	{`CREATE TABLE martendrum_settings (agent TEXT NOT NULL, key TEXT NOT NULL, body TEXT NOT NULL, PRIMARY KEY (agent, key))`},
 }}
 
 // Version is the schema's that this build reads and writes.
@@ -109,6 +110,7 @@
 	putOperation = upsert("martendrum_operations", 1, store.OperationColumns)
 	putStep      = upsert("martendrum_steps", 3, store.StepColumns)
 	putLease     = upsert("martendrum_leases", 1, store.LeaseColumns)
+	putSettings  = upsert("martendrum_settings", 1, store.SettingsColumns)
 )
 
 // Commit implements store.Store.
@@ -151,6 +153,12 @@
 	for _, l := range c.Leases {
 		row(putLease, store.LeaseValues(&l), nil)
 	}
+	for _, r := range c.Settings {
+		row(putSettings, store.SettingsValues(&r), nil)
+	}
+	for _, key := range c.DropSettings {
+		put("DELETE FROM martendrum_settings WHERE agent = $1::text AND key = $2::text", key)
+	}
 	for _, a := range c.Audit {
 		row(`INSERT INTO martendrum_audit (agent, n, `+store.AuditColumns+`) VALUES ($1::text,
 			(SELECT coalesce(max(n), 0) + 1 FROM martendrum_audit WHERE agent = $1::text), $2::bigint, $3::text, $4::text, $5::text, $6::text)`,
@@ -220,6 +228,7 @@
 		{store.OperationColumns, "martendrum_operations", "closed, id", out.ReadOperation},
 		{store.StepColumns, "martendrum_steps", "op, instance, kind", out.ReadStep},
 		{store.LeaseColumns, "martendrum_leases", "instance", out.ReadLease},
+		{store.SettingsColumns, "martendrum_settings", "key", out.ReadSettings},
 	} {
 		if err := s.read(ctx, "SELECT "+q.columns+" FROM "+q.table+" WHERE agent = $1::text ORDER BY "+q.order, q.scan); err != nil {
 			return nil, fmt.Errorf("record: %w", s.db.Explain(err))
--- a/internal/fleet/store/rows.go
+++ b/internal/fleet/store/rows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
 	"martendrum/internal/fleet/lease"
 )
 
@@ -21,6 +22,7 @@
 	OperationColumns = "id, body, state, result, closed"
 	StepColumns      = "op, instance, kind, status, body"
 	LeaseColumns     = "instance, op, holder, token, granted, expires"
+	SettingsColumns  = "key, body"
 	AuditColumns     = "at, who, what, target, result"
 )
 
@@ -108,6 +110,17 @@
 	return err
 }
 
+// SettingsValues returns what is written of r.
+func SettingsValues(r *distribution.Row) []any { return []any{r.Key, string(r.Value)} }
+
+// ReadSettings adds a row to the snapshot.
+func (s *Snapshot) ReadSettings(r Row) error {
+	var key, body string
+	err := r.Scan(&key, &body)
+	s.Settings = append(s.Settings, distribution.Row{Key: key, Value: []byte(body)})
+	return err
+}
+
 // AuditValues returns what is written of a.
 func AuditValues(a *api.AuditEntry) []any {
 	return []any{unix(a.At), a.Who, a.What, a.Target, a.Result}
--- a/internal/fleet/store/sqlite/sqlite.go
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -35,6 +35,8 @@
 	`ALTER TABLE instances ADD COLUMN previous TEXT NOT NULL DEFAULT '';
 	ALTER TABLE instances ADD COLUMN restarts INTEGER NOT NULL DEFAULT 0;
 	ALTER TABLE instances ADD COLUMN last_exit TEXT NOT NULL DEFAULT '';`,
+	// 4: the settings' distribution.
+	`CREATE TABLE settings (key TEXT PRIMARY KEY, body TEXT NOT NULL) WITHOUT ROWID;`,
 }
 
 // Version is the schema's that this build reads and writes.
@@ -114,6 +116,12 @@
 	for _, l := range c.Leases {
 		row("leases", store.LeaseColumns, store.LeaseValues(&l), nil)
 	}
+	for _, r := range c.Settings {
+		row("settings", store.SettingsColumns, store.SettingsValues(&r), nil)
+	}
+	for _, key := range c.DropSettings {
+		put(`DELETE FROM settings WHERE key = ?`, key)
+	}
 	for _, a := range c.Audit {
 		row("audit", store.AuditColumns, store.AuditValues(&a), nil)
 	}
@@ -148,6 +156,7 @@
 		{"SELECT " + store.OperationColumns + " FROM operations ORDER BY closed, id", out.ReadOperation},
 		{"SELECT " + store.StepColumns + " FROM steps ORDER BY op, instance, kind", out.ReadStep},
 		{"SELECT " + store.LeaseColumns + " FROM leases ORDER BY instance", out.ReadLease},
+		{"SELECT " + store.SettingsColumns + " FROM settings ORDER BY key", out.ReadSettings},
 	} {
 		if err := sqlitefile.Each(ctx, s.db, q.text, func(r *sql.Rows) error { return q.scan(r) }); err != nil {
 			return nil, fmt.Errorf("record %s: %w", s.path, err)
--- a/internal/fleet/store/sqlite/sqlite_test.go
+++ b/internal/fleet/store/sqlite/sqlite_test.go
@@ -49,7 +49,7 @@
 				t.Fatal(err)
 			}
 			if from >= 1 {
-				if _, err := old.db.Exec(`INSERT INTO instances VALUES ('n1','running',4,'r',"x",4,'r',5,6,'b',7);
+				if _, err := old.db.Exec(`INSERT INTO instances (name, desired, generation, release, launch, process, running, pid, ticks, boot, launched) VALUES ('n1','running',4,'r',"x",4,'r',5,6,'b',7);
 					INSERT INTO leases VALUES ('n1','op','sari',3,1,2); INSERT INTO steps VALUES ('op','n1','change','ok','{"op":"op"}');
 					INSERT INTO operations VALUES ('op','{"id":"op"}','open','',0)`); err != nil {
 					t.Fatal(err)
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
 	"martendrum/internal/fleet/lease"
 )
 
@@ -52,6 +53,10 @@
 	Leases     []lease.Lease
 	Audit      []api.AuditEntry
 
+	// Settings are rows of the settings' distribution; see distribution.Batch.
+	Settings     []distribution.Row
+	DropSettings []string // keys
+
 	DropOperations []string // with their steps
 	DropInstances  []string
 	AuditKeep      int // if above 0: only so many of the latest audit entries stay
@@ -63,6 +68,7 @@
 	Operations []Operation
 	Steps      []api.Step
 	Leases     []lease.Lease
+	Settings   []distribution.Row
 }
 
 // Store keeps a record.
--- a/internal/fleet/store/storetest/storetest.go
+++ b/internal/fleet/store/storetest/storetest.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
 	"martendrum/internal/fleet/lease"
 	"martendrum/internal/fleet/store"
 )
@@ -23,7 +24,11 @@
 			Created: at.UTC(), Soak: time.Second}, State: api.OpOpened}},
 		Steps:  []api.Step{{Op: "op1", Instance: "n1", Kind: api.Change, Status: api.StepRunning, Generation: 3, Started: at.UTC()}},
 		Leases: []lease.Lease{{Instance: "n1", Op: "op1", Holder: "sari", Token: 9, Granted: at, Expires: at.Add(time.Minute)}},
-		Audit:  []api.AuditEntry{{At: at, Who: "sari", What: "op.open", Target: "op1", Result: "ok"}},
+		Settings: []distribution.Row{
+			{Key: "change/00000000000000000001.00000000000000000001", Value: []byte(`{"name":"limits"}`)},
+			{Key: "resource/limits", Value: []byte(`{"name":"limits","content":"eyJhIjoi4oKsIn0="}`)},
+		},
+		Audit: []api.AuditEntry{{At: at, Who: "sari", What: "op.open", Target: "op1", Result: "ok"}},
 	}
 }
 
@@ -44,14 +49,21 @@
 	s = open()
 	defer s.Close()
 	got, err := s.Load(ctx)
-	want := &store.Snapshot{Instances: c.Instances, Operations: c.Operations, Steps: c.Steps, Leases: c.Leases}
+	want := &store.Snapshot{Instances: c.Instances, Operations: c.Operations, Steps: c.Steps, Leases: c.Leases, Settings: c.Settings}
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got  %+v %v\nwant %+v", got, err, want)
 	}
 	if a, err := s.Audit(ctx, 10); err != nil || len(a) != 2 || a[0] != c.Audit[0] {
 		t.Error(a, err)
 	}
-	if err := s.Commit(ctx, &store.Change{DropOperations: []string{"op1"}, DropInstances: []string{"n1"}, AuditKeep: 1}); err != nil {
+	kept := c.Settings[1:]
+	if err := s.Commit(ctx, &store.Change{DropSettings: []string{c.Settings[0].Key}}); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := s.Load(ctx); err != nil || !reflect.DeepEqual(got.Settings, kept) {
+		t.Errorf("after a row was dropped: %+v %v", got.Settings, err)
+	}
+	if err := s.Commit(ctx, &store.Change{DropOperations: []string{"op1"}, DropInstances: []string{"n1"}, DropSettings: []string{kept[0].Key}, AuditKeep: 1}); err != nil {
 		t.Fatal(err)
 	}
 	if got, _ := s.Load(ctx); !reflect.DeepEqual(got, &store.Snapshot{}) {
