--- /dev/null
+++ b/internal/fleet/e2e/settings_world_test.go
@@ -0,0 +1,288 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/standin/faultnet"
+)
+
+// settingsWorld is a fleet whose hosts follow relays: each relay is an agent of its own
+// without sidecars, and each way between two agents is a link that a test can break.
+type settingsWorld struct {
+	*world
+	relays []*host
+	net    *faultnet.Net
+	links  map[string]*faultnet.Link // "ASKER to RELAY", by the names of linkName
+	admin  map[string]string         // of each sidecar, where its figures are asked for
+	// operator sees the relays too; fleet, of world, sees the hosts with sidecars alone.
+	operator *client.Fleet
+}
+
+// writer is the first relay, which writes in the first epoch.
+func (w *settingsWorld) writer() *host { return w.relays[0] }
+
+func linkName(asker, relay *host) string { return asker.name + " to " + relay.name }
+
+// link is the way from an agent to a relay.
+func (w *settingsWorld) link(asker, relay *host) *faultnet.Link {
+	return w.links[linkName(asker, relay)]
+}
+
+// newSettingsWorld lays out relays and hosts with so many sidecars each, and starts them all.
+// Instances have the labels of world and the service "even" or "odd" by their host's number.
+func newSettingsWorld(t testing.TB, relays, hosts, each int) *settingsWorld {
+	t.Helper()
+	w := &settingsWorld{world: newWorld(t, hosts, each), net: faultnet.New(1), links: make(map[string]*faultnet.Link)}
+	t.Cleanup(w.net.Close)
+	for n := range relays {
+		w.relays = append(w.relays, w.layRelay(n))
+	}
+	for _, relay := range w.relays {
+		w.follow(relay, "[relay]\nsubscribers = 50\n")
+	}
+	for n, h := range w.hosts {
+		w.label(h, n)
+		w.follow(h, "")
+	}
+	w.listRelays()
+	w.operator = w.open("operator")
+	t.Cleanup(w.operator.Close)
+	w.admin = w.adminAddresses()
+	t.Cleanup(func() {
+		for _, relay := range w.relays {
+			relay.kill()
+		}
+		if t.Failed() {
+			w.logs()
+		}
+	})
+	for _, relay := range w.relays {
+		relay.start()
+	}
+	w.startAll()
+	return w
+}
+
+// layRelay writes the beginning of a relay's configuration.
+func (w *settingsWorld) layRelay(n int) *host {
+	w.t.Helper()
+	relay := &host{w: w.world, name: fmt.Sprintf("%s-r%d", w.prefix, n)}
+	dir := filepath.Join(w.dir, fmt.Sprint("r", n))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		w.t.Fatal(err)
+	}
+	relay.config = filepath.Join(dir, "agent.toml")
+	text := fmt.Sprintf("name = %q\nstate_dir = \"s\"\n[listen]\nunix = \"a\"\n[sidecar]\nbinary = %q\n[figures]\nslot = \"0s\"\n",
+		relay.name, filepath.Join(w.bin, "sidecar"))
+	if err := os.WriteFile(relay.config, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	return relay
+}
+
+// socket is where an agent listens.
+func (h *host) socket() string { return "unix:" + filepath.Join(filepath.Dir(h.config), "a") }
+
+// follow appends the distribution to an agent's configuration, with a link to each relay.
+func (w *settingsWorld) follow(h *host, more string) {
+	w.t.Helper()
+	var text strings.Builder
+	text.WriteString(more)
+	fmt.Fprintf(&text, "[distribution]\nsubscribe = %v\nwriter = %q\ncoalesce = \"200ms\"\n", more == "", w.writer().name)
+	for _, relay := range w.relays {
+		address := relay.socket()
+		if relay != h {
+			link, err := w.net.TCP(linkName(h, relay), relay.socket())
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			w.links[linkName(h, relay)] = link
+			address = "tcp:" + link.Addr()
+		}
+		fmt.Fprintf(&text, "[[distribution.relay]]\nname = %q\naddress = %q\n", relay.name, address)
+	}
+	appendFile(w.t, h.config, text.String())
+}
+
+// label gives a host's instances a service.
+func (w *settingsWorld) label(h *host, n int) {
+	w.t.Helper()
+	text, err := os.ReadFile(h.config)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	service := []string{"even", "odd"}[n%2]
+	labelled := strings.ReplaceAll(string(text), "labels = {", fmt.Sprintf("labels = {service = %q, ", service))
+	if err := os.WriteFile(h.config, []byte(labelled), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// listRelays adds the relays to the inventory.
+func (w *settingsWorld) listRelays() {
+	w.t.Helper()
+	var text strings.Builder
+	for _, relay := range w.relays {
+		fmt.Fprintf(&text, "[[host]]\nname = %q\naddress = %q\nlabels = {relay = \"true\"}\n", relay.name, relay.socket())
+	}
+	appendFile(w.t, w.inv, text.String())
+}
+
+func appendFile(t testing.TB, path, text string) {
+	t.Helper()
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := f.WriteString(text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// logs prints the end of each agent's log.
+func (w *settingsWorld) logs() {
+	for _, h := range append(w.relays, w.hosts...) {
+		log, _ := os.ReadFile(h.config + ".log")
+		w.t.Logf("%s: %s", h.name, log[max(0, len(log)-2000):])
+	}
+}
+
+var adminForm = regexp.MustCompile(`"mgmt": "([^"]+)"`)
+
+// adminAddresses reads where each sidecar's figures are from its configuration.
+func (w *settingsWorld) adminAddresses() map[string]string {
+	w.t.Helper()
+	addresses := make(map[string]string)
+	for _, h := range w.hosts {
+		for _, name := range h.insts {
+			text, err := os.ReadFile(filepath.Join(filepath.Dir(h.config), name+".json"))
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			addresses[name] = string(adminForm.FindSubmatch(text)[1])
+		}
+	}
+	return addresses
+}
+
+// figure asks a sidecar's own figures for one of them; false if it does not answer.
+func (w *settingsWorld) figure(instance, name string) (float64, bool) {
+	client := http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Get("http://" + w.admin[instance] + "/api/telemetry")
+	if err != nil {
+		return 0, false
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, false
+	}
+	for line := range bytes.Lines(text) {
+		if rest, ok := bytes.CutPrefix(line, []byte(name+" ")); ok {
+			value, err := strconv.ParseFloat(strings.TrimSpace(string(rest)), 64)
+			return value, err == nil
+		}
+	}
+	return 0, false
+}
+
+// memoryLimit returns an overlay that a sidecar takes over at SIGHUP, and bodyLimit what its own
+// figures show then.
+func memoryLimit(megabytes int) string { return fmt.Sprintf(`{"limits":{"memory_mb":%d}}`, megabytes) }
+
+// bodyLimit is the limit on bodies that a sidecar works with by its own figures. It follows
+// from limits.memory_mb.
+func (w *settingsWorld) bodyLimit(instance string) float64 {
+	limit, _ := w.figure(instance, `edge_balancer_body_bytes{of="most"}`)
+	return limit
+}
+
+// instances are all sidecars of the hosts.
+func instances(hosts ...*host) (names []string) {
+	for _, h := range hosts {
+		names = append(names, h.insts...)
+	}
+	return names
+}
+
+// publish makes a change by the command, and returns its revision.
+func (w *settingsWorld) publish(name, content string, more ...string) distribution.Revision {
+	w.t.Helper()
+	file := filepath.Join(w.t.(interface{ TempDir() string }).TempDir(), "overlay.json")
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	out, errs, code := w.command(append([]string{"change", "publish", name, "--file", file}, more...)...)
+	if code != 0 {
+		w.t.Fatalf("publish %s: exit %d: %s%s", name, code, out, errs)
+	}
+	var revision string
+	if _, err := fmt.Sscanf(out, name+" is at revision %s", &revision); err != nil {
+		w.t.Fatalf("publish %s: %s", name, out)
+	}
+	parsed, err := distribution.ParseRevision(strings.TrimSuffix(revision, ";"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return parsed
+}
+
+// inForce waits until a revision is in force at so many hosts by the writer's word.
+func (w *settingsWorld) inForce(revision distribution.Revision, hosts int) distribution.Status {
+	w.t.Helper()
+	var status distribution.Status
+	var failed error
+	defer func() {
+		if w.t.Failed() {
+			w.t.Logf("status %+v, %v", status, failed)
+		}
+	}()
+	eventually(w.t, fmt.Sprintf("revision %v in force at %d hosts", revision, hosts), func() bool {
+		out, err := w.operator.InForce(context.Background(), "", revision, 10)
+		if failed = err; err != nil {
+			return false
+		}
+		status = out.Status
+		return out.Complete && status.InForce == hosts
+	})
+	return status
+}
+
+// limits waits until all the named sidecars have the limit on bodies of an instance that is
+// known to run the wanted settings.
+func (w *settingsWorld) limits(want float64, names []string) {
+	w.t.Helper()
+	eventually(w.t, fmt.Sprintf("a limit of %v bytes at %v", want, names), func() bool {
+		for _, name := range names {
+			if w.bodyLimit(name) != want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// inspect asks the agent of a host about one of its instances.
+func (w *settingsWorld) inspect(h *host, instance string) *api.InspectOut {
+	w.t.Helper()
+	out := &api.InspectOut{}
+	if err := w.operator.Agent(h.name).Call(context.Background(), api.Inspect, &api.InstanceIn{Instance: instance}, out); err != nil {
+		w.t.Fatal(err)
+	}
+	return out
+}
