--- a/internal/fleet/agent/serve_settings.go
+++ b/internal/fleet/agent/serve_settings.go
@@ -99,8 +99,13 @@
 	if err := a.speaksFor(c, in.Host); err != nil {
 		return nil, err
 	}
-	if in.Interest != nil && (in.Interest.Host != in.Host || len(in.Interest.Instances) > MostInstances) {
-		return nil, api.Errorf(api.BadParams, "an interest of host %q with %d instances for %q", in.Interest.Host, len(in.Interest.Instances), in.Host)
+	if in.Interest != nil {
+		if in.Interest.Host != in.Host {
+			return nil, api.Errorf(api.BadParams, "an interest of host %q for %q", in.Interest.Host, in.Host)
+		}
+		if err := in.Interest.Check(); err != nil {
+			return nil, node.Refusal(err)
+		}
 	}
 	out, err := relay.Watch(ctx, in)
 	return out, node.Refusal(err)
--- a/internal/fleet/client/settings.go
+++ b/internal/fleet/client/settings.go
@@ -121,21 +121,25 @@
 	}
 }
 
-// InForce says how far a revision is, by the writer's word; zero is the latest. Where the
-// writer does not answer, the relays that do are added up, and Complete is false: hosts of
-// relays that are silent are not known.
+// InForce says how far a revision is, by the writer's word, or by that of the named relay of
+// its own subscribers; zero is the latest. Where the writer does not answer, the relays that
+// do are added up, and Complete is false: hosts of relays that are silent are not known.
 func (f *Fleet) InForce(ctx context.Context, relay string, revision distribution.Revision, most int) (*api.SettingsStatusOut, error) {
 	in := &api.SettingsStatusIn{Revision: revision, Most: most}
-	writer, err := f.writer(ctx, relay)
-	if err == nil {
+	relays, err := f.relays(relay)
+	if err != nil {
+		return nil, err
+	}
+	if relay == "" {
 		out := &api.SettingsStatusOut{}
-		if err = writer.Call(ctx, api.SettingsStatus, in, out); err == nil {
+		writer, failed := f.writer(ctx, "")
+		if failed == nil {
+			failed = writer.Call(ctx, api.SettingsStatus, in, out)
+		}
+		if failed == nil {
 			return out, nil
 		}
-	}
-	relays, noRelays := f.relays(relay)
-	if noRelays != nil {
-		return nil, noRelays
+		err = failed
 	}
 	var sum *api.SettingsStatusOut
 	for _, agent := range relays {
@@ -153,6 +157,8 @@
 	if sum == nil {
 		return nil, err
 	}
-	sum.Complete, sum.Relay = false, ""
+	if relay == "" {
+		sum.Complete, sum.Relay = false, ""
+	}
 	return sum, nil
 }
--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -22,6 +22,19 @@
 // refusalsMost is how many refusals of one host are passed on.
 const refusalsMost = 8
 
+// bounded is the state with no more of its texts and refusals than a Registry keeps.
+func (s HostState) bounded() HostState {
+	cut := func(text string) string { return text[:min(len(text), reasonMost)] }
+	refused := s.Refused[:min(len(s.Refused), refusalsMost)]
+	s.Refused = nil
+	for _, refusal := range refused {
+		refusal.Instance, refusal.Resource, refusal.Reason = cut(refusal.Instance), cut(refusal.Resource), cut(refusal.Reason)
+		s.Refused = append(s.Refused, refusal)
+	}
+	s.Waiting = cut(s.Waiting)
+	return s
+}
+
 // HostReport is what is known of a host where it subscribes.
 type HostReport struct {
 	Host string `msgpack:"host" json:"host"`
@@ -146,10 +159,7 @@
 }
 
 func (g *Registry) setState(e *entry, state HostState) {
-	if len(state.Refused) > refusalsMost {
-		state.Refused = state.Refused[:refusalsMost]
-	}
-	e.report.State = state
+	e.report.State = state.bounded()
 	g.dirty[e.report.Host] = true
 }
 
--- a/internal/fleet/distribution/resource.go
+++ b/internal/fleet/distribution/resource.go
@@ -57,6 +57,35 @@
 	Instances []map[string]string `msgpack:"instances"`
 }
 
+// Bounds of an interest.
+const (
+	interestInstances = 256
+	interestBytes     = 32 << 10 // of all labels
+)
+
+// Check says what is wrong with an interest.
+func (i Interest) Check() error {
+	invalid := func(reason string) error {
+		return &InvalidError{What: "interest", Name: i.Host, Reason: reason}
+	}
+	if i.Host == "" || len(i.Host) > labelMost {
+		return invalid(fmt.Sprintf("a host's name of 1 to %d bytes is needed", labelMost))
+	}
+	if len(i.Instances) > interestInstances {
+		return invalid(fmt.Sprintf("%d instances; %d at most", len(i.Instances), interestInstances))
+	}
+	bytes := 0
+	for _, labels := range i.Instances {
+		for key, value := range labels {
+			bytes += len(key) + len(value)
+		}
+	}
+	if bytes > interestBytes {
+		return invalid(fmt.Sprintf("%d bytes of labels; %d at most", bytes, interestBytes))
+	}
+	return nil
+}
+
 // Matches says whether the scope of the named resource holds an instance with these labels on
 // that host.
 func (s Scope) Matches(resource, host string, labels map[string]string) bool {
