--- /dev/null
+++ b/internal/fleet/client/report.go
@@ -0,0 +1,126 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/judge"
+	"martendrum/internal/fleet/rollout"
+)
+
+// Row is one instance in a report.
+type Row struct {
+	Host     string        `json:"host"`
+	Instance string        `json:"instance"`
+	Outcome  rollout.State `json:"outcome"`
+	Reason   string        `json:"reason,omitempty"`
+	// What is known of the instance itself; if Unknown, as it was last seen.
+	Unknown  string        `json:"unknown,omitempty"` // since when and why it is not known now
+	LastSeen time.Time     `json:"last_seen,omitzero"`
+	State    *api.Instance `json:"state,omitempty"`
+	Steps    []api.Step    `json:"steps,omitempty"`
+}
+
+// Report is what became of an operation: each of its instances exactly once.
+type Report struct {
+	Operation api.Operation `json:"operation"`
+	Result    string        `json:"result"` // as package rollout has them; "open" while it is
+	Why       string        `json:"why,omitempty"`
+	Holder    string        `json:"holder,omitempty"`
+	Rows      []Row         `json:"rows"`
+	Notes     []string      `json:"notes,omitempty"`
+	// Of a staged change: where it stands, and what was last known of it.
+	Stages    *api.Note        `json:"stages,omitempty"`
+	Judgement *judge.Judgement `json:"judgement,omitempty"`
+}
+
+// OK says that all went as asked, and is known to have.
+func (r *Report) OK() bool {
+	if r.Result != rollout.Succeeded {
+		return false
+	}
+	for _, row := range r.Rows {
+		if row.Unknown != "" {
+			return false
+		}
+	}
+	return true
+}
+
+// finish closes the operation where that can be done, and reports.
+func (r *runner) finish(ctx context.Context) *Report {
+	result := r.m.Result()
+	if r.ended != "" {
+		result = r.ended
+	}
+	// The last word of each host, and the end of the operation there.
+	var agents []*Agent
+	for _, host := range r.order {
+		if r.parts[host].gaveUp || !r.parts[host].silent.IsZero() {
+			r.notes = append(r.notes, fmt.Sprintf("host %s: %s: the operation may still be open there; `martendrum report %s` tells once it answers, `martendrum resume %s` ends it", host, r.unknown(r.parts[host]), r.op.ID, r.op.ID))
+			continue
+		}
+		agents = append(agents, r.parts[host].agent)
+	}
+	var mu sync.Mutex
+	Each(agents, func(_ int, a *Agent) error {
+		p := r.parts[a.Host.Name]
+		out := &api.OpOut{}
+		var err error
+		if token := p.held(); token != 0 && result != "" && result != rollout.Paused {
+			err = a.Call(ctx, api.OpClose, &api.CloseIn{Op: r.op.ID, Token: token, Result: result}, out)
+		} else {
+			err = a.Call(ctx, api.OpStatus, &api.StatusIn{Op: r.op.ID}, out)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			r.notes = append(r.notes, fmt.Sprintf("host %s: not ended there: %v", a.Host.Name, err))
+			return err
+		}
+		r.take(p, out)
+		return nil
+	})
+	rep := r.report()
+	rep.Result = result
+	if result == "" {
+		rep.Result = "interrupted"
+		rep.Notes = append(rep.Notes, fmt.Sprintf("the operation stays open: `martendrum resume %s` goes on with it, `martendrum abort %s` ends it", r.op.ID, r.op.ID))
+	}
+	if result == rollout.Paused {
+		rep.Notes = append(rep.Notes, fmt.Sprintf("`martendrum resume %s` goes on once the cause is mended, `martendrum abort %s` ends it", r.op.ID, r.op.ID))
+	}
+	return rep
+}
+
+// report makes a report of what is known now.
+func (r *runner) report() *Report {
+	rep := &Report{Operation: r.op, Result: r.m.Result(), Why: r.m.Why(), Notes: r.notes}
+	for _, t := range r.m.Targets() {
+		p := r.parts[t.Host]
+		row := Row{Host: t.Host, Instance: t.Instance, Outcome: t.State, Reason: t.Reason, LastSeen: p.agent.Seen()}
+		if !p.silent.IsZero() {
+			row.Unknown = r.unknown(p)
+		}
+		if p.last != nil {
+			for _, x := range p.last.Instances {
+				if x.Name == t.Instance {
+					row.State = &x
+				}
+			}
+			for _, s := range p.last.Steps {
+				if s.Instance == t.Instance {
+					row.Steps = append(row.Steps, s)
+				}
+			}
+		}
+		rep.Rows = append(rep.Rows, row)
+	}
+	if r.staged != nil {
+		rep.Stages, rep.Judgement = &r.staged.note, &r.staged.last
+	}
+	return rep
+}
