--- /dev/null
+++ b/internal/fleet/agent/serve_operations.go
@@ -0,0 +1,311 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/lease"
+	"martendrum/internal/fleet/neighbour"
+	"martendrum/internal/fleet/release"
+	"martendrum/internal/fleet/rollout"
+	"martendrum/internal/fleet/store"
+)
+
+const (
+	waitMost    = 10 * time.Second // of op.status
+	targetsMost = 10000            // of an operation
+	logsMost    = 256 << 10        // bytes of one answer
+	conns       = 128
+)
+
+// own is the operation's instances here.
+func (a *Agent) own(o *api.Operation) (out []string, err error) {
+	for _, t := range o.Targets {
+		if t.Host == a.cfg.Name {
+			if _, err := a.named(t.Instance); err != nil {
+				return nil, err
+			}
+			out = append(out, t.Instance)
+		}
+	}
+	if len(out) == 0 {
+		return nil, api.Errorf(api.BadParams, "operation %s has no instance at agent %s", o.ID, a.cfg.Name)
+	}
+	return out, nil
+}
+
+func (a *Agent) opOpen(_ context.Context, c *caller, in *api.OpenIn) (any, error) {
+	o := &in.Operation
+	switch {
+	case o.ID == "" || len(o.ID) > 64 || in.Holder == "" || len(in.Holder) > 200:
+		return nil, api.Errorf(api.BadParams, "operation and holder need names")
+	case !slices.Contains([]string{api.ActStart, api.ActStop, api.ActDrain, api.ActUndrain, api.ActRestart, api.ActReload, api.ActUpgrade, api.ActRollback, api.ActSettings}, o.Action):
+		return nil, api.Errorf(api.BadParams, "unknown action %q", o.Action)
+	case len(o.Targets) > targetsMost:
+		return nil, api.Errorf(api.BadParams, "%d targets; %d at most", len(o.Targets), targetsMost)
+	case o.Ready <= 0 || o.Soak < 0 || o.Ready > time.Hour || o.Soak > time.Hour:
+		return nil, api.Errorf(api.BadParams, "ready %v, soak %v; want above 0, 0 or more, and an hour at most", o.Ready, o.Soak)
+	}
+	if err := rollout.Check(o.Policy, len(o.Targets)); err != nil {
+		return nil, api.Errorf(api.BadParams, "%v", err)
+	}
+	if s := o.Staged; s != nil {
+		if err := errors.Join(s.Plan.Check(len(o.Targets)), s.Judge.Check()); err != nil {
+			return nil, api.Errorf(api.BadParams, "%v", err)
+		}
+		if slot := time.Duration(a.cfg.Figures.Slot); s.Judge.Slot != slot {
+			return nil, api.Errorf(api.BadParams, "agent %s takes figures each %v and operation %s is judged each %v: set figures.slot alike at all hosts", a.cfg.Name, slot, o.ID, s.Judge.Slot)
+		}
+	}
+	if len(o.Places) != 0 && len(o.Places) != len(o.Targets) {
+		return nil, api.Errorf(api.BadParams, "%d places of %d targets", len(o.Places), len(o.Targets))
+	}
+	if o.Action == api.ActUpgrade || o.Action == api.ActSettings {
+		if err := a.releases.Verify(o.Release); err != nil {
+			return nil, api.Errorf(api.NoRelease, "agent %s: %v", a.cfg.Name, err)
+		}
+	}
+	if o.Staged != nil {
+		if err := a.neighbours(o); err != nil {
+			return nil, err
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if how, _ := a.returning(); how != "" {
+		e := &api.ReturningError{Host: a.cfg.Name, How: how}
+		return nil, api.Errorf(api.Held, "%v: %s", e, e.Advice())
+	}
+	have := a.ops[o.ID]
+	if have != nil {
+		if have.State != api.OpOpened {
+			return nil, api.Errorf(api.Closed, "operation %s is %s at agent %s: %s", o.ID, have.State, a.cfg.Name, have.Result)
+		}
+		o = &have.Operation // the record's word counts
+	}
+	names, err := a.own(o)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	ls, err := a.leases.Acquire(now, o.ID, in.Holder, names, in.TTL, func(name string) string {
+		for _, x := range a.ops {
+			if x.ID != o.ID && x.State != api.OpClosed && a.targets(&x.Operation, name) {
+				return fmt.Sprintf("operation %s (%s by %s) is %s on it; `martendrum resume %s` or `martendrum abort %s` first", x.ID, x.Action, x.Operator, x.State, x.ID, x.ID)
+			}
+		}
+		return ""
+	})
+	if lost, ok := errors.AsType[*lease.LostError](err); ok {
+		return nil, api.Errorf(api.Held, "agent %s: %v: %s", a.cfg.Name, lost, lost.Advice())
+	}
+	if held, ok := errors.AsType[*lease.HeldError](err); ok {
+		return nil, api.Errorf(api.Held, "agent %s: %v", a.cfg.Name, held)
+	}
+	if err != nil {
+		return nil, api.Errorf(api.BadParams, "%v", err)
+	}
+	next := store.Operation{Operation: *o, State: api.OpOpened}
+	if err := a.commit(&store.Change{
+		Operations: []store.Operation{next}, Leases: ls,
+		Audit: []api.AuditEntry{{At: now, Who: c.who, What: "op.open " + o.Action, Target: o.ID, Result: fmt.Sprintf("token %d for %s", ls[0].Token, in.Holder)}},
+	}); err != nil {
+		return nil, err
+	}
+	if have == nil {
+		a.ops[o.ID] = &next
+	}
+	a.leases.Put(ls)
+	return &api.OpenOut{Token: ls[0].Token, Expires: ls[0].Expires}, nil
+}
+
+// neighbours says whether old and new programs may run side by side here.
+func (a *Agent) neighbours(o *api.Operation) error {
+	a.mu.Lock()
+	_, known := a.ops[o.ID]
+	uses := make(map[string]neighbour.Use) // by the release that runs
+	for _, t := range o.Targets {
+		if i := a.inst[t.Instance]; t.Host == a.cfg.Name && i != nil && i.row.Release != o.Release {
+			u := uses[i.row.Release]
+			u.HandOver, u.Back = a.cfg.Sidecar.HandOver && o.Action == api.ActUpgrade, o.Policy.OnFailure == rollout.Back || o.Policy.OnFailure == rollout.BackStage
+			u.Record = u.Record || i.cfg.Record != ""
+			uses[i.row.Release] = u
+		}
+	}
+	a.mu.Unlock()
+	if known {
+		return nil // it was asked when it began
+	}
+	for before, use := range uses {
+		old := neighbour.Ask(a.ctx, a.releases.Path(before, release.Sidecar))
+		now := neighbour.Ask(a.ctx, a.releases.Path(o.Release, release.Sidecar))
+		if err := neighbour.Check(old, now, use); err != nil {
+			return api.Errorf(api.BadRelease, "agent %s: release %.12s may not run beside %.12s: %v", a.cfg.Name, o.Release, before, err)
+		}
+	}
+	return nil
+}
+
+// op finds an operation; the lock is held.
+func (a *Agent) op(id string) (*store.Operation, error) {
+	if o := a.ops[id]; o != nil {
+		return o, nil
+	}
+	return nil, api.Errorf(api.NoOperation, "agent %s knows no operation %q", a.cfg.Name, id)
+}
+
+// fenced makes an API error of a lease's.
+func (a *Agent) fenced(err error) error {
+	if err == nil {
+		return nil
+	}
+	return api.Errorf(api.Fenced, "agent %s: %v", a.cfg.Name, err)
+}
+
+func (a *Agent) opClose(_ context.Context, c *caller, in *api.CloseIn) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, err := a.op(in.Op)
+	if err != nil {
+		return nil, err
+	}
+	if o.State == api.OpClosed {
+		return a.opOut(o), nil
+	}
+	names, err := a.own(&o.Operation)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		if err := a.fenced(a.leases.Check(time.Now(), o.ID, in.Token, name)); err != nil {
+			return nil, err
+		}
+	}
+	if a.busy(o.ID) {
+		return nil, api.Errorf(api.Held, "a step of operation %s is under way at agent %s", o.ID, a.cfg.Name)
+	}
+	if err := a.closeOp(o, in.Result, c.who); err != nil {
+		return nil, err
+	}
+	return a.opOut(o), nil
+}
+
+// opAbort needs no lease: it only ever stops things.
+func (a *Agent) opAbort(_ context.Context, c *caller, in *api.AbortIn) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, err := a.op(in.Op)
+	if err != nil {
+		return nil, err
+	}
+	if o.State == api.OpOpened {
+		next := *o
+		next.State = api.OpAborting
+		if err := a.commit(&store.Change{Operations: []store.Operation{next},
+			Audit: []api.AuditEntry{{At: time.Now(), Who: c.who, What: "op.abort", Target: o.ID, Result: "ok"}}}); err != nil {
+			return nil, err
+		}
+		*o = next
+	}
+	a.endAborted()
+	return a.opOut(o), nil
+}
+
+func (a *Agent) opOut(o *store.Operation) *api.OpOut {
+	now := time.Now()
+	out := &api.OpOut{Operation: o.Operation, State: o.State, Result: o.Result, Change: a.change, Now: now}
+	for _, l := range a.leases.ByInstance {
+		if l.Op == o.ID && l.Live(now) {
+			out.Holder, out.Expires = l.Holder, l.Expires
+		}
+	}
+	for _, name := range a.names {
+		if a.targets(&o.Operation, name) {
+			out.Instances = append(out.Instances, a.status(a.inst[name]))
+		}
+	}
+	for k, s := range a.steps {
+		if k.op == o.ID {
+			out.Steps = append(out.Steps, *s)
+		}
+	}
+	slices.SortFunc(out.Steps, func(x, y api.Step) int { return x.Started.Compare(y.Started) })
+	return out
+}
+
+func (a *Agent) opList(_ context.Context, _ *caller, _ *api.Empty) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := &api.OpsOut{}
+	for _, o := range a.ops {
+		x := a.opOut(o)
+		x.Instances = nil
+		x.Operation.Targets = nil
+		out.Ops = append(out.Ops, *x)
+	}
+	return out, nil
+}
+
+func (a *Agent) opStatus(ctx context.Context, _ *caller, in *api.StatusIn) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, err := a.op(in.Op)
+	if err != nil {
+		return nil, err
+	}
+	if in.Token != 0 && o.State != api.OpClosed {
+		if err := a.renew(o, in); err != nil {
+			return nil, err
+		}
+	}
+	timer := time.NewTimer(min(in.Wait, waitMost))
+	defer timer.Stop()
+	for in.Wait > 0 && a.change <= in.After {
+		changed := a.changed
+		a.mu.Unlock()
+		more := true
+		select {
+		case <-changed:
+		case <-timer.C:
+			more = false
+		case <-ctx.Done():
+			more = false
+		case <-a.ctx.Done():
+			more = false
+		}
+		a.mu.Lock()
+		if !more {
+			break
+		}
+	}
+	return a.opOut(o), nil
+}
+
+// renew lengthens the caller's leases, and writes that only once a third of their
+// time has gone.
+func (a *Agent) renew(o *store.Operation, in *api.StatusIn) error {
+	names, err := a.own(&o.Operation)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	ls, err := a.leases.Renew(now, o.ID, in.Token, names, in.TTL)
+	if _, ok := errors.AsType[*lease.FencedError](err); ok {
+		return a.fenced(err)
+	}
+	if err != nil {
+		return api.Errorf(api.BadParams, "%v", err)
+	}
+	if a.leases.ByInstance[names[0]].Expires.Sub(now) > in.TTL*2/3 {
+		return nil
+	}
+	if err := a.commit(&store.Change{Leases: ls}); err != nil {
+		return err
+	}
+	a.leases.Put(ls)
+	return nil
+}
