distribution: tests of log, state and reader, and the faults that they found

Need: the package had no tests. Written against the code as it was, these failed, each by a fault:

- a resource that left a reader's scope and changed again later kept its place in the copy where a page ended between the two changes: the tombstone now has the revision of the last change that concerns the reader (TestTombstoneIsNotLostBetweenPages, TestPagesWhileChangesGoOn)
- a page was bounded by its resources only; 1,000 changes of one resource were a page of 91 KB where 20 KB were asked for: changes count too
- a history shorter than an update was not kept at its limit
- the reader did not bound a single page, and turned away for ever a history that names more resources than may be there at once
- Propose in an epoch that is over moved the log back: FencedError
- a repeated removal was a conflict ("it was to be new"), not what is
- labels and authors that are not UTF-8 changed on the way through a row
- "Seed" passed where "seed" is refused, and Go's decoder takes both
- the caller's content was kept, not a copy

Measured: all of the package's tests pass; the listed ones failed before.

--- a/internal/fleet/distribution/log.go
+++ b/internal/fleet/distribution/log.go
@@ -1,6 +1,10 @@
 package distribution
 
-import "time"
+import (
+	"bytes"
+	"slices"
+	"time"
+)
 
 // Put is a change that an operator asks for.
 type Put struct {
@@ -26,9 +30,12 @@
 // Propose works out a change of the log in the given epoch. A change that would change
 // nothing has a nil Step: whoever asks again after a lost answer is answered with what is. The
 // returned resource has the revision that the change gets. Errors are of *InvalidError,
-// *ConflictError, *LimitError.
+// *ConflictError, *LimitError and, where the epoch is over, *FencedError.
 func (s *State) Propose(now time.Time, epoch int64, put Put) (Resource, *Step, error) {
-	next := Resource{Name: put.Name, Scope: put.Scope.clone(), Content: put.Content, Removed: put.Remove,
+	if epoch < s.revision.Epoch {
+		return Resource{}, nil, &FencedError{Epoch: epoch, Known: s.revision.Epoch}
+	}
+	next := Resource{Name: put.Name, Scope: put.Scope.clone(), Content: bytes.Clone(put.Content), Removed: put.Remove,
 		Author: put.Author, At: now.UTC(), Revision: Revision{Epoch: epoch, Number: s.revision.Number + 1}}
 	if next.Removed {
 		next.Scope, next.Content = Scope{}, nil
@@ -42,7 +49,8 @@
 		return current, nil, nil
 	}
 	if !there && next.Removed {
-		return Resource{}, nil, &ConflictError{Name: put.Name, Want: orZero(put.If)}
+		removed, err := s.removedBefore(&put)
+		return removed, nil, err
 	}
 	if put.If != nil && *put.If != current.Revision {
 		return Resource{}, nil, &ConflictError{Name: put.Name, Want: *put.If, Current: current.Revision}
@@ -59,11 +67,18 @@
 	return next, &Step{prepared}, nil
 }
 
-func orZero(r *Revision) Revision {
-	if r == nil {
-		return Revision{}
+// removedBefore answers the removal of a resource that is not there: with the removal that the
+// history holds, if it does.
+func (s *State) removedBefore(put *Put) (Resource, error) {
+	for _, change := range slices.Backward(s.history) {
+		if change.Name == put.Name {
+			return removedResource(change.Name, change.Revision), nil
+		}
+	}
+	if put.If != nil && !put.If.IsZero() {
+		return Resource{}, &ConflictError{Name: put.Name, Want: *put.If}
 	}
-	return *r
+	return Resource{}, &InvalidError{What: "name", Name: put.Name, Reason: "there is no such resource to remove"}
 }
 
 // Promote works out the step by which the State becomes the log of a new epoch, above all
@@ -100,36 +115,76 @@
 
 // checkUpdate says whether a copy at held may take an update.
 func checkUpdate(update *Update, held Revision) error {
-	invalid := func(reason string) error {
-		return &InvalidError{What: "update", Name: update.Revision.String(), Reason: reason}
-	}
 	switch {
 	case update.Revision.Epoch < held.Epoch:
 		return &FencedError{Epoch: update.Revision.Epoch, Known: held.Epoch}
 	case held.After(update.Revision):
-		return invalid("it goes back behind " + held.String())
-	case update.More:
-		return invalid("it is not whole")
+		return update.invalid("it goes back behind " + held.String())
+	case update.More || update.Snapshot && !update.After.IsZero():
+		return update.invalid("it is not whole")
 	case !update.Snapshot && update.After != held:
-		return invalid("it goes on from " + update.After.String() + " and not from " + held.String())
+		return update.invalid("it goes on from " + update.After.String() + " and not from " + held.String())
 	case !update.Snapshot && update.Revision.Epoch != held.Epoch && !held.IsZero():
-		return invalid("a new epoch begins with a snapshot")
+		return update.invalid("a new epoch begins with a snapshot")
+	}
+	if err := update.checkResources(); err != nil {
+		return err
 	}
-	seen := make(map[string]bool)
-	for n := range update.Resources {
-		r := &update.Resources[n]
+	return update.checkChanges()
+}
+
+func (u *Update) invalid(reason string) error {
+	return &InvalidError{What: "update", Name: u.Revision.String(), Reason: reason}
+}
+
+// holds says whether a revision is one that the update brings.
+func (u *Update) holds(revision Revision) bool {
+	return revision.After(u.After) && !revision.After(u.Revision)
+}
+
+func (u *Update) checkResources() error {
+	seen := make(map[string]bool, len(u.Resources))
+	for n := range u.Resources {
+		r := &u.Resources[n]
 		if err := r.Check(); err != nil {
 			return err
 		}
-		if seen[r.Name] || r.Revision.After(update.Revision) {
-			return invalid("resource " + r.Name + " is there twice or of a later revision")
+		if seen[r.Name] || !u.holds(r.Revision) {
+			return u.invalid("resource " + r.Name + " is there twice or of revision " + r.Revision.String())
+		}
+		if u.Snapshot && r.Removed {
+			return u.invalid("a snapshot with " + r.Name + ", which is removed")
 		}
 		seen[r.Name] = true
 	}
-	for _, c := range update.Changes {
-		if !c.Revision.After(update.After) || c.Revision.After(update.Revision) {
-			return invalid("a change of revision " + c.Revision.String())
+	return nil
+}
+
+func (u *Update) checkChanges() error {
+	previous := u.After
+	for n := range u.Changes {
+		change := &u.Changes[n]
+		if !u.holds(change.Revision) || !change.Revision.After(previous) {
+			return u.invalid("a change of revision " + change.Revision.String() + " after " + previous.String())
+		}
+		if err := change.check(); err != nil {
+			return err
 		}
+		previous = change.Revision
 	}
 	return nil
 }
+
+// check says what is wrong with a change that came from another relay.
+func (c *Change) check() error {
+	if !nameForm.MatchString(c.Name) {
+		return &InvalidError{What: "name", Name: c.Name, Reason: "of a change; " + nameWanted}
+	}
+	if err := c.Scope.check(c.Name); err != nil {
+		return err
+	}
+	if c.Before == nil {
+		return nil
+	}
+	return c.Before.check(c.Name)
+}
--- a/internal/fleet/distribution/reader.go
+++ b/internal/fleet/distribution/reader.go
@@ -32,44 +32,63 @@
 	return query
 }
 
-// Take takes a page, and returns the whole update once it is there. The error is of
-// *LimitError; the pages so far are forgotten then.
+// Take takes a page, and returns the whole update once it is there. A page of a snapshot that
+// is not the next one is left out: it came late, and the next one is asked for again. The
+// error is of *LimitError; the pages so far are forgotten then.
 func (r *Reader) Take(page Update) (whole *Update, err error) {
-	if r.joined == nil && !page.More {
-		page.Resources = withoutRemoved(page.Snapshot, page.Resources)
-		return &page, nil
-	}
-	if r.joined == nil || !r.joined.goesOnWith(&page) {
-		r.joined = &joined{update: page, resources: make(map[string]Resource)}
-		r.joined.update.Changes = nil
+	switch {
+	case r.joined != nil && r.joined.goesOnWith(&page):
+	case page.Snapshot && !page.After.IsZero():
+		return nil, nil
+	default:
+		r.joined = begin(page)
 	}
 	j := r.joined
-	for _, resource := range page.Resources {
-		j.resources[resource.Name] = resource
-	}
-	j.update.Changes = append(j.update.Changes, page.Changes...)
-	j.update.Revision = page.Revision
-	if len(j.resources) > 2*r.limits.Resources || len(j.update.Changes) > 2*r.limits.History {
+	j.add(&page)
+	if err := r.check(j); err != nil {
 		r.joined = nil
-		return nil, &LimitError{What: "resources of one update", Most: 2 * r.limits.Resources}
+		return nil, err
 	}
 	if page.More {
 		return nil, nil
 	}
 	r.joined = nil
-	j.update.More = false
-	j.update.Resources = withoutRemoved(j.update.Snapshot, slices.SortedFunc(maps.Values(j.resources), compareRevisions))
-	return &j.update, nil
+	return j.whole(), nil
 }
 
-func (j *joined) goesOnWith(page *Update) bool {
-	if j.update.Snapshot != page.Snapshot {
-		return false
+// check bounds what is joined: as much as a State may hold and have in its history, and as
+// much again for what changes meanwhile.
+func (r *Reader) check(j *joined) error {
+	if most := 2 * (r.limits.Resources + r.limits.History); len(j.resources) > most {
+		return &LimitError{What: "resources of one update", Most: most}
+	}
+	if most := 2 * r.limits.History; len(j.update.Changes) > most {
+		return &LimitError{What: "changes of one update", Most: most}
 	}
-	if page.Snapshot {
-		return page.Began == j.update.Began
+	return nil
+}
+
+func begin(page Update) *joined {
+	page.Resources, page.Changes = nil, nil
+	return &joined{update: page, resources: make(map[string]Resource)}
+}
+
+func (j *joined) add(page *Update) {
+	for _, resource := range page.Resources {
+		j.resources[resource.Name] = resource
 	}
-	return page.After == j.update.Revision
+	j.update.Changes = append(j.update.Changes, page.Changes...)
+	j.update.Revision, j.update.More = page.Revision, page.More
+}
+
+func (j *joined) whole() *Update {
+	resources := slices.SortedFunc(maps.Values(j.resources), compareRevisions)
+	j.update.Resources = withoutRemoved(j.update.Snapshot, resources)
+	return &j.update
+}
+
+func (j *joined) goesOnWith(page *Update) bool {
+	return page.Snapshot == j.update.Snapshot && page.Began == j.update.Began && page.After == j.update.Revision
 }
 
 // withoutRemoved leaves out of a snapshot what was removed while it was read.
--- /dev/null
+++ b/internal/fleet/distribution/reader_test.go
@@ -0,0 +1,160 @@
+package distribution
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// pagesOf returns the pages of a whole snapshot, one resource each.
+func pagesOf(t *testing.T, log *State, interest *Interest) []Update {
+	t.Helper()
+	reader := NewReader(testLimits())
+	var pages []Update
+	for {
+		query := reader.Query(Revision{}, interest)
+		query.Bytes = 1
+		page, err := log.Read(query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept := page
+		kept.Resources = slices.Clone(page.Resources)
+		pages = append(pages, kept)
+		if whole, err := reader.Take(page); err != nil || whole != nil {
+			return pages
+		}
+	}
+}
+
+func snapshotLog(t *testing.T) *State {
+	log := newLog(testLimits())
+	for n := range 4 {
+		publish(t, log, put(fmt.Sprintf("r%d", n), "x", content(n)))
+	}
+	return log
+}
+
+// A page that comes late, after the reader began anew, is not taken for the next one.
+func TestReaderIgnoresPageThatSkips(t *testing.T) {
+	log := snapshotLog(t)
+	interest := interestIn("h", "x")
+	pages := pagesOf(t, log, &interest)
+	reader := NewReader(testLimits())
+	for _, n := range []int{0, 2} {
+		if whole, err := reader.Take(pages[n]); whole != nil || err != nil {
+			t.Fatalf("page %d: %v, %v", n, whole, err)
+		}
+	}
+	if whole, err := reader.Take(pages[3]); whole != nil || err != nil {
+		t.Fatalf("the last page: %+v, %v", whole, err)
+	}
+	replica := NewReplica(interest)
+	whole := readWhole(t, log, reader, replica.Revision(), &interest, 1, nil)
+	if _, err := replica.Take(whole); err != nil {
+		t.Fatal(err)
+	}
+	requireCopy(t, log, replica, interest)
+}
+
+// The last page of a snapshot alone is no snapshot.
+func TestReaderIgnoresLastPageAfterReset(t *testing.T) {
+	log := snapshotLog(t)
+	pages := pagesOf(t, log, nil)
+	reader := NewReader(testLimits())
+	if whole, err := reader.Take(pages[len(pages)-1]); whole != nil || err != nil {
+		t.Fatalf("%+v, %v", whole, err)
+	}
+}
+
+func TestReaderTakesRepeatedPages(t *testing.T) {
+	log := snapshotLog(t)
+	interest := interestIn("h", "x")
+	reader, replica := NewReader(testLimits()), NewReplica(interest)
+	var whole *Update
+	for _, page := range pagesOf(t, log, &interest) {
+		for range 2 {
+			page := page
+			page.Resources = slices.Clone(page.Resources)
+			got, err := reader.Take(page)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got != nil && whole == nil {
+				whole = got
+			}
+		}
+	}
+	if whole == nil {
+		t.Fatal("the update never was whole")
+	}
+	if _, err := replica.Take(*whole); err != nil {
+		t.Fatal(err)
+	}
+	requireCopy(t, log, replica, interest)
+}
+
+func TestReaderBoundsWhatItJoins(t *testing.T) {
+	log := newLog(testLimits())
+	for n := range 9 {
+		publish(t, log, put(fmt.Sprintf("r%d", n), "x", content(n)))
+	}
+	limits := Limits{Resources: 2, History: 2}
+	for name, bytes := range map[string]int{"pages": 1, "one page": 0} {
+		reader := NewReader(limits)
+		var err error
+		for n := 0; err == nil && n < 10; n++ {
+			query := reader.Query(Revision{}, nil)
+			query.Bytes = bytes
+			page, readErr := log.Read(query)
+			if readErr != nil {
+				t.Fatal(readErr)
+			}
+			_, err = reader.Take(page)
+		}
+		if !isLimit(err) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if query := reader.Query(Revision{}, nil); !query.Began.IsZero() || !query.After.IsZero() {
+			t.Errorf("%s: the pages are not forgotten: %+v", name, query)
+		}
+	}
+}
+
+func TestReaderBeginsAnewAfterCompaction(t *testing.T) {
+	log := newLog(Limits{Resources: 20, History: 4})
+	interest := interestIn("h", "x")
+	for n := range 8 {
+		publish(t, log, put(fmt.Sprintf("r%d", n), "x", content(n)))
+	}
+	replica, rounds := NewReplica(interest), 0
+	whole := readWhole(t, log, NewReader(testLimits()), Revision{}, &interest, 1, func() {
+		if rounds++; rounds <= 3 {
+			publish(t, log, remove(fmt.Sprintf("r%d", rounds)))
+			publish(t, log, put("r0", "x", content(10+rounds)))
+		}
+	})
+	if _, err := replica.Take(whole); err != nil {
+		t.Fatal(err)
+	}
+	requireCopy(t, log, replica, interest)
+}
+
+// A history that is longer than the resources are many can hold more names than these.
+func TestReaderTakesAllNamesOfTheHistory(t *testing.T) {
+	limits := Limits{Resources: 2, History: 50}
+	log := newLog(limits)
+	publish(t, log, put("first", "x", content(1)))
+	held := log.Revision()
+	for n := range 20 {
+		name := fmt.Sprintf("r%d", n)
+		publish(t, log, put(name, "x", content(n)))
+		publish(t, log, remove(name))
+	}
+	for _, bytes := range []int{0, 1} {
+		whole := readWhole(t, log, NewReader(limits), held, nil, bytes, nil)
+		if len(whole.Resources) != 20 || len(whole.Changes) != 40 {
+			t.Errorf("%d resources, %d changes", len(whole.Resources), len(whole.Changes))
+		}
+	}
+}
--- a/internal/fleet/distribution/resource.go
+++ b/internal/fleet/distribution/resource.go
@@ -9,7 +9,9 @@
 	"math"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,10 +20,14 @@
 const (
 	ContentMost = 64 << 10 // bytes
 	labelsMost  = 16
-	labelMost   = 128 // bytes of a label's key or value
-	authorMost  = 200 // bytes
+	labelMost   = 128  // bytes of a label's key or value
+	authorMost  = 200  // bytes
+	lastYear    = 9999 // that a row, as JSON, can hold
 )
 
+// nameWanted says in words what nameForm takes.
+const nameWanted = "want letters, digits, '.', '_', '/' or '-', 128 at most"
+
 var (
 	nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$`)
 	// instanceKeys differ from instance to instance and can't be distributed.
@@ -83,7 +89,7 @@
 	})
 }
 
-// Hash returns the resource's hash as it should be.
+// hashOf returns the resource's hash as it should be.
 func hashOf(r *Resource) string {
 	// Maps are encoded in the order of their keys.
 	scope, _ := json.Marshal(r.Scope)
@@ -93,19 +99,29 @@
 	return hex.EncodeToString(sum.Sum(nil))
 }
 
+// removedResource is what is left of a resource that a revision took away.
+func removedResource(name string, revision Revision) Resource {
+	removed := Resource{Name: name, Removed: true, Revision: revision}
+	removed.Hash = hashOf(&removed)
+	return removed
+}
+
 // Check says what is wrong with a resource. It checks all that a receiver relies on.
 func (r *Resource) Check() error {
 	invalid := func(what, format string, values ...any) error {
 		return &InvalidError{What: what, Name: r.Name, Reason: fmt.Sprintf(format, values...)}
 	}
 	if !nameForm.MatchString(r.Name) {
-		return invalid("name", "want letters, digits, '.', '_', '/' or '-', 128 at most")
+		return invalid("name", nameWanted)
 	}
 	if err := r.Scope.check(r.Name); err != nil {
 		return err
 	}
-	if len(r.Author) > authorMost {
-		return invalid("author", "%d bytes; %d at most", len(r.Author), authorMost)
+	if len(r.Author) > authorMost || !utf8.ValidString(r.Author) {
+		return invalid("author", "%d bytes; want UTF-8, %d bytes at most", len(r.Author), authorMost)
+	}
+	if year := r.At.Year(); year < 0 || year > lastYear {
+		return invalid("time", "the year %d; want 0 to %d", year, lastYear)
 	}
 	if r.Hash != hashOf(r) {
 		return invalid("hash", "it is not that of the content")
@@ -130,6 +146,10 @@
 		if key == "" || len(key) > labelMost || len(value) > labelMost {
 			return &InvalidError{What: "scope", Name: name, Reason: fmt.Sprintf("label %.40q: a key, and %d bytes at most", key, labelMost)}
 		}
+		// The hash and the rows are made of JSON, which would replace other bytes.
+		if !utf8.ValidString(key) || !utf8.ValidString(value) {
+			return &InvalidError{What: "scope", Name: name, Reason: fmt.Sprintf("label %.40q: not UTF-8", key)}
+		}
 	}
 	return nil
 }
@@ -145,14 +165,19 @@
 	if object == nil {
 		return &InvalidError{What: "content", Name: name, Reason: "not a JSON object: null"}
 	}
-	for _, key := range instanceKeys {
-		if _, there := object[key]; there {
+	for key := range object {
+		if isInstanceKey(key) {
 			return &InvalidError{What: "content", Name: name, Reason: fmt.Sprintf("%q differs from instance to instance", key)}
 		}
 	}
 	return nil
 }
 
+// isInstanceKey ignores the case, as the decoding of an instance's settings does.
+func isInstanceKey(key string) bool {
+	return slices.ContainsFunc(instanceKeys, func(reserved string) bool { return strings.EqualFold(key, reserved) })
+}
+
 // clone returns a copy that shares nothing that is changed.
 func (s Scope) clone() Scope {
 	s.Labels = maps.Clone(s.Labels)
--- a/internal/fleet/distribution/state.go
+++ b/internal/fleet/distribution/state.go
@@ -35,7 +35,8 @@
 
 // Update is a part of a State, or what changed in it.
 type Update struct {
-	// After is the revision that a delta goes on from; of a snapshot it is zero.
+	// After is the revision that a delta, or a page of a snapshot, goes on from. It is zero
+	// where a snapshot begins.
 	After    Revision `msgpack:"after" json:"after"`
 	Revision Revision `msgpack:"revision" json:"revision"` // that the reader holds then
 	Snapshot bool     `msgpack:"snapshot,omitempty" json:"snapshot,omitempty"`
@@ -99,8 +100,10 @@
 // history does not hold that, with a snapshot. The error is of *AheadError where the reader
 // holds more than the State.
 func (s *State) Read(query Query) (Update, error) {
-	if query.After.After(s.revision) {
-		return Update{}, &AheadError{Have: s.revision, Asked: query.After}
+	for _, asked := range []Revision{query.After, query.Began} {
+		if asked.After(s.revision) {
+			return Update{}, &AheadError{Have: s.revision, Asked: asked}
+		}
 	}
 	if !query.Began.IsZero() && s.reaches(query.Began) {
 		return s.snapshot(query), nil
@@ -164,22 +167,19 @@
 	return slices.SortedFunc(maps.Values(latest), compareRevisions)
 }
 
-// seenBy is the resource of a change as the interest sees it now.
+// seenBy is the resource of a change as the interest sees it now. Where it is there no more, it
+// has the revision of the change that took it away from the interest, the last that concerns
+// it: a page that ends between that and a later change must hold it.
 func (s *State) seenBy(interest *Interest, change *Change) Resource {
 	r, there := s.resources[change.Name]
 	if there && (interest == nil || interest.Concerned(r.Name, r.Scope)) {
 		return r
 	}
-	removed := Resource{Name: change.Name, Removed: true, Revision: change.Revision}
-	if there {
-		removed.Revision = r.Revision
-	}
-	removed.Hash = hashOf(&removed)
-	return removed
+	return removedResource(change.Name, change.Revision)
 }
 
 func (s *State) snapshot(query Query) Update {
-	update := Update{Snapshot: true, Revision: s.revision, Began: query.Began}
+	update := Update{Snapshot: true, After: query.After, Revision: s.revision, Began: query.Began}
 	for _, r := range s.resources {
 		if r.Revision.After(query.After) && (query.Interest == nil || query.Interest.Concerned(r.Name, r.Scope)) {
 			update.Resources = append(update.Resources, r)
@@ -196,27 +196,72 @@
 	return update
 }
 
-// resourceOverhead is about what a resource takes beside its content, in bytes.
-const resourceOverhead = 300
+// About what a resource and a change take beside their texts, and a label, in bytes.
+const (
+	resourceOverhead = 300
+	changeOverhead   = 100
+	labelOverhead    = 6
+)
+
+func (s *Scope) size() int {
+	size := 0
+	for key, value := range s.Labels {
+		size += len(key) + len(value) + labelOverhead
+	}
+	return size
+}
+
+func (r *Resource) size() int {
+	return resourceOverhead + len(r.Content) + len(r.Author) + r.Scope.size()
+}
+
+func (c *Change) size() int {
+	size := changeOverhead + len(c.Name) + c.Scope.size()
+	if c.Before != nil {
+		size += c.Before.size()
+	}
+	return size
+}
 
-// cut ends an update that is longer than most bytes early; one resource stays.
+// cut ends an update that is longer than most bytes at an earlier revision. What belongs to
+// its first revision stays.
 func (u *Update) cut(most int) {
 	if most <= 0 {
 		return
 	}
-	bytes := 0
-	for n := range u.Resources {
-		bytes += len(u.Resources[n].Content) + resourceOverhead
-		if bytes <= most || n == 0 {
-			continue
+	var last Revision
+	bytes, resources, changes := 0, 0, 0
+	for resources < len(u.Resources) || changes < len(u.Changes) {
+		revision := u.firstRevision(resources, changes)
+		resourcesBefore, changesBefore := resources, changes
+		for ; resources < len(u.Resources) && !u.Resources[resources].Revision.After(revision); resources++ {
+			bytes += u.Resources[resources].size()
 		}
-		u.Resources, u.More = u.Resources[:n], true
-		u.Revision = u.Resources[n-1].Revision
-		u.Changes = slices.DeleteFunc(u.Changes, func(c Change) bool { return c.Revision.After(u.Revision) })
-		return
+		for ; changes < len(u.Changes) && !u.Changes[changes].Revision.After(revision); changes++ {
+			bytes += u.Changes[changes].size()
+		}
+		if bytes > most && resourcesBefore+changesBefore > 0 {
+			u.Resources, u.Changes = u.Resources[:resourcesBefore], u.Changes[:changesBefore]
+			u.Revision, u.More = last, true
+			return
+		}
+		last = revision
 	}
 }
 
+// firstRevision is the earliest of the resources and changes from the given places on, at
+// least one of which is there.
+func (u *Update) firstRevision(resources, changes int) Revision {
+	if resources == len(u.Resources) {
+		return u.Changes[changes].Revision
+	}
+	revision := u.Resources[resources].Revision
+	if changes < len(u.Changes) && revision.After(u.Changes[changes].Revision) {
+		return u.Changes[changes].Revision
+	}
+	return revision
+}
+
 // Row is a line of what a store keeps; Batch is rows to write and to delete in one
 // transaction.
 type Row struct {
@@ -319,14 +364,19 @@
 		}
 		old = nil
 	}
+	over := max(len(old)+len(next.changes)-s.limits.History, 0)
+	for _, c := range old[:min(over, len(old))] {
+		next.compacted = c.Revision
+		next.batch.Drop = append(next.batch.Drop, changeKey(c.Revision))
+	}
+	if over > len(old) { // a long update: of its changes too only the last are kept
+		first := over - len(old)
+		next.compacted = next.changes[first-1].Revision
+		next.changes = next.changes[first:]
+	}
 	for _, c := range next.changes {
 		next.batch.Put = append(next.batch.Put, row(changeKey(c.Revision), c))
 	}
-	for over := len(old) + len(next.changes) - s.limits.History; over > 0 && len(old) > 0; over-- {
-		next.compacted = old[0].Revision
-		next.batch.Drop = append(next.batch.Drop, changeKey(old[0].Revision))
-		old = old[1:]
-	}
 	next.batch.Put = append(next.batch.Put, row(revisionKey, place{Revision: next.revision, Compacted: next.compacted}))
 	return next
 }
--- /dev/null
+++ b/internal/fleet/distribution/state_test.go
@@ -0,0 +1,346 @@
+package distribution
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+func TestReadGivesTombstoneAfterRescoping(t *testing.T) {
+	log := newLog(testLimits())
+	x, y := interestIn("hx", "x"), interestIn("hy", "y")
+	atX, atY := NewReplica(x), NewReplica(y)
+	publish(t, log, put("a", "x", content(1)))
+	subscribe(t, log, atX, x, 0)
+	subscribe(t, log, atY, y, 0)
+
+	publish(t, log, put("a", "y", content(1)))
+	update, err := log.Read(Query{After: atX.Revision(), Interest: &x})
+	if err != nil || update.Snapshot || len(update.Resources) != 1 || !update.Resources[0].Removed {
+		t.Fatalf("%+v, %v", update, err)
+	}
+	if len(update.Resources[0].Content) > 0 || len(update.Resources[0].Scope.Labels) > 0 {
+		t.Errorf("the tombstone holds what does not concern the reader: %+v", update.Resources[0])
+	}
+	subscribe(t, log, atX, x, 0)
+	subscribe(t, log, atY, y, 0)
+	requireCopy(t, log, atX, x)
+	requireCopy(t, log, atY, y)
+}
+
+func TestRescopedWhileMovingBetweenRelays(t *testing.T) {
+	log, near, far := newLog(testLimits()), NewState(testLimits()), NewState(testLimits())
+	interest := interestIn("h", "x")
+	replica := NewReplica(interest)
+	publish(t, log, put("a", "x", content(1)))
+	catchUp(t, log, near, 0)
+	subscribe(t, near, replica, interest, 0)
+	publish(t, log, put("a", "y", content(1)))
+	catchUp(t, log, far, 0)
+	publish(t, log, put("a", "z", content(1)))
+	catchUp(t, log, far, 0)
+	subscribe(t, far, replica, interest, 0)
+	requireCopy(t, far, replica, interest)
+	if _, err := near.Read(Query{After: replica.Revision(), Interest: &interest}); !isAhead(err) {
+		t.Errorf("a relay behind: %v", err)
+	}
+	catchUp(t, log, near, 0)
+	publish(t, log, put("a", "x", content(1)))
+	catchUp(t, log, near, 0)
+	subscribe(t, near, replica, interest, 0)
+	requireCopy(t, near, replica, interest)
+}
+
+// A resource that left the reader's scope and changed again later is removed for the reader
+// also where a page ends between these two changes.
+func TestTombstoneIsNotLostBetweenPages(t *testing.T) {
+	log := newLog(testLimits())
+	interest := interestIn("h", "x")
+	replica := NewReplica(interest)
+	publish(t, log, put("a", "x", content(1)))
+	subscribe(t, log, replica, interest, 1)
+	publish(t, log, put("a", "y", content(1)))
+	publish(t, log, put("b", "x", content(1)))
+	publish(t, log, put("a", "z", content(1)))
+	publish(t, log, put("c", "x", content(1)))
+	subscribe(t, log, replica, interest, 1)
+	requireCopy(t, log, replica, interest)
+}
+
+func TestCompactionGivesSnapshot(t *testing.T) {
+	log := newLog(Limits{Resources: 10, History: 3})
+	interest := interestIn("h", "x")
+	replica, relay := NewReplica(interest), NewState(Limits{Resources: 10, History: 3})
+	publish(t, log, put("a", "x", content(1)))
+	publish(t, log, put("b", "x", content(1)))
+	subscribe(t, log, replica, interest, 0)
+	catchUp(t, log, relay, 0)
+	publish(t, log, remove("a"))
+	for n := range 3 {
+		publish(t, log, put("c", "x", content(n)))
+	}
+	if len(log.history) != 3 {
+		t.Errorf("history of %d", len(log.history))
+	}
+	for _, interest := range []*Interest{nil, &interest} {
+		update, err := log.Read(Query{After: replica.Revision(), Interest: interest})
+		if err != nil || !update.Snapshot {
+			t.Errorf("%+v, %v", update, err)
+		}
+	}
+	subscribe(t, log, replica, interest, 0)
+	requireCopy(t, log, replica, interest)
+	catchUp(t, log, relay, 0)
+	requireSameState(t, log, relay)
+
+	publish(t, log, remove("b"))
+	update, err := log.Read(Query{After: replica.Revision(), Interest: &interest})
+	if err != nil || update.Snapshot {
+		t.Errorf("within the history: %+v, %v", update, err)
+	}
+}
+
+func TestHistoryStaysBoundedWhereUpdateIsLonger(t *testing.T) {
+	log, relay := newLog(testLimits()), NewState(Limits{Resources: 10, History: 3})
+	publish(t, log, put("a", "x", content(1)))
+	catchUp(t, log, relay, 0)
+	store := newDisk()
+	for n := range 8 {
+		publish(t, log, put("b", "x", content(n)))
+	}
+	next, err := relay.Follow(readWhole(t, log, NewReader(testLimits()), relay.Revision(), nil, 0, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.write(next.Batch())
+	relay.Make(next)
+	if len(relay.history) != 3 {
+		t.Errorf("history of %d", len(relay.history))
+	}
+	changes := 0
+	for key := range store.rows {
+		if strings.HasPrefix(key, changePrefix) {
+			changes++
+		}
+	}
+	if changes != 3 {
+		t.Errorf("%d changes on disk", changes)
+	}
+	requireSameState(t, log, relay)
+}
+
+func TestPagesWhileChangesGoOn(t *testing.T) {
+	for _, snapshot := range []bool{false, true} {
+		for _, bytes := range []int{1, resourceOverhead * 3} {
+			t.Run(fmt.Sprintf("snapshot=%v/bytes=%d", snapshot, bytes), func(t *testing.T) {
+				log := newLog(testLimits())
+				interest := interestIn("h", "x")
+				replica, relay := NewReplica(interest), NewState(testLimits())
+				if !snapshot {
+					subscribe(t, log, replica, interest, 0)
+					catchUp(t, log, relay, 0)
+				}
+				for n := range 12 {
+					publish(t, log, put(fmt.Sprintf("r%d", n), []string{"x", "y"}[n%2], content(n)))
+				}
+				step := 0
+				between := func() {
+					switch step++; step {
+					case 1:
+						publish(t, log, put("r0", "x", content(100)))
+					case 2:
+						publish(t, log, put("r2", "y", content(100)))
+						publish(t, log, put("r3", "x", content(100)))
+					case 3:
+						publish(t, log, remove("r10"))
+						publish(t, log, put("r2", "z", content(100)))
+					case 4:
+						publish(t, log, put("new", "x", content(1)))
+					}
+				}
+				update := readWhole(t, log, NewReader(testLimits()), replica.Revision(), &interest, bytes, between)
+				if _, err := replica.Take(update); err != nil {
+					t.Fatal(err)
+				}
+				requireCopy(t, log, replica, interest)
+				step = 0
+				next, err := relay.Follow(readWhole(t, log, NewReader(testLimits()), relay.Revision(), nil, bytes, between))
+				if err != nil {
+					t.Fatal(err)
+				}
+				relay.Make(next)
+				requireSameState(t, log, relay)
+			})
+		}
+	}
+}
+
+// The history of one resource that changed often does not fit into one message of a relay's
+// connection: pages are bounded by what they hold of it also.
+func TestPageIsBoundedByChanges(t *testing.T) {
+	const bytes = 20_000
+	log := newLog(Limits{Resources: 10, History: 2000})
+	relay := NewState(Limits{Resources: 10, History: 2000})
+	publish(t, log, put("a", "x", content(0)))
+	catchUp(t, log, relay, 0)
+	for n := range 1000 {
+		publish(t, log, put("a", "x", content(n+1)))
+	}
+	page, err := log.Read(Query{After: relay.Revision(), Bytes: bytes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := msgpack.Marshal(&page)
+	if err != nil || len(data) > 2*bytes || !page.More {
+		t.Errorf("a page of %d bytes, %d changes, more %v, %v; %d asked for", len(data), len(page.Changes), page.More, err, bytes)
+	}
+	reader := NewReader(Limits{Resources: 10, History: 2000})
+	next, err := relay.Follow(readWhole(t, log, reader, relay.Revision(), nil, bytes, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay.Make(next)
+	requireSameState(t, log, relay)
+	if len(relay.history) != len(log.history)-1 {
+		t.Errorf("history of %d; want %d", len(relay.history), len(log.history)-1)
+	}
+}
+
+// A relay that is behind the beginning of a snapshot can't go on with it.
+func TestSnapshotDoesNotGoOnAtRelayBehind(t *testing.T) {
+	log, behindRelay := newLog(testLimits()), NewState(testLimits())
+	for n := range 4 {
+		publish(t, log, put(fmt.Sprintf("r%d", n), "x", content(n)))
+	}
+	catchUp(t, log, behindRelay, 0)
+	publish(t, log, put("r0", "x", content(9)))
+	interest, reader := interestIn("h", "x"), NewReader(testLimits())
+	query := reader.Query(Revision{}, &interest)
+	query.Bytes = 1
+	page, err := log.Read(query)
+	if err != nil || !page.More {
+		t.Fatalf("%+v, %v", page, err)
+	}
+	if _, err := reader.Take(page); err != nil {
+		t.Fatal(err)
+	}
+	if page, err := behindRelay.Read(reader.Query(Revision{}, &interest)); !isAhead(err) {
+		t.Errorf("%+v, %v", page, err)
+	}
+}
+
+func TestReadAheadOfState(t *testing.T) {
+	log := newLog(testLimits())
+	if _, err := log.Read(Query{After: Revision{1, 1}}); !isAhead(err) {
+		t.Error(err)
+	}
+}
+
+func TestConcernedFindsLatest(t *testing.T) {
+	log := newLog(testLimits())
+	publish(t, log, put("a", "x", content(1)))
+	left := publish(t, log, put("a", "y", content(1)))
+	publish(t, log, put("b", "y", content(1)))
+	revision, ok := log.Concerned(Revision{1, 0}, interestIn("h", "x"))
+	if !ok || revision != left.Revision {
+		t.Errorf("%v, %v", revision, ok)
+	}
+	if revision, ok := log.Concerned(left.Revision, interestIn("h", "x")); ok {
+		t.Errorf("%v", revision)
+	}
+}
+
+// Every state is restored from what its batches wrote, and a lost batch is as if its step had
+// not been made.
+func TestRestoreAfterEachBatch(t *testing.T) {
+	limits := Limits{Resources: 10, History: 4}
+	log, store := NewState(limits), newDisk()
+	do := func(next *Step, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		before, err := Restore(limits, store.all())
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSameState(t, log, before)
+		store.write(next.Batch())
+		log.Make(next)
+		after, err := Restore(limits, store.all())
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSameState(t, log, after)
+		if log.compacted != after.compacted || !slices.EqualFunc(log.history, after.history, sameChange) {
+			t.Fatalf("history\n%v\nwant\n%v", after.history, log.history)
+		}
+	}
+	propose := func(change Put) {
+		t.Helper()
+		_, next, err := log.Propose(testTime, log.Revision().Epoch, change)
+		do(next, err)
+	}
+	do(log.Promote(1), nil)
+	for n := range 6 {
+		propose(put(fmt.Sprintf("r%d", n%3), []string{"x", "y"}[n%2], content(n)))
+	}
+	propose(remove("r1"))
+	do(log.Promote(2), nil)
+	propose(put("r1", "x", content(3)))
+
+	other := newLog(testLimits())
+	other.Make(other.Promote(3))
+	publish(t, other, put("r2", "x", content(3)))
+	snapshot, err := other.Read(Query{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	do(log.Follow(snapshot))
+	publish(t, other, remove("r2"))
+	publish(t, other, put("r3", "x", content(3)))
+	delta, err := other.Read(Query{After: log.Revision()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	do(log.Follow(delta))
+	if keys := len(store.rows); keys != len(log.resources)+len(log.history)+1 {
+		t.Errorf("%d rows for %d resources and %d changes", keys, len(log.resources), len(log.history))
+	}
+}
+
+func sameChange(x, y Change) bool { return x.Revision == y.Revision && x.Name == y.Name }
+
+func TestRestoreRefusesSpoiltRows(t *testing.T) {
+	log, store := NewState(testLimits()), newDisk()
+	next := log.Promote(1)
+	store.write(next.Batch())
+	log.Make(next)
+	_, next, err := log.Propose(testTime, 1, put("a", "x", content(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.write(next.Batch())
+	for key := range store.rows {
+		for _, value := range []string{"", "[]", `{"name":"b"}`} {
+			if key == revisionKey && value != "" && value != "[]" || strings.HasPrefix(key, changePrefix) && value == `{"name":"b"}` {
+				continue // it is a row of that kind
+			}
+			rows := store.all()
+			for n := range rows {
+				if rows[n].Key == key {
+					rows[n].Value = []byte(value)
+				}
+			}
+			if _, err := Restore(testLimits(), rows); err == nil || !strings.Contains(err.Error(), key) {
+				t.Errorf("%s=%q: %v", key, value, err)
+			}
+		}
+	}
+	if _, err := Restore(testLimits(), append(store.all(), Row{Key: "other", Value: nil})); err != nil {
+		t.Errorf("a row of something else: %v", err)
+	}
+}
