distribution: tests of the subscriber's copy and of the applier, and their faults

Written against the code as it was, these failed, each by a fault:

- a revision that came while an earlier one was being tried was never tried once the earlier one was refused: a refusal stands only for what is still wanted (TestApplierTriesRevisionThatCameDuringAttempt, ...ForgetsRefusalOfUnwanted)
- a restored applier took all accepted settings for unwanted, and due to go, until it heard what is wanted (TestApplierRestores)
- a reason was cut within a letter (TestApplierBoundsReason)
- a copy that was kept for another interest asked for what came after EPOCH.0, which a log that was never compacted answers with a delta: it kept what does not concern it.

Measured: all of the package's tests pass; the listed ones failed before.

--- a/internal/fleet/distribution/applier.go
+++ b/internal/fleet/distribution/applier.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -140,15 +141,24 @@
 	case len(trying) > 1:
 		a.alone = true
 	default:
-		for name, r := range trying {
-			a.refused[name] = Refusal{Instance: a.instance, Resource: name, Revision: r.Revision, Reason: reason[:min(len(reason), reasonMost)]}
-		}
+		a.refuse(trying, reason)
 	}
 	if len(a.pending()) == 0 {
 		a.since, a.alone = time.Time{}, false
 	}
 }
 
+// refuse notes what the instance turned down, unless another revision of it, or none, is
+// wanted by now: that is tried as if nothing had been refused.
+func (a *Applier) refuse(tried map[string]Resource, reason string) {
+	reason = strings.ToValidUTF8(reason[:min(len(reason), reasonMost)], "")
+	for name, r := range tried {
+		if a.wantedNow(name).Revision == r.Revision {
+			a.refused[name] = Refusal{Instance: a.instance, Resource: name, Revision: r.Revision, Reason: reason}
+		}
+	}
+}
+
 // Forgive lets refused revisions be tried again: the instance runs another program.
 func (a *Applier) Forgive(now time.Time) {
 	clear(a.refused)
@@ -187,7 +197,8 @@
 	return row(acceptedPrefix+a.instance, applierRow{Accepted: a.Accepted(), Refused: a.Refused()})
 }
 
-// Restore takes over what the rows hold of the instance.
+// Restore takes over what the rows hold of the instance. Until Want says otherwise the accepted
+// settings are the wanted ones, so that a restart takes nothing out of force.
 func (a *Applier) Restore(rows []Row) error {
 	for _, line := range rows {
 		if line.Key != acceptedPrefix+a.instance {
@@ -201,7 +212,7 @@
 			if err := r.Check(); err != nil {
 				return fmt.Errorf("settings: row %q: %w", line.Key, err)
 			}
-			a.accepted[r.Name] = r
+			a.accepted[r.Name], a.wanted[r.Name] = r, r
 		}
 		for _, refusal := range kept.Refused {
 			a.refused[refusal.Resource] = refusal
--- a/internal/fleet/distribution/helpers_test.go
+++ b/internal/fleet/distribution/helpers_test.go
@@ -170,3 +170,5 @@
 		}
 	}
 }
+
+func hostName(number int) string { return fmt.Sprintf("host-%05d.example", number) }
--- a/internal/fleet/distribution/replica.go
+++ b/internal/fleet/distribution/replica.go
@@ -11,6 +11,7 @@
 // Replica is a subscriber's copy: the resources that concern its instances.
 type Replica struct {
 	revision  Revision
+	epoch     int64  // the latest that is known; what is of an earlier one is void
 	interest  string // the interest that the copy was made for, by its hash
 	resources map[string]Resource
 }
@@ -26,6 +27,9 @@
 // Take takes a whole update, and says whether it changed any resource. Errors are of
 // *InvalidError and *FencedError; the copy stays as it is.
 func (r *Replica) Take(update Update) (changed bool, err error) {
+	if update.Revision.Epoch < r.epoch {
+		return false, &FencedError{Epoch: update.Revision.Epoch, Known: r.epoch}
+	}
 	if err := checkUpdate(&update, r.revision); err != nil {
 		return false, err
 	}
@@ -35,7 +39,7 @@
 		for _, resource := range update.Resources {
 			r.resources[resource.Name] = resource
 		}
-		r.revision = update.Revision
+		r.moveTo(update.Revision)
 		return !maps.EqualFunc(before, r.resources, sameRevision), nil
 	}
 	for _, resource := range update.Resources {
@@ -45,10 +49,12 @@
 			r.resources[resource.Name] = resource
 		}
 	}
-	r.revision = update.Revision
+	r.moveTo(update.Revision)
 	return len(update.Resources) > 0, nil
 }
 
+func (r *Replica) moveTo(revision Revision) { r.revision, r.epoch = revision, revision.Epoch }
+
 func sameRevision(x, y Resource) bool { return x.Revision == y.Revision && x.Hash == y.Hash }
 
 // For returns the resources that concern an instance of the host, in the order in which they
@@ -83,13 +89,14 @@
 // replicaRow is the row that says where a Replica stands.
 type replicaRow struct {
 	Revision Revision `json:"revision"`
+	Epoch    int64    `json:"epoch"`
 	Interest string   `json:"interest"`
 }
 
 // Batch is the rows that keep the copy; before is what it was when it was kept last, nil for
 // not yet.
 func (r *Replica) Batch(before *Replica) Batch {
-	batch := Batch{Put: []Row{row(replicaKey, replicaRow{Revision: r.revision, Interest: r.interest})}}
+	batch := Batch{Put: []Row{row(replicaKey, replicaRow{Revision: r.revision, Epoch: r.epoch, Interest: r.interest})}}
 	for name, resource := range r.resources {
 		if before == nil || !sameRevision(before.resources[name], resource) {
 			batch.Put = append(batch.Put, row(replicaPrefix+name, resource))
@@ -108,7 +115,7 @@
 
 // Clone returns a copy for Batch.
 func (r *Replica) Clone() *Replica {
-	return &Replica{revision: r.revision, interest: r.interest, resources: maps.Clone(r.resources)}
+	return &Replica{revision: r.revision, epoch: r.epoch, interest: r.interest, resources: maps.Clone(r.resources)}
 }
 
 // RestoreReplica returns the copy that the rows hold. What was kept for another interest
@@ -121,9 +128,9 @@
 		case line.Key == replicaKey:
 			var kept replicaRow
 			err = json.Unmarshal(line.Value, &kept)
-			r.revision = kept.Revision
-			if kept.Interest != r.interest {
-				r.revision = Revision{Epoch: kept.Revision.Epoch}
+			r.epoch = kept.Epoch
+			if kept.Interest == r.interest {
+				r.revision = kept.Revision
 			}
 		case strings.HasPrefix(line.Key, replicaPrefix):
 			var resource Resource
