--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -65,8 +65,9 @@
 		hosts: make(map[string]*entry), dirty: make(map[string]bool)}
 }
 
-// Join takes a subscriber in, or one that was there under an earlier session. Errors are of
-// *FullError; of *FencedError where the host has a later session here.
+// Join takes a subscriber in, or one that was there under an earlier session. It counts as
+// behind until it holds the relay's position, or Told says that nothing it lacks concerns it.
+// Errors are of *FullError; of *InvalidError where the host is known by a later session.
 func (g *Registry) Join(now time.Time, interest Interest, session int64, state HostState) error {
 	e := g.hosts[interest.Host]
 	if e != nil && e.report.Session > session {
@@ -83,21 +84,31 @@
 		e = &entry{}
 		g.hosts[interest.Host] = e
 	}
-	e.interest, e.concerned = interest, Revision{}
+	e.interest, e.concerned = interest, g.position
 	e.report = HostReport{Host: interest.Host, Session: session, Present: true, Since: now.UTC(), Relay: g.relay}
 	g.setState(e, state)
 	return nil
 }
 
-// Told notes that a subscriber was sent an update up to a revision.
+// Told notes what was read for a subscriber: an update that it is sent, or an empty one, also
+// where its call goes on to wait instead of being answered with that.
 func (g *Registry) Told(host string, session int64, update *Update) {
 	e := g.own(host, session)
 	if e == nil {
 		return
 	}
-	if !update.Empty() {
+	before := e.concerned
+	switch {
+	case before.After(update.Revision):
+		// A later change has come since the update was read.
+	case update.Empty():
+		e.concerned = update.After
+	default:
 		e.concerned = update.Revision
 	}
+	if e.concerned != before {
+		g.dirty[host] = true
+	}
 }
 
 // Acknowledge takes what a subscriber says of itself.
@@ -208,7 +219,9 @@
 func (g *Registry) Position() Revision { return g.position }
 
 // Merge takes what another relay reports; of two reports of a host the later session's
-// counts. position is the zero value while more reports follow.
+// counts. position is the zero value while more reports follow. A relay that connects anew
+// reports all of its subscribers, after Lost was called for it: it may not know those that it
+// had before it was restarted.
 func (g *Registry) Merge(relay string, position Revision, reports []HostReport) {
 	if !position.IsZero() {
 		g.positions[relay] = position
--- /dev/null
+++ b/internal/fleet/distribution/registry_test.go
@@ -0,0 +1,361 @@
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// settledAt is what a host says that has all up to a revision in force.
+func settledAt(revision Revision) HostState {
+	return HostState{Received: revision, Settled: true, Applied: revision}
+}
+
+// refusedAt is what a host says of which an instance refused a revision.
+func refusedAt(revision Revision) HostState {
+	state := settledAt(revision)
+	state.Refused = []Refusal{{Instance: "i", Resource: "a", Revision: revision, Reason: "no"}}
+	return state
+}
+
+// counts are those of a Status.
+type counts struct{ hosts, inForce, refused, behind, away int }
+
+func requireCounts(t testing.TB, registry *Registry, revision Revision, want counts) {
+	t.Helper()
+	status := registry.Status(revision, 100)
+	have := counts{status.Hosts, status.InForce, status.Refused, status.Behind, status.Away}
+	if have != want {
+		t.Errorf("at %v: %+v; want %+v", status.Revision, have, want)
+	}
+	requireSum(t, status)
+	if len(status.Missing) != min(status.Hosts-status.InForce, 100) {
+		t.Errorf("%d hosts are named", len(status.Missing))
+	}
+}
+
+func requireSum(t testing.TB, status Status) {
+	t.Helper()
+	if sum := status.InForce + status.Refused + status.Behind + status.Away; sum != status.Hosts {
+		t.Errorf("%d of %d hosts are counted: %+v", sum, status.Hosts, status)
+	}
+}
+
+// forward passes all reports of a relay on to another registry, some at a time.
+func forward(from, to *Registry, most int) {
+	for {
+		reports, all := from.Reports(most)
+		position := Revision{}
+		if all {
+			position = from.Position()
+		}
+		to.Merge(from.relay, position, reports)
+		if all {
+			return
+		}
+	}
+}
+
+func mustJoin(t testing.TB, registry *Registry, interest Interest, session int64, state HostState) {
+	t.Helper()
+	if err := registry.Join(testTime, interest, session, state); err != nil {
+		t.Fatalf("%s, session %d: %v", interest.Host, session, err)
+	}
+}
+
+// tell reads what a subscriber has not received, and notes that it was sent that.
+func tell(t testing.TB, registry *Registry, state *State, interest Interest, session int64, held Revision) Update {
+	t.Helper()
+	update, err := state.Read(Query{After: held, Interest: &interest})
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry.Told(interest.Host, session, &update)
+	return update
+}
+
+func TestRegistryFollowsChangesOfConcern(t *testing.T) {
+	log, registry := newLog(testLimits()), NewRegistry("r1", 10)
+	registry.Advance(log)
+	x, y := interestIn("hx", "x"), interestIn("hy", "y")
+	mustJoin(t, registry, x, 1, settledAt(log.Revision()))
+	mustJoin(t, registry, y, 2, settledAt(log.Revision()))
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 2})
+
+	resource := publish(t, log, put("a", "x", content(1)))
+	registry.Advance(log)
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+	tell(t, registry, log, x, 1, Revision{1, 0})
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+	registry.Acknowledge("hx", 1, HostState{Received: resource.Revision, Applied: Revision{1, 0}, Waiting: "an operation"})
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+	registry.Acknowledge("hx", 1, settledAt(resource.Revision))
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 2})
+	requireCounts(t, registry, Revision{1, 99}, counts{hosts: 2, behind: 2})
+
+	publish(t, log, put("b", "z", content(1)))
+	registry.Advance(log)
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 2})
+
+	registry.Acknowledge("hx", 1, refusedAt(log.Revision()))
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 1, refused: 1})
+	requireCounts(t, registry, resource.Revision, counts{hosts: 2, inForce: 2})
+	if status := registry.Status(Revision{}, 0); len(status.Missing) != 0 {
+		t.Errorf("none is to be named: %v", status.Missing)
+	}
+}
+
+// A host that joins with an earlier revision has not got what came since, as long as the
+// relay has not looked whether that concerns it.
+func TestRegistryDoesNotTrustJoinWithEarlierRevision(t *testing.T) {
+	log, registry := newLog(testLimits()), NewRegistry("r1", 10)
+	before := log.Revision()
+	publish(t, log, put("a", "x", content(1)))
+	registry.Advance(log)
+	x, y := interestIn("hx", "x"), interestIn("hy", "y")
+	mustJoin(t, registry, x, 1, settledAt(before))
+	mustJoin(t, registry, y, 2, settledAt(before))
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, behind: 2})
+	writer := NewRegistry("writer", 10)
+	forward(registry, writer, 1)
+	requireCounts(t, writer, log.Revision(), counts{hosts: 2, behind: 2})
+
+	if update := tell(t, registry, log, y, 2, before); !update.Empty() {
+		t.Fatalf("%+v", update)
+	}
+	if update := tell(t, registry, log, x, 1, before); update.Empty() {
+		t.Fatalf("%+v", update)
+	}
+	requireCounts(t, registry, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+	forward(registry, writer, 1)
+	requireCounts(t, writer, log.Revision(), counts{hosts: 2, inForce: 1, behind: 1})
+}
+
+// An update that was read before a change is sent after it: the change is still to come.
+func TestRegistryToldOfEarlierRevision(t *testing.T) {
+	log, registry := newLog(testLimits()), NewRegistry("r1", 10)
+	registry.Advance(log)
+	x := interestIn("hx", "x")
+	mustJoin(t, registry, x, 1, settledAt(log.Revision()))
+	first := publish(t, log, put("a", "x", content(1)))
+	registry.Advance(log)
+	update, err := log.Read(Query{After: Revision{1, 0}, Interest: &x})
+	if err != nil {
+		t.Fatal(err)
+	}
+	publish(t, log, put("a", "x", content(2)))
+	registry.Advance(log)
+	registry.Told("hx", 1, &update)
+	registry.Acknowledge("hx", 1, settledAt(first.Revision))
+	requireCounts(t, registry, Revision{}, counts{hosts: 1, behind: 1})
+	requireCounts(t, registry, first.Revision, counts{hosts: 1, inForce: 1})
+}
+
+func TestRegistryAfterCompaction(t *testing.T) {
+	log, relay := newLog(Limits{Resources: 10, History: 2}), NewState(testLimits())
+	registry := NewRegistry("r1", 10)
+	catchUp(t, log, relay, 0)
+	registry.Advance(relay)
+	y := interestIn("hy", "y")
+	mustJoin(t, registry, y, 1, settledAt(relay.Revision()))
+	for n := range 5 {
+		publish(t, log, put("a", "x", content(n)))
+	}
+	catchUp(t, log, relay, 0)
+	registry.Advance(relay)
+	requireCounts(t, registry, Revision{}, counts{hosts: 1, behind: 1})
+	registry.Acknowledge("hy", 1, settledAt(relay.Revision()))
+	requireCounts(t, registry, Revision{}, counts{hosts: 1, inForce: 1})
+}
+
+func TestRegistryBoundsSubscribers(t *testing.T) {
+	registry := NewRegistry("r1", 2)
+	mustJoin(t, registry, interestIn("h1", "x"), 1, HostState{})
+	mustJoin(t, registry, interestIn("h2", "x"), 2, HostState{})
+	mustJoin(t, registry, interestIn("h2", "x"), 3, HostState{})
+	err := registry.Join(testTime, interestIn("h3", "x"), 4, HostState{})
+	if full, ok := errors.AsType[*FullError](err); !ok || full.Most != 2 {
+		t.Errorf("%v", err)
+	}
+	if err := registry.Join(testTime, interestIn("h2", "x"), 2, HostState{}); !isInvalid(err) {
+		t.Errorf("an earlier session: %v", err)
+	}
+	registry.Leave(testTime, "h2", 2)
+	if registry.Subscribers() != 2 {
+		t.Errorf("an earlier session leaves: %d subscribers", registry.Subscribers())
+	}
+	registry.Leave(testTime, "h2", 3)
+	registry.Leave(testTime, "h2", 3)
+	if registry.Subscribers() != 1 {
+		t.Errorf("%d subscribers", registry.Subscribers())
+	}
+	mustJoin(t, registry, interestIn("h3", "x"), 5, HostState{})
+}
+
+func TestRegistryBoundsRefusals(t *testing.T) {
+	registry := NewRegistry("r1", 2)
+	state := HostState{Settled: true, Refused: make([]Refusal, refusalsMost+5)}
+	mustJoin(t, registry, interestIn("h1", "x"), 1, state)
+	reports, _ := registry.Reports(1)
+	if len(reports[0].State.Refused) != refusalsMost {
+		t.Errorf("%d refusals", len(reports[0].State.Refused))
+	}
+}
+
+func TestRegistrySessionMovesBetweenRelays(t *testing.T) {
+	log := newLog(testLimits())
+	publish(t, log, put("a", "x", content(1)))
+	writer, near, far := NewRegistry("writer", 10), NewRegistry("near", 10), NewRegistry("far", 10)
+	for _, registry := range []*Registry{writer, near, far} {
+		registry.Advance(log)
+	}
+	x := interestIn("h", "x")
+	mustJoin(t, near, x, 1, settledAt(log.Revision()))
+	forward(near, writer, 1)
+	requireCounts(t, writer, Revision{}, counts{hosts: 1, inForce: 1})
+
+	// It moves, and the first relay's word that it has left comes last.
+	mustJoin(t, far, x, 2, refusedAt(log.Revision()))
+	forward(far, writer, 1)
+	requireCounts(t, writer, Revision{}, counts{hosts: 1, refused: 1})
+	near.Leave(testTime, "h", 1)
+	forward(near, writer, 1)
+	requireCounts(t, writer, Revision{}, counts{hosts: 1, refused: 1})
+
+	// To the writer itself, and away again.
+	mustJoin(t, writer, x, 3, settledAt(log.Revision()))
+	far.Leave(testTime, "h", 2)
+	forward(far, writer, 1)
+	requireCounts(t, writer, Revision{}, counts{hosts: 1, inForce: 1})
+	mustJoin(t, near, x, 4, settledAt(log.Revision()))
+	forward(near, writer, 1)
+	if writer.Subscribers() != 0 {
+		t.Errorf("%d subscribers of the writer", writer.Subscribers())
+	}
+	writer.Leave(testTime, "h", 3)
+	if writer.Subscribers() != 0 {
+		t.Errorf("%d subscribers of the writer", writer.Subscribers())
+	}
+	if reports, all := writer.Reports(10); len(reports) != 0 || !all {
+		t.Errorf("the writer reports another's subscriber: %v", reports)
+	}
+	requireCounts(t, writer, Revision{}, counts{hosts: 1, inForce: 1})
+}
+
+func TestRegistryUsesPositionOfRelay(t *testing.T) {
+	log := newLog(testLimits())
+	writer, relay := NewRegistry("writer", 10), NewRegistry("r1", 10)
+	relay.Advance(log)
+	mustJoin(t, relay, interestIn("hx", "x"), 1, settledAt(log.Revision()))
+	mustJoin(t, relay, interestIn("hy", "y"), 2, settledAt(log.Revision()))
+	forward(relay, writer, 10)
+	publish(t, log, put("a", "x", content(1)))
+	writer.Advance(log)
+	requireCounts(t, writer, Revision{}, counts{hosts: 2, behind: 2})
+	relay.Advance(log)
+	reports, all := relay.Reports(10)
+	if len(reports) != 1 || !all || reports[0].Host != "hx" {
+		t.Errorf("%v, %v: only the one that is concerned has anything to report", reports, all)
+	}
+	writer.Merge("r1", relay.Position(), reports)
+	requireCounts(t, writer, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+}
+
+func TestRegistryRelayLost(t *testing.T) {
+	log := newLog(testLimits())
+	writer, relay := NewRegistry("writer", 10), NewRegistry("r1", 10)
+	relay.Advance(log)
+	mustJoin(t, relay, interestIn("hx", "x"), 1, settledAt(log.Revision()))
+	mustJoin(t, relay, interestIn("hy", "y"), 2, settledAt(log.Revision()))
+	forward(relay, writer, 10)
+	publish(t, log, put("a", "x", content(1)))
+	writer.Advance(log)
+	writer.Lost(testTime, "r1")
+	requireCounts(t, writer, Revision{}, counts{hosts: 2, away: 2})
+	requireCounts(t, writer, Revision{1, 0}, counts{hosts: 2, inForce: 2})
+
+	relay.Advance(log)
+	relay.ReportAll()
+	forward(relay, writer, 1)
+	requireCounts(t, writer, Revision{}, counts{hosts: 2, inForce: 1, behind: 1})
+
+	writer.Lost(testTime, "r1")
+	writer.Forget(testTime.Add(forgetAfter))
+	requireCounts(t, writer, Revision{}, counts{hosts: 2, inForce: 1, away: 1})
+	writer.Forget(testTime.Add(forgetAfter + 1))
+	requireCounts(t, writer, Revision{}, counts{})
+}
+
+func TestRegistryLeavesAndForgets(t *testing.T) {
+	log, registry := newLog(testLimits()), NewRegistry("r1", 10)
+	registry.Advance(log)
+	mustJoin(t, registry, interestIn("h", "x"), 1, settledAt(log.Revision()))
+	publish(t, log, put("a", "y", content(1)))
+	registry.Advance(log)
+	registry.Leave(testTime, "h", 1)
+	requireCounts(t, registry, Revision{}, counts{hosts: 1, inForce: 1})
+	publish(t, log, put("a", "y", content(2)))
+	registry.Advance(log)
+	requireCounts(t, registry, Revision{}, counts{hosts: 1, away: 1})
+	registry.Forget(testTime.Add(forgetAfter + 1))
+	requireCounts(t, registry, Revision{}, counts{})
+	if reports, all := registry.Reports(1); len(reports) != 0 || !all {
+		t.Errorf("%v", reports)
+	}
+}
+
+func TestRegistryNamesRefusedFirst(t *testing.T) {
+	log, registry := newLog(testLimits()), NewRegistry("r1", 100)
+	publish(t, log, put("a", "x", content(1)))
+	registry.Advance(log)
+	for n := range 10 {
+		state := HostState{}
+		if n == 7 {
+			state = refusedAt(log.Revision())
+		}
+		mustJoin(t, registry, interestIn(fmt.Sprintf("h%d", n), "x"), int64(n+1), state)
+	}
+	status := registry.Status(Revision{}, 2)
+	if len(status.Missing) != 2 || status.Missing[0].Host != "h7" || status.Missing[1].Host != "h0" {
+		t.Errorf("%v", status.Missing)
+	}
+}
+
+func TestRegistryPassesReportsOnInParts(t *testing.T) {
+	registry, writer := NewRegistry("r1", 100), NewRegistry("writer", 1)
+	for n := range 10 {
+		mustJoin(t, registry, interestIn(fmt.Sprintf("h%d", n), "x"), int64(n+1), HostState{})
+	}
+	var seen []string
+	for all := false; !all; {
+		var reports []HostReport
+		if reports, all = registry.Reports(3); len(reports) > 3 {
+			t.Errorf("%d reports", len(reports))
+		}
+		for _, report := range reports {
+			seen = append(seen, report.Host)
+		}
+		writer.Merge("r1", Revision{}, reports)
+	}
+	slices.Sort(seen)
+	if len(slices.Compact(seen)) != 10 || writer.Status(Revision{}, 0).Hosts != 10 {
+		t.Errorf("%v", seen)
+	}
+}
+
+func TestRegistryBoundsHosts(t *testing.T) {
+	registry := NewRegistry("writer", 1)
+	reports := make([]HostReport, HostsMost+1)
+	for n := range reports {
+		reports[n] = HostReport{Host: hostName(n), Session: 1, Present: true, Since: testTime}
+	}
+	registry.Merge("r1", Revision{1, 1}, reports)
+	if hosts := registry.Status(Revision{1, 1}, 0).Hosts; hosts != HostsMost {
+		t.Errorf("%d hosts", hosts)
+	}
+	if err := registry.Join(testTime.Add(time.Hour), interestIn("new", "x"), 1, HostState{}); err == nil {
+		t.Error("one more joins")
+	}
+}
