--- a/internal/fleet/distribution/node/relay.go
+++ b/internal/fleet/distribution/node/relay.go
@@ -306,7 +306,11 @@
 	if !ok || !r.registry.Seen(now, in.Host, in.Session) {
 		return nil, &distribution.InvalidError{What: "session", Name: in.Host, Reason: "it is not open here; connect anew"}
 	}
-	update, err := r.read(ctx, in.Wait, distribution.Query{After: in.After, Began: in.Began, Bytes: pageBytes, Interest: &interest})
+	query := distribution.Query{After: in.After, Began: in.Began, Bytes: pageBytes, Interest: &interest}
+	if update, err := r.state.Read(query); err == nil {
+		r.registry.Told(in.Host, in.Session, &update) // also that nothing is new, before the wait
+	}
+	update, err := r.read(ctx, in.Wait, query)
 	if err != nil {
 		return nil, err
 	}
