--- a/internal/fleet/distribution/applier_test.go
+++ b/internal/fleet/distribution/applier_test.go
@@ -195,7 +195,7 @@
 }
 
 // restoreApplier returns what the applier's row holds.
-func restoreApplier(t testing.TB, applier *Applier) *Applier {
+func restoreApplier(t failer, applier *Applier) *Applier {
 	t.Helper()
 	restored := NewApplier(applier.instance, applier.coalesce)
 	other := Row{Key: acceptedPrefix + applier.instance + "2", Value: []byte("[]")}
--- /dev/null
+++ b/internal/fleet/distribution/fuzz_test.go
@@ -0,0 +1,197 @@
+package distribution
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// fuzzCopies returns a relay's and a subscriber's copy at the same revision of a log, and the
+// log, which has gone on.
+func fuzzCopies(t testing.TB) (log, relay *State, replica *Replica) {
+	log, relay, replica = newLog(testLimits()), NewState(testLimits()), NewReplica(interestIn("h", "x"))
+	publish(t, log, put("a", "x", content(1)))
+	publish(t, log, put("b", "y", content(1)))
+	catchUp(t, log, relay, 0)
+	subscribe(t, log, replica, interestIn("h", "x"), 0)
+	publish(t, log, put("a", "y", content(2)))
+	publish(t, log, put("c", "x", content(3)))
+	publish(t, log, remove("b"))
+	return log, relay, replica
+}
+
+// FuzzUpdate takes bytes of a relay: no panic, and no change of the copy on an error.
+func FuzzUpdate(f *testing.F) {
+	log, relay, replica := fuzzCopies(f)
+	interest := interestIn("h", "x")
+	for _, query := range []Query{{}, {Bytes: 1}, {After: relay.Revision()}, {After: relay.Revision(), Bytes: 1},
+		{Interest: &interest}, {After: replica.Revision(), Interest: &interest}} {
+		update, err := log.Read(query)
+		if err != nil {
+			f.Fatal(err)
+		}
+		data, err := msgpack.Marshal(&update)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+		far := update
+		far.Resources = append([]Resource(nil), update.Resources...)
+		far.Resources[0].At = testTime.AddDate(9000, 0, 0)
+		if data, err = msgpack.Marshal(&far); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff}) // a map of 4 billion
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var update Update
+		if err := msgpack.Unmarshal(data, &update); err != nil {
+			return
+		}
+		_, relay, replica := fuzzCopies(t)
+		checkTake(t, replica, update)
+		checkFollow(t, relay, update)
+		checkReader(t, update)
+	})
+}
+
+func checkTake(t *testing.T, replica *Replica, update Update) {
+	before := replica.Clone()
+	_, err := replica.Take(update)
+	if err != nil {
+		if before.revision != replica.revision || !maps.EqualFunc(before.resources, replica.resources, sameRevision) {
+			t.Fatalf("the copy has changed on %v", err)
+		}
+		return
+	}
+	if before.revision.After(replica.revision) {
+		t.Fatalf("from %v to %v", before.revision, replica.revision)
+	}
+	store := newDisk()
+	store.write(replica.Batch(nil))
+	restored, err := RestoreReplica(interestIn("h", "x"), store.all())
+	if err != nil {
+		t.Fatalf("a copy that was taken is not restored: %v", err)
+	}
+	if restored.revision != replica.revision || !maps.EqualFunc(restored.resources, replica.resources, sameRevision) {
+		t.Fatal("another copy is restored")
+	}
+	for _, r := range replica.For("h", map[string]string{"service": "x"}) {
+		if r.Removed {
+			t.Fatalf("%s is removed, and there", r.Name)
+		}
+	}
+}
+
+func checkFollow(t *testing.T, relay *State, update Update) {
+	before := relay.Revision()
+	store := newDisk()
+	next, err := relay.Follow(update)
+	if err != nil || next == nil {
+		if relay.Revision() != before {
+			t.Fatalf("at %v after %v", relay.Revision(), err)
+		}
+		return
+	}
+	store.write(next.Batch())
+	relay.Make(next)
+	if before.After(relay.Revision()) {
+		t.Fatalf("from %v to %v", before, relay.Revision())
+	}
+	if len(relay.history) > testLimits().History {
+		t.Fatalf("a history of %d", len(relay.history))
+	}
+	if update.Snapshot {
+		restored, err := Restore(testLimits(), store.all())
+		if err != nil {
+			t.Fatalf("a copy that was taken is not restored: %v", err)
+		}
+		requireSameState(t, relay, restored)
+	}
+	if _, err := relay.Read(Query{After: before, Bytes: 1}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func checkReader(t *testing.T, update Update) {
+	limits := Limits{Resources: 2, History: 2}
+	reader := NewReader(limits)
+	for range 3 {
+		whole, err := reader.Take(update)
+		if whole != nil && (err != nil || len(whole.Resources) > 2*(limits.Resources+limits.History)) {
+			t.Fatalf("%d resources, %v", len(whole.Resources), err)
+		}
+		reader.Query(Revision{}, nil)
+	}
+}
+
+// FuzzPut takes an operator's change: what a log takes can be kept, restored and sent.
+func FuzzPut(f *testing.F) {
+	f.Add("a", "service", "x", 0.5, []byte(`{"limits":{"in_flight":1}}`), "author")
+	f.Add("a/b.c", "", "", 0.0, []byte(`{}`), "")
+	f.Add("a", "k", "\xff", 1.0, []byte(`{"Seed":1}`), "\xff")
+	f.Add("", "k", "v", -1.0, []byte(`[`), "")
+	f.Fuzz(func(t *testing.T, name, key, value string, share float64, content []byte, author string) {
+		scope := Scope{Labels: map[string]string{key: value}, Share: share}
+		log, store := newLog(testLimits()), newDisk()
+		resource, next, err := log.Propose(testTime, 1, Put{Name: name, Scope: scope, Content: content, Author: author})
+		if err != nil {
+			if !isInvalid(err) {
+				t.Fatalf("%T: %v", err, err)
+			}
+			return
+		}
+		if !json.Valid(resource.Content) || !bytes.Equal(resource.Content, content) {
+			t.Fatalf("%q was kept as %q", content, resource.Content)
+		}
+		store.write(next.Batch())
+		log.Make(next)
+		restored, err := Restore(testLimits(), store.all())
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSameState(t, log, restored)
+		page, err := log.Read(Query{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := msgpack.Marshal(&page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var carried Update
+		if err := msgpack.Unmarshal(data, &carried); err != nil {
+			t.Fatal(err)
+		}
+		relay := NewState(testLimits())
+		if next, err = relay.Follow(carried); err != nil {
+			t.Fatal(err)
+		}
+		relay.Make(next)
+		requireSameState(t, log, relay)
+	})
+}
+
+func FuzzParseRevision(f *testing.F) {
+	for _, text := range []string{"1.42", "0.0", "", ".", "1", "1.", "-1.2", "1.-2", "+1.2", "01.2", "1.2.3",
+		"9223372036854775807.9223372036854775808"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		revision, err := ParseRevision(text)
+		if err != nil {
+			if !isInvalid(err) || revision != (Revision{}) {
+				t.Fatalf("%v, %v", revision, err)
+			}
+			return
+		}
+		if revision.String() != text || revision.Epoch < 0 || revision.Number < 0 {
+			t.Fatalf("%q is read as %v", text, revision)
+		}
+	})
+}
--- a/internal/fleet/distribution/helpers_test.go
+++ b/internal/fleet/distribution/helpers_test.go
@@ -11,6 +11,14 @@
 // testTime is when everything in a test happens, unless it says otherwise.
 var testTime = time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC)
 
+// failer is what tests and properties have in common.
+type failer interface {
+	Helper()
+	Errorf(format string, values ...any)
+	Fatalf(format string, values ...any)
+	Fatal(values ...any)
+}
+
 // disk is what a store would keep of Batches.
 type disk struct{ rows map[string][]byte }
 
@@ -140,7 +148,7 @@
 }
 
 // requireSameState compares everything that two states hold.
-func requireSameState(t testing.TB, want, have *State) {
+func requireSameState(t failer, want, have *State) {
 	t.Helper()
 	if want.revision != have.revision {
 		t.Fatalf("revision %v; want %v", have.revision, want.revision)
@@ -157,7 +165,7 @@
 }
 
 // requireCopy says that a subscriber holds exactly what concerns it.
-func requireCopy(t testing.TB, state *State, replica *Replica, interest Interest) {
+func requireCopy(t failer, state *State, replica *Replica, interest Interest) {
 	t.Helper()
 	want := wanted(state, interest)
 	if have := replica.Names(); !slices.Equal(want, have) {
--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -13,7 +13,8 @@
 	Received Revision `msgpack:"received" json:"received"` // that its copy holds
 	// Settled says that all it holds is accepted or refused by its instances.
 	Settled bool `msgpack:"settled" json:"settled"`
-	// Applied is the last revision at which it was settled.
+	// Applied is the last revision at which it was settled. It is zero again when its instances
+	// change or refusals are forgiven, until it is settled once more.
 	Applied Revision  `msgpack:"applied" json:"applied"`
 	Refused []Refusal `msgpack:"refused,omitempty" json:"refused,omitempty"`
 	Waiting string    `msgpack:"waiting,omitempty" json:"waiting,omitempty"` // for what, where it is not settled
--- a/internal/fleet/distribution/registry_test.go
+++ b/internal/fleet/distribution/registry_test.go
@@ -23,7 +23,7 @@
 // counts are those of a Status.
 type counts struct{ hosts, inForce, refused, behind, away int }
 
-func requireCounts(t testing.TB, registry *Registry, revision Revision, want counts) {
+func requireCounts(t failer, registry *Registry, revision Revision, want counts) {
 	t.Helper()
 	status := registry.Status(revision, 100)
 	have := counts{status.Hosts, status.InForce, status.Refused, status.Behind, status.Away}
@@ -36,7 +36,7 @@
 	}
 }
 
-func requireSum(t testing.TB, status Status) {
+func requireSum(t failer, status Status) {
 	t.Helper()
 	if sum := status.InForce + status.Refused + status.Behind + status.Away; sum != status.Hosts {
 		t.Errorf("%d of %d hosts are counted: %+v", sum, status.Hosts, status)
--- a/internal/fleet/distribution/revision.go
+++ b/internal/fleet/distribution/revision.go
@@ -30,15 +30,14 @@
 // String returns the form that ParseRevision reads, such as "1.42".
 func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Epoch, r.Number) }
 
-// ParseRevision reads the form of String.
+// ParseRevision reads the form of String, and no other: no signs, no leading zeros.
 func ParseRevision(text string) (Revision, error) {
 	epoch, number, _ := strings.Cut(text, ".")
-	e, err := strconv.ParseInt(epoch, 10, 64)
-	if err == nil && e >= 0 {
-		var n int64
-		if n, err = strconv.ParseInt(number, 10, 64); err == nil && n >= 0 {
-			return Revision{Epoch: e, Number: n}, nil
-		}
+	e, errEpoch := strconv.ParseUint(epoch, 10, 63)
+	n, errNumber := strconv.ParseUint(number, 10, 63)
+	revision := Revision{Epoch: int64(e), Number: int64(n)}
+	if errEpoch != nil || errNumber != nil || revision.String() != text {
+		return Revision{}, &InvalidError{What: "revision", Name: text, Reason: "want EPOCH.NUMBER, such as 1.42"}
 	}
-	return Revision{}, &InvalidError{What: "revision", Name: text, Reason: "want EPOCH.NUMBER, such as 1.42"}
+	return revision, nil
 }
