--- /dev/null
+++ b/internal/fleet/e2e/settings_refused_test.go
@@ -0,0 +1,114 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+)
+
+// memoryRefusal is what a sidecar's parser says of a memory limit below its least.
+const memoryRefusal = "limits.memory_mb must be at least"
+
+// refusedBy waits until all instances of a host have refused a revision, and the writer knows.
+func (w *settingsWorld) refusedBy(revision distribution.Revision, h *host) {
+	w.t.Helper()
+	eventually(w.t, fmt.Sprintf("a refusal of revision %v by all of %s", revision, h.name), func() bool {
+		for _, instance := range h.insts {
+			if !slices.ContainsFunc(w.inspect(h, instance).Settings.Refused, func(r distribution.Refusal) bool { return r.Revision == revision }) {
+				return false
+			}
+		}
+		out, ok := w.status(w.writer(), revision)
+		return ok && out.Status.Refused == 1
+	})
+}
+
+// file is the configuration that the agent wrote for an instance.
+func (h *host) file(instance string) string {
+	h.w.t.Helper()
+	text, err := os.ReadFile(filepath.Join(filepath.Dir(h.config), "s", "instances", instance+".json"))
+	if err != nil {
+		h.w.t.Fatal(err)
+	}
+	return string(text)
+}
+
+// What a sidecar refuses does not replace the last accepted settings, in the process or in its
+// file, keeps nothing else back, and is told with the sidecar's own reason.
+func TestRefusedRevisionKeepsLastGood(t *testing.T) {
+	t.Parallel()
+	w := newSettingsWorld(t, 2, 2, 2)
+	h := w.hosts[1]
+	all := instances(w.hosts...)
+	limits := w.reference(2, "limits/all", 80, 112, 96)
+	narrow, wider, good := limits[0], limits[1], limits[2]
+
+	refused := w.publish("limits/all", memoryLimit(1), "--scope", "host="+h.name)
+	w.refusedBy(refused, h)
+	// The other host has no limit of this name any more: its settings are taken back.
+	w.limits(good, h.insts)
+	for _, instance := range h.insts {
+		if rejected, _ := w.figure(instance, "edge_balancer_config_rejected"); rejected != 1 {
+			t.Errorf("%s rejected %v configurations, want 1", instance, rejected)
+		}
+		if file := h.file(instance); !strings.Contains(file, `"memory_mb": 96`) {
+			t.Errorf("the file of %s does not hold the last accepted settings: %s", instance, file)
+		}
+		refusals := w.inspect(h, instance).Settings.Refused
+		if len(refusals) != 1 || refusals[0].Revision != refused || !strings.Contains(refusals[0].Reason, memoryRefusal) {
+			t.Errorf("%s tells the refusals %+v", instance, refusals)
+		}
+	}
+	out, errs, code := w.command("list", "--settings", "--revision", refused.String())
+	if code != 1 || !strings.Contains(out, h.name) || !strings.Contains(out, memoryRefusal) || strings.Contains(out, w.hosts[0].name) {
+		t.Errorf("list --settings: exit %d\n%s%s", code, out, errs)
+	}
+
+	// Another resource gets through, a process that begins anew has the last accepted settings.
+	w.publish("limits/other", memoryLimit(80))
+	w.limits(narrow, all)
+	w.killSidecar(h, h.insts[0])
+	w.limits(narrow, all)
+
+	// A later revision of the refused resource ends the refusal.
+	w.inForce(w.publish("limits/all", memoryLimit(112), "--scope", "host="+h.name), 2)
+	w.limits(wider, h.insts) // the resource with the narrower scope is merged last
+	w.limits(narrow, w.hosts[0].insts)
+	if out, errs, code := w.command("list", "--settings"); code != 0 {
+		t.Errorf("list --settings: exit %d\n%s%s", code, out, errs)
+	}
+}
+
+// A refused and a good change that come together, between two attempts: the good one gets
+// through. A process that begins anew after that has it too.
+func TestRefusedAndGoodTogether(t *testing.T) {
+	long(t)
+	t.Parallel()
+	w := newSettingsWorld(t, 2, 1, 2)
+	h := w.hosts[0]
+	limits := w.reference(1, "limits/all", 80, 96)
+	narrow := limits[0]
+
+	// While an operation holds the instances nothing is tried: all of it comes at once after.
+	operation, token := w.openOperation(h, api.ActRestart, 0)
+	bad := w.publish("limits/bad", memoryLimit(2), "--scope", "service=even")
+	good := w.publish("limits/all", memoryLimit(80))
+	w.received(good, h)
+	w.closeOperation(h, operation, token)
+	w.limits(narrow, h.insts)
+	w.refusedBy(bad, h)
+	w.killSidecar(h, h.insts[0])
+	w.limits(narrow, h.insts)
+	w.refusedBy(bad, h)
+	if _, errs, code := w.command("change", "publish", "limits/bad", "--remove"); code != 0 {
+		t.Fatalf("exit %d: %s", code, errs)
+	}
+	w.inForce(distribution.Revision{}, 1)
+	w.limits(narrow, h.insts)
+}
--- a/internal/fleet/e2e/settings_world_test.go
+++ b/internal/fleet/e2e/settings_world_test.go
@@ -9,8 +9,10 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +26,7 @@
 // without sidecars, and each way between two agents is a link that a test can break.
 type settingsWorld struct {
 	*world
+	layout settingsLayout
 	relays []*host
 	net    *faultnet.Net
 	links  map[string]*faultnet.Link // "ASKER to RELAY", by the names of linkName
@@ -42,21 +45,49 @@
 	return w.links[linkName(asker, relay)]
 }
 
+// settingsLayout is the size of a settingsWorld and what its configurations say.
+type settingsLayout struct {
+	relays, hosts, each int
+	// regions, where above 0, puts relays and hosts into so many regions in turn: a host asks
+	// the relay of its own region as long as that one answers.
+	regions int
+	// relay is further lines of the [relay] sections.
+	relay string
+}
+
 // newSettingsWorld lays out relays and hosts with so many sidecars each, and starts them all.
-// Instances have the labels of world and the service "even" or "odd" by their host's number.
 func newSettingsWorld(t testing.TB, relays, hosts, each int) *settingsWorld {
 	t.Helper()
-	w := &settingsWorld{world: newWorld(t, hosts, each), net: faultnet.New(1), links: make(map[string]*faultnet.Link)}
+	w := layOutSettings(t, settingsLayout{relays: relays, hosts: hosts, each: each})
+	w.startRelays()
+	w.startAll()
+	return w
+}
+
+// newRegionalWorld has a region for each relay, with the hosts spread over them, and starts all.
+func newRegionalWorld(t testing.TB, relays, hosts int) *settingsWorld {
+	t.Helper()
+	w := layOutSettings(t, settingsLayout{relays: relays, hosts: hosts, each: 1, regions: relays})
+	w.startRelays()
+	w.startAll()
+	return w
+}
+
+// layOutSettings writes the configurations of relays and hosts; none of them runs yet.
+// Instances have the labels of world and the service "even" or "odd" by their host's number.
+func layOutSettings(t testing.TB, layout settingsLayout) *settingsWorld {
+	t.Helper()
+	w := &settingsWorld{world: newWorld(t, layout.hosts, layout.each), layout: layout, net: faultnet.New(1), links: make(map[string]*faultnet.Link)}
 	t.Cleanup(w.net.Close)
-	for n := range relays {
+	for n := range layout.relays {
 		w.relays = append(w.relays, w.layRelay(n))
 	}
-	for _, relay := range w.relays {
-		w.follow(relay, "[relay]\nsubscribers = 50\n")
+	for n, relay := range w.relays {
+		w.follow(relay, n, "[relay]\nsubscribers = 50\n"+layout.relay)
 	}
 	for n, h := range w.hosts {
 		w.label(h, n)
-		w.follow(h, "")
+		w.follow(h, n, "")
 	}
 	w.listRelays()
 	w.operator = w.open("operator")
@@ -70,11 +101,37 @@
 			w.logs()
 		}
 	})
+	return w
+}
+
+// startRelays starts all relays and waits until they answer.
+func (w *settingsWorld) startRelays() {
+	w.t.Helper()
 	for _, relay := range w.relays {
 		relay.start()
 	}
-	w.startAll()
-	return w
+	w.copied(distribution.Revision{}, w.relays...)
+}
+
+// serving waits until a host's sidecars answer with their figures.
+func (w *settingsWorld) serving(hosts ...*host) {
+	w.t.Helper()
+	eventually(w.t, "sidecars that answer", func() bool {
+		for _, name := range instances(hosts...) {
+			if w.bodyLimit(name) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// region is that of the n-th relay or host, "" where there are none.
+func (w *settingsWorld) region(n int) string {
+	if w.layout.regions == 0 {
+		return ""
+	}
+	return fmt.Sprintf("region-%d", n%w.layout.regions)
 }
 
 // layRelay writes the beginning of a relay's configuration.
@@ -97,13 +154,14 @@
 // socket is where an agent listens.
 func (h *host) socket() string { return "unix:" + filepath.Join(filepath.Dir(h.config), "a") }
 
-// follow appends the distribution to an agent's configuration, with a link to each relay.
-func (w *settingsWorld) follow(h *host, more string) {
+// follow appends the distribution to the configuration of the n-th relay or host, with a link
+// to each relay. more is the [relay] section, "" for a host that subscribes.
+func (w *settingsWorld) follow(h *host, n int, more string) {
 	w.t.Helper()
 	var text strings.Builder
 	text.WriteString(more)
-	fmt.Fprintf(&text, "[distribution]\nsubscribe = %v\nwriter = %q\ncoalesce = \"200ms\"\n", more == "", w.writer().name)
-	for _, relay := range w.relays {
+	fmt.Fprintf(&text, "[distribution]\nsubscribe = %v\nwriter = %q\ncoalesce = \"200ms\"\nregion = %q\n", more == "", w.writer().name, w.region(n))
+	for r, relay := range w.relays {
 		address := relay.socket()
 		if relay != h {
 			link, err := w.net.TCP(linkName(h, relay), relay.socket())
@@ -113,7 +171,7 @@
 			w.links[linkName(h, relay)] = link
 			address = "tcp:" + link.Addr()
 		}
-		fmt.Fprintf(&text, "[[distribution.relay]]\nname = %q\naddress = %q\n", relay.name, address)
+		fmt.Fprintf(&text, "[[distribution.relay]]\nname = %q\naddress = %q\nregion = %q\n", relay.name, address, w.region(r))
 	}
 	appendFile(w.t, h.config, text.String())
 }
@@ -156,7 +214,7 @@
 
 // logs prints the end of each agent's log.
 func (w *settingsWorld) logs() {
-	for _, h := range append(w.relays, w.hosts...) {
+	for _, h := range slices.Concat(w.relays, w.hosts) {
 		log, _ := os.ReadFile(h.config + ".log")
 		w.t.Logf("%s: %s", h.name, log[max(0, len(log)-2000):])
 	}
@@ -286,3 +344,68 @@
 	}
 	return out
 }
+
+// status asks a relay how far a revision is at its own subscribers, or at all hosts where it
+// is the writer. ok is false if it does not answer.
+func (w *settingsWorld) status(relay *host, revision distribution.Revision) (out api.SettingsStatusOut, ok bool) {
+	in := &api.SettingsStatusIn{Revision: revision, Most: 10}
+	err := w.operator.Agent(relay.name).Call(context.Background(), api.SettingsStatus, in, &out)
+	return out, err == nil
+}
+
+// copied waits until the relays hold a revision.
+func (w *settingsWorld) copied(revision distribution.Revision, relays ...*host) {
+	w.t.Helper()
+	eventually(w.t, fmt.Sprintf("copies of revision %v", revision), func() bool {
+		for _, relay := range relays {
+			if out, ok := w.status(relay, revision); !ok || revision.After(out.Status.Latest) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// received waits until the copies of hosts are at a revision or after it.
+func (w *settingsWorld) received(revision distribution.Revision, hosts ...*host) {
+	w.t.Helper()
+	for _, h := range hosts {
+		eventually(w.t, fmt.Sprintf("revision %v at %s", revision, h.name), func() bool {
+			return !revision.After(w.inspect(h, h.insts[0]).Settings.Received)
+		})
+	}
+}
+
+// accepted is the revisions of the resources that an instance took last, by name.
+func (w *settingsWorld) accepted(h *host, instance string) map[string]distribution.Revision {
+	w.t.Helper()
+	revisions := make(map[string]distribution.Revision)
+	for _, accepted := range w.inspect(h, instance).Settings.Accepted {
+		revisions[accepted.Name] = accepted.Revision
+	}
+	return revisions
+}
+
+// setLinks sets a fault on the links from each asker to each relay.
+func (w *settingsWorld) setLinks(askers, relays []*host, fault faultnet.Fault) {
+	for _, asker := range askers {
+		for _, relay := range relays {
+			if asker != relay {
+				w.link(asker, relay).Set(fault)
+			}
+		}
+	}
+}
+
+// killSidecar kills the process of an instance and waits until another one runs.
+func (w *settingsWorld) killSidecar(h *host, instance string) {
+	w.t.Helper()
+	before := w.inspect(h, instance).Instance.PID
+	if err := syscall.Kill(before, syscall.SIGKILL); err != nil {
+		w.t.Fatal(err)
+	}
+	eventually(w.t, "another process of "+instance, func() bool {
+		now := w.inspect(h, instance).Instance
+		return now.PID != 0 && now.PID != before && now.State == "ready"
+	})
+}
