An instance that starts with earlier settings counts as behind until it has the later

TestOperationAndDistribution drained an instance, published a change and undrained it: the writer told that the change was in force everywhere while the new process had the settings accepted before, for as long as the operation's lease held the change back (the test waited 30 s for the true count). Two causes: the agent took the host's revision from a time when the instance was not wanted to run, and told its relay nothing when one began to wait for settings without an update or an attempt. Each instance now has the revision at which it last waited for none, the host's is the earliest of those that are to run, and the relay is told when waiting begins or ends.

--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -60,6 +60,10 @@
 
 	applier *distribution.Applier // of distributed settings; nil: the host does not subscribe
 	attempt *settingsAttempt      // of the applier, nil for none
+	// settledAt is the revision at which the instance last waited for no settings.
+	settledAt distribution.Revision
+	// pendingReported says that the relay was told of settings that the instance waits for.
+	pendingReported bool
 
 	wantSum string    // of the configuration last written for it
 	hupAt   time.Time // of the step's SIGHUP
--- a/internal/fleet/agent/settings.go
+++ b/internal/fleet/agent/settings.go
@@ -35,7 +35,6 @@
 	interest   distribution.Interest
 	replica    *distribution.Replica
 	subscriber *node.Subscriber
-	applied    distribution.Revision // the last at which all instances were settled
 }
 
 // startDistribution begins to serve and to follow settings as the configuration says. rows
@@ -179,24 +178,28 @@
 	}
 }
 
-// hostState is how far the host is; the lock is held.
+// hostState is how far the host is; the lock is held. Instances that are not wanted to run
+// keep nothing back, but count again with what they have once they are.
 func (a *Agent) hostState() distribution.HostState {
-	s := a.settings
-	state := distribution.HostState{Received: s.replica.Revision(), Settled: true}
+	received := a.settings.replica.Revision()
+	state := distribution.HostState{Received: received, Applied: received, Settled: true}
 	for _, name := range a.names {
 		i := a.inst[name]
-		if i.row.Desired == api.Running && i.applier.Pending() {
-			state.Settled = false
-			if state.Waiting == "" {
-				state.Waiting = name + ": " + a.settingsWait(i, time.Now())
-			}
-		}
 		state.Refused = append(state.Refused, i.applier.Refused()...)
+		if !i.applier.Pending() {
+			i.settledAt = received
+		}
+		if i.row.Desired != api.Running || !i.applier.Pending() {
+			continue
+		}
+		if state.Settled {
+			state.Waiting = name + ": " + a.settingsWait(i, time.Now())
+		}
+		state.Settled = false
+		if state.Applied.After(i.settledAt) {
+			state.Applied = i.settledAt
+		}
 	}
-	if state.Settled {
-		s.applied = state.Received
-	}
-	state.Applied = s.applied
 	return state
 }
 
@@ -230,6 +233,7 @@
 		return time.Time{}
 	}
 	now := time.Now()
+	a.reportPending(i)
 	if i.attempt != nil {
 		refused := a.settleAttempt(i, now)
 		hash := i.row.Running
@@ -268,6 +272,18 @@
 	return now.Add(closeEach)
 }
 
+// reportPending has the relay told when an instance begins or ceases to wait for settings. That
+// also changes without an update or an attempt: a start, an operation that lets it run again.
+// The lock is held.
+func (a *Agent) reportPending(i *instance) {
+	pending := i.row.Desired == api.Running && i.applier.Pending()
+	if pending == i.pendingReported {
+		return
+	}
+	i.pendingReported = pending
+	a.settings.subscriber.Changed()
+}
+
 // settleAttempt looks how an attempt stands, and says whether the instance refused it. The
 // lock is held.
 func (a *Agent) settleAttempt(i *instance, now time.Time) (refused bool) {
