distribution: lists from outside are decoded with a bound

FuzzUpdate ran out of memory: the codec makes room for as many elements as a message claims to hold. A connection lets only complete messages through, yet one of 1 MiB with a list of empty elements took 285 MB, also where the list was cut off.

--- a/internal/fleet/distribution/fuzz_test.go
+++ b/internal/fleet/distribution/fuzz_test.go
@@ -48,6 +48,7 @@
 		f.Add(data)
 	}
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff}) // a map of 4 billion
+	f.Add(listMessage("resources", 1<<30, 3))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var update Update
 		if err := msgpack.Unmarshal(data, &update); err != nil {
--- /dev/null
+++ b/internal/fleet/distribution/list_test.go
@@ -0,0 +1,69 @@
+package distribution
+
+import (
+	"bytes"
+	"encoding/binary"
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// listMessage is a map with one list, which claims to have so many elements, and has as many
+// that are nil as follow.
+func listMessage(key string, claimed, following int) []byte {
+	data := append([]byte{0x81, 0xa0 | byte(len(key))}, key...)
+	data = binary.BigEndian.AppendUint32(append(data, 0xdd), uint32(claimed))
+	return append(data, bytes.Repeat([]byte{0xc0}, following)...)
+}
+
+// allocated is how many bytes a call allocates.
+func allocated(call func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	call()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// A message of 1 MiB, as long as a connection takes, does not cost hundreds of it.
+func TestListsAreDecodedWithABound(t *testing.T) {
+	const most = 8 << 20
+	cases := map[string]struct {
+		data []byte
+		into any
+	}{
+		"resources":           {listMessage("resources", 1<<20, 1<<20), &Update{}},
+		"resources cut off":   {listMessage("resources", 1<<20, 1), &Update{}},
+		"changes":             {listMessage("changes", 1<<20, 1<<20), &Update{}},
+		"refusals":            {listMessage("refused", 1<<20, 1<<20), &HostState{}},
+		"a map that is short": {[]byte{0xdf, 0x0f, 0xff, 0xff, 0xff}, &Update{}},
+	}
+	for name, c := range cases {
+		var err error
+		if bytes := allocated(func() { err = msgpack.Unmarshal(c.data, c.into) }); bytes > most || err == nil {
+			t.Errorf("%s: %d bytes, error %v", name, bytes, err)
+		}
+	}
+}
+
+func TestListIsCarriedWhole(t *testing.T) {
+	for _, update := range []Update{{}, {Resources: []Resource{}}, {Resources: []Resource{version("a", 1), version("b", 2)}}} {
+		data, err := msgpack.Marshal(&update)
+		if err != nil {
+			t.Fatal(err)
+		}
+		carried := Update{Resources: []Resource{version("old", 1)}}
+		if err := msgpack.Unmarshal(data, &carried); err != nil {
+			t.Fatal(err)
+		}
+		if len(update.Resources) > 0 && !slices.EqualFunc(carried.Resources, update.Resources, sameResource) {
+			t.Errorf("%v; want %v", carried.Resources, update.Resources)
+		}
+	}
+	var list List[int]
+	if err := msgpack.Unmarshal([]byte{0xc0}, &list); err != nil || list != nil {
+		t.Errorf("%v, %v", list, err)
+	}
+}
--- a/internal/fleet/distribution/model_test.go
+++ b/internal/fleet/distribution/model_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 )
 
-// modelLimits are so small that the history is compacted all the time.
-var modelLimits = Limits{Resources: 6, History: 5}
+// modelHistories are the limits of the history: with the short one it is compacted all the time.
+var modelHistories = []int{4, 15}
 
 // Sizes of the model.
 const (
@@ -31,6 +31,7 @@
 // model is a small fleet, and what is true in it whatever its parts say.
 type model struct {
 	t           *rapid.T
+	limits      Limits
 	now         time.Time
 	servers     []*modelServer
 	writer      int
@@ -46,7 +47,7 @@
 	inbox  []Update
 }
 
-func newLink() link { return link{reader: NewReader(modelLimits)} }
+func newLink(limits Limits) link { return link{reader: NewReader(limits)} }
 
 // modelServer is a writer, a relay, or a writer of an earlier epoch that goes on.
 type modelServer struct {
@@ -73,6 +74,7 @@
 	applied   Revision
 	instances []*modelInstance
 	floor     Revision
+	epoch     int64 // the latest that it has seen
 }
 
 // modelInstance is a sidecar. It refuses some contents.
@@ -85,14 +87,15 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, now: testTime, made: make(map[Revision]Resource), epoch: 1}
+	m.limits = Limits{Resources: len(modelNames) - 1, History: rapid.SampledFrom(modelHistories).Draw(t, "history")}
 	for n := range modelServers {
-		m.servers = append(m.servers, &modelServer{link: newLink(), name: fmt.Sprintf("s%d", n),
-			state: NewState(modelLimits), disk: newDisk(), previous: newDisk(), registry: NewRegistry(fmt.Sprintf("s%d", n), 100)})
+		m.servers = append(m.servers, &modelServer{link: newLink(m.limits), name: fmt.Sprintf("s%d", n),
+			state: NewState(m.limits), disk: newDisk(), previous: newDisk(), registry: NewRegistry(fmt.Sprintf("s%d", n), 100)})
 	}
 	m.promote(m.servers[0])
 	for n := range modelSubscribers {
 		host := fmt.Sprintf("h%d", n)
-		s := &modelSubscriber{link: newLink(), disk: newDisk(), previous: newDisk()}
+		s := &modelSubscriber{link: newLink(m.limits), disk: newDisk(), previous: newDisk()}
 		for k := range 1 + n%2 {
 			number := 2*n + k
 			s.instances = append(s.instances, &modelInstance{number: number,
@@ -157,11 +160,11 @@
 
 // restart begins a server from its rows. Its subscribers are connected to it no more.
 func (m *model) restart(s *modelServer) {
-	state, err := Restore(modelLimits, s.disk.all())
+	state, err := Restore(m.limits, s.disk.all())
 	if err != nil {
 		m.t.Fatalf("%s: %v", s.name, err)
 	}
-	s.state, s.link, s.floor = state, newLink(), state.Revision()
+	s.state, s.link, s.floor = state, newLink(m.limits), state.Revision()
 	s.registry = NewRegistry(s.name, 100)
 	s.registry.Advance(state)
 	for _, subscriber := range m.subscribers {
@@ -209,7 +212,7 @@
 	switch {
 	case fenced != isFenced(err):
 		m.t.Fatalf("%s writes in epoch %d at %v: %v", s.name, s.epoch, s.state.Revision(), err)
-	case fenced, isLimit(err) && len(s.state.resources) == modelLimits.Resources && !there:
+	case fenced, isLimit(err) && len(s.state.resources) == m.limits.Resources && !there:
 		return
 	case isInvalid(err) && change.Remove && !there:
 		return
@@ -357,7 +360,9 @@
 	if s.server == nil {
 		m.connect(s, m.someServer())
 	}
-	s.server.registry.Acknowledge(s.interest.Host, s.session, s.status())
+	if !faults || !m.one(5, "lost acknowledgement") {
+		s.server.registry.Acknowledge(s.interest.Host, s.session, s.status())
+	}
 	page, ok := m.ask(&s.link, s.server, s.replica.Revision(), &s.interest)
 	if !ok {
 		return
@@ -367,13 +372,15 @@
 	if whole == nil {
 		return
 	}
-	switch _, err := s.replica.Take(*whole); {
+	changed, err := s.replica.Take(*whole)
+	switch {
 	case isFenced(err) || isInvalid(err):
 		return
 	case err != nil:
 		m.t.Fatal(err)
+	case changed:
+		s.want(m.now)
 	}
-	s.want(m.now)
 	if !faults || m.flip("keep") {
 		s.write()
 	}
@@ -402,8 +409,8 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	s.replica, s.kept, s.link, s.floor = replica, replica.Clone(), newLink(), replica.Revision()
-	s.applied = Revision{}
+	s.replica, s.kept, s.link, s.floor = replica, replica.Clone(), newLink(m.limits), replica.Revision()
+	s.applied, s.epoch = Revision{}, replica.epoch
 	for _, instance := range s.instances {
 		instance.applier = restoreApplier(m.t, instance.applier)
 	}
@@ -421,7 +428,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	s.replica, s.kept, s.link, s.floor = replica, replica.Clone(), newLink(), replica.Revision()
+	s.replica, s.kept, s.link, s.floor = replica, replica.Clone(), newLink(m.limits), replica.Revision()
 	s.applied = Revision{}
 	s.want(m.now)
 }
@@ -561,13 +568,17 @@
 		for _, r := range s.state.Resources() {
 			m.checkMade(s.name, r)
 		}
-		if len(s.state.history) > modelLimits.History {
+		if len(s.state.history) > m.limits.History {
 			m.t.Fatalf("%s has a history of %d", s.name, len(s.state.history))
 		}
 		requireSum(m.t, s.registry.Status(Revision{}, 3))
 	}
 	for _, s := range m.subscribers {
 		m.checkRevision(s.interest.Host, &s.floor, s.replica.Revision())
+		if epoch := s.replica.Revision().Epoch; epoch > 0 && epoch < s.epoch {
+			m.t.Fatalf("%s goes back from epoch %d to %d", s.interest.Host, s.epoch, epoch)
+		}
+		s.epoch = max(s.epoch, s.replica.Revision().Epoch)
 		for _, r := range s.replica.resources {
 			m.checkMade(s.interest.Host, r)
 		}
--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -15,9 +15,9 @@
 	Settled bool `msgpack:"settled" json:"settled"`
 	// Applied is the last revision at which it was settled. It is zero again when its instances
 	// change or refusals are forgiven, until it is settled once more.
-	Applied Revision  `msgpack:"applied" json:"applied"`
-	Refused []Refusal `msgpack:"refused,omitempty" json:"refused,omitempty"`
-	Waiting string    `msgpack:"waiting,omitempty" json:"waiting,omitempty"` // for what, where it is not settled
+	Applied Revision      `msgpack:"applied" json:"applied"`
+	Refused List[Refusal] `msgpack:"refused,omitempty" json:"refused,omitempty"`
+	Waiting string        `msgpack:"waiting,omitempty" json:"waiting,omitempty"` // for what, where it is not settled
 }
 
 // refusalsMost is how many refusals of one host are passed on.
--- a/internal/fleet/distribution/state.go
+++ b/internal/fleet/distribution/state.go
@@ -44,9 +44,9 @@
 	// and, of a snapshot, with Query.Began.
 	More bool `msgpack:"more,omitempty" json:"more,omitempty"`
 	// Began is the revision at which a snapshot that goes on was begun.
-	Began     Revision   `msgpack:"began" json:"began"`
-	Resources []Resource `msgpack:"resources,omitempty" json:"resources,omitempty"` // by revision
-	Changes   []Change   `msgpack:"changes,omitempty" json:"changes,omitempty"`     // of a delta, for relays
+	Began     Revision       `msgpack:"began" json:"began"`
+	Resources List[Resource] `msgpack:"resources,omitempty" json:"resources,omitempty"` // by revision
+	Changes   List[Change]   `msgpack:"changes,omitempty" json:"changes,omitempty"`     // of a delta, for relays
 }
 
 // Empty says that an update brings nothing but its revision.
