--- a/internal/fleet/distribution/choose_test.go
+++ b/internal/fleet/distribution/choose_test.go
@@ -73,6 +73,7 @@
 }
 
 func TestChooserSpreadsEvenly(t *testing.T) {
+	t.Parallel()
 	relays := testRelays(false)
 	half := make(map[string]bool)
 	for n := 0; n < fleetRelays; n += 2 {
@@ -114,6 +115,7 @@
 // 16 relays do not divide by 9 regions: seven regions have two and two have one, whose relay
 // has its region's hosts alone. Half of the relays carry all nevertheless.
 func TestChooserLoadWithRegions(t *testing.T) {
+	t.Parallel()
 	relays := testRelays(true)
 	cases := map[string]struct {
 		living []int
--- a/internal/fleet/distribution/registry_test.go
+++ b/internal/fleet/distribution/registry_test.go
@@ -346,6 +346,7 @@
 }
 
 func TestRegistryBoundsHosts(t *testing.T) {
+	t.Parallel()
 	registry := NewRegistry("writer", 1)
 	reports := make([]HostReport, HostsMost+1)
 	for n := range reports {
