distribution: a status copies only the reports that it names

Need: where a revision is in force nowhere, the answer copied and sorted the reports of all hosts. It sorts references and copies those that are named.

--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -305,7 +305,7 @@
 		revision = g.position
 	}
 	status := Status{Revision: revision, Latest: g.position}
-	var missing []HostReport
+	var missing []missingHost
 	for _, e := range g.hosts {
 		state := g.stateOf(e)
 		status.Hosts++
@@ -320,17 +320,35 @@
 		case away:
 			status.Away++
 		}
-		report := e.report
-		report.State = state
-		missing = append(missing, report)
+		missing = append(missing, missingHost{entry: e, refused: len(state.Refused)})
 	}
-	slices.SortFunc(missing, func(x, y HostReport) int {
-		return cmp.Or(len(y.State.Refused)-len(x.State.Refused), strings.Compare(x.Host, y.Host))
-	})
-	status.Missing = missing[:min(len(missing), most)]
+	status.Missing = g.name(missing, most)
 	return status
 }
 
+// missingHost is a host where a revision is not in force.
+type missingHost struct {
+	entry   *entry
+	refused int
+}
+
+// name returns the reports of up to most of the hosts, the refused first.
+func (g *Registry) name(missing []missingHost, most int) []HostReport {
+	if most <= 0 || len(missing) == 0 {
+		return nil
+	}
+	slices.SortFunc(missing, func(x, y missingHost) int {
+		return cmp.Or(y.refused-x.refused, strings.Compare(x.entry.report.Host, y.entry.report.Host))
+	})
+	var reports []HostReport
+	for _, host := range missing[:min(len(missing), most)] {
+		report := host.entry.report
+		report.State = g.stateOf(host.entry)
+		reports = append(reports, report)
+	}
+	return reports
+}
+
 // How far a revision is at a host.
 type level int
 
