--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -256,7 +256,7 @@
 	}
 	i.proc, i.sum, i.record, i.hands = p, "", "", false
 	if i.applier != nil {
-		i.applier.Forgive(now) // another process may take what the last one refused
+		i.forgiveSettings(now)
 	}
 	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
 	kinds := i.life.Launched(now)
--- a/internal/fleet/agent/settings.go
+++ b/internal/fleet/agent/settings.go
@@ -321,6 +321,16 @@
 	}
 }
 
+// forgiveSettings lets what the last process refused be tried again by another one; until
+// then the instance counts as having nothing. The agent's lock is held.
+func (i *instance) forgiveSettings(now time.Time) {
+	if len(i.applier.Refused()) == 0 {
+		return
+	}
+	i.applier.Forgive(now)
+	i.settledAt = distribution.Revision{}
+}
+
 // settingsRows are an instance's rows of the distribution; the lock is held.
 func (i *instance) settingsRows() []distribution.Row {
 	if i.applier == nil {
--- a/internal/fleet/api/distribution.go
+++ b/internal/fleet/api/distribution.go
@@ -45,9 +45,9 @@
 
 // SettingsGetOut holds as many as a message does.
 type SettingsGetOut struct {
-	Revision  distribution.Revision   `msgpack:"revision" json:"revision"`
-	Resources []distribution.Resource `msgpack:"resources" json:"resources"`
-	More      bool                    `msgpack:"more" json:"more"`
+	Revision  distribution.Revision                    `msgpack:"revision" json:"revision"`
+	Resources distribution.List[distribution.Resource] `msgpack:"resources" json:"resources"`
+	More      bool                                     `msgpack:"more" json:"more"`
 }
 
 // SettingsStatusIn asks how far a revision is; zero is the latest.
@@ -113,8 +113,8 @@
 	// Process is new with each start of the relay.
 	Process string `msgpack:"process"`
 	// Position is the relay's, zero while more reports follow.
-	Position distribution.Revision     `msgpack:"position"`
-	Hosts    []distribution.HostReport `msgpack:"hosts"`
+	Position distribution.Revision                      `msgpack:"position"`
+	Hosts    distribution.List[distribution.HostReport] `msgpack:"hosts"`
 }
 
 // SettingsReportOut asks for all reports anew where the writer does not know this process of
--- a/internal/fleet/distribution/node/relay.go
+++ b/internal/fleet/distribution/node/relay.go
@@ -388,8 +388,13 @@
 	if in.Epoch > r.writer.Epoch {
 		return nil, &distribution.FencedError{Epoch: r.writer.Epoch, Known: in.Epoch}
 	}
+	now := time.Now()
 	known, there := r.reported[in.Relay]
-	r.reported[in.Relay] = relayReported{process: in.Process, at: time.Now()}
+	again := !there || known.process != in.Process
+	if again {
+		r.registry.Lost(now, in.Relay) // what an earlier process had says nothing of this one
+	}
+	r.reported[in.Relay] = relayReported{process: in.Process, at: now}
 	r.registry.Merge(in.Relay, in.Position, in.Hosts)
-	return &api.SettingsReportOut{Again: !there || known.process != in.Process}, nil
+	return &api.SettingsReportOut{Again: again}, nil
 }
--- a/internal/fleet/distribution/resource.go
+++ b/internal/fleet/distribution/resource.go
@@ -60,7 +60,7 @@
 type Interest struct {
 	Host string `msgpack:"host"`
 	// Instances are the labels of each instance of the host, those of the host among them.
-	Instances []map[string]string `msgpack:"instances"`
+	Instances List[map[string]string] `msgpack:"instances"`
 }
 
 // Bounds of an interest.
