Packages door and figures become admin and metrics

Doc comments of the two packages and of scrape are written anew, admin's identifiers too (Server, MaxConns, MaxSockets), and its serve is cut into respond, encode and linger. Metric names, routes, timeouts, log keys and the API's Door field are as before; the texts of three log lines and of scrape's errors say "admin endpoint" instead of "door".

--- a/cmd/sidecar/config.go
+++ b/cmd/sidecar/config.go
@@ -19,7 +19,7 @@
 // config is what a sidecar is told at its start.
 type config struct {
 	listen, discovery string
-	mgmt              string // of the operators' door; empty: none
+	mgmt              string // address of the admin endpoint; empty: none
 	seed              uint64
 	cores             float64
 	memoryMB, sockets int
--- a/cmd/sidecar/fleet.go
+++ b/cmd/sidecar/fleet.go
@@ -12,7 +12,7 @@
 
 	"martendrum"
 	"martendrum/internal/checkpoint"
-	"martendrum/internal/figures"
+	"martendrum/internal/metrics"
 	"martendrum/internal/peers"
 	"martendrum/internal/peers/link"
 	"martendrum/internal/recovery"
@@ -84,7 +84,7 @@
 
 // startFleet starts what the configuration asks for. beside says that an old process
 // serves beside this one, which may have the address for datagrams still.
-func startFleet(c *config, host *sidecar.Host, figs *figures.Set, beside bool) (*fleet, error) {
+func startFleet(c *config, host *sidecar.Host, metricSet *metrics.Set, beside bool) (*fleet, error) {
 	f := &fleet{host: host, stop: make(chan struct{}), begun: time.Now(), keep: c.fleet.keep, name: c.listen}
 	f.savedAt = f.begun
 	size := 1
@@ -106,7 +106,7 @@
 		default:
 			return nil, err
 		}
-		f.gauges(figs)
+		f.gauges(metricSet)
 	}
 	if c.fleet.comeBack {
 		f.machine = recovery.New(recovery.Config{Size: size}, 0)
@@ -114,8 +114,8 @@
 			_, weight := recovery.Kept(f.before.Learned, f.age, recovery.Open)
 			f.machine.Usual(f.before.Demand, weight)
 		}
-		figs.Gauge("phase", "", func() float64 { return float64(f.now().Phase) })
-		figs.Gauge("bound_shed", "", func() float64 { return f.now().Bounds.Shed })
+		metricSet.Gauge("phase", "", func() float64 { return float64(f.now().Phase) })
+		metricSet.Gauge("bound_shed", "", func() float64 { return f.now().Bounds.Shed })
 		f.wg.Go(f.steer)
 	}
 	return f, nil
@@ -244,8 +244,8 @@
 	}
 }
 
-// gauges adds the figures of what is told.
-func (f *fleet) gauges(figs *figures.Set) {
+// gauges adds the metrics of what is told.
+func (f *fleet) gauges(metricSet *metrics.Set) {
 	ask := func(read func(now time.Duration, n *peers.Node) float64) func() float64 {
 		return func() float64 {
 			v := math.NaN()
@@ -254,19 +254,19 @@
 		}
 	}
 	count := func(name, labels string, of func(peers.Stats) uint64) {
-		figs.Gauge(name, labels, ask(func(_ time.Duration, n *peers.Node) float64 { return float64(of(n.Stats())) }))
+		metricSet.Gauge(name, labels, ask(func(_ time.Duration, n *peers.Node) float64 { return float64(of(n.Stats())) }))
 	}
-	figs.Gauge("peers", `state="living"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Living) }))
-	figs.Gauge("peers", `state="known"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Known) }))
-	figs.Gauge("peers", `state="all"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Size) }))
-	figs.Gauge("peer_life", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Life()) }))
-	figs.Gauge("peer_health", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Health()) }))
+	metricSet.Gauge("peers", `state="living"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Living) }))
+	metricSet.Gauge("peers", `state="known"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Known) }))
+	metricSet.Gauge("peers", `state="all"`, ask(func(now time.Duration, n *peers.Node) float64 { return float64(n.Count(now).Size) }))
+	metricSet.Gauge("peer_life", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Life()) }))
+	metricSet.Gauge("peer_health", "", ask(func(_ time.Duration, n *peers.Node) float64 { return float64(n.Health()) }))
 	count("peer_bytes", `way="out"`, func(s peers.Stats) uint64 { return s.SentBytes })
 	count("peer_bytes", `way="in"`, func(s peers.Stats) uint64 { return s.ReceivedBytes })
 	count("peer_dropped", `why="damaged"`, func(s peers.Stats) uint64 { return s.Damaged })
 	count("peer_dropped", `why="refused"`, func(s peers.Stats) uint64 { return s.Refused })
 	count("peer_dropped", `why="ceiling"`, func(s peers.Stats) uint64 { return s.Withheld })
-	figs.Gauge("peer_dropped", `why="stranger"`, func() float64 {
+	metricSet.Gauge("peer_dropped", `why="stranger"`, func() float64 {
 		if l := f.peers(); l != nil {
 			return float64(l.Counts().Strays)
 		}
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -19,14 +19,14 @@
 	"syscall"
 	"time"
 
+	"martendrum/internal/admin"
 	"martendrum/internal/discovery"
-	"martendrum/internal/door"
-	"martendrum/internal/figures"
 	"martendrum/internal/front"
 	"martendrum/internal/handover"
 	"martendrum/internal/handover/idtable"
 	"martendrum/internal/handover/link"
 	"martendrum/internal/limitlog"
+	"martendrum/internal/metrics"
 	"martendrum/internal/sidecar"
 	"martendrum/internal/upstream"
 )
@@ -86,7 +86,7 @@
 }
 
 // agentVersion is what this program and its agent say to each other: the health call's
-// fields, the door's figures, the environment it is started with.
+// fields, the admin endpoint's metrics, the environment it is started with.
 const agentVersion = 1
 
 // versions tells what this program speaks, for the agent that is to run it beside
@@ -143,7 +143,7 @@
 func (c *config) reserved() int {
 	n := socketsSpare + c.record.Sockets()
 	if c.mgmt != "" {
-		n += door.Sockets
+		n += admin.MaxSockets
 	}
 	return n
 }
@@ -332,25 +332,25 @@
 	if c.known != nil {
 		host.Listed(c.known)
 	}
-	figs := figures.New()
-	figs.Classes(c.settings.Names())
-	host.SetMeter(figs)
-	srv.SetMeter(figs)
-	gauges(figs, host, srv, pool, watcher)
-	figs.Gauge("share", `of="sockets"`, func() float64 { return float64(r.now().Sockets) })
-	figs.Gauge("share", `of="memory_mb"`, func() float64 { return float64(r.now().MemoryMB) })
+	metricSet := metrics.New()
+	metricSet.Classes(c.settings.Names())
+	host.SetMeter(metricSet)
+	srv.SetMeter(metricSet)
+	gauges(metricSet, host, srv, pool, watcher)
+	metricSet.Gauge("share", `of="sockets"`, func() float64 { return float64(r.now().Sockets) })
+	metricSet.Gauge("share", `of="memory_mb"`, func() float64 { return float64(r.now().MemoryMB) })
 	if c.mgmt != "" {
-		ops := door.New(func() bool { return host.Ready() && !srv.Draining() }, figs.Write)
-		defer ops.Close()
+		adminServer := admin.New(func() bool { return host.Ready() && !srv.Draining() }, metricSet.Write)
+		defer adminServer.Close()
 		ln, err := net.Listen("tcp", c.mgmt)
 		switch {
 		case err == nil:
-			go ops.Serve(ln)
+			go adminServer.Serve(ln)
 		case errors.Is(err, syscall.EADDRINUSE) && began != nil && began.Shared():
-			slog.Info("the old process has the operators' door; it opens here when that has gone", "mgmt", c.mgmt)
+			slog.Info("the old process has the admin address; this one listens there when that has gone", "mgmt", c.mgmt)
 			gone := make(chan struct{})
 			defer close(gone)
-			go openLate(c.mgmt, ops, gone)
+			go openLate(c.mgmt, adminServer, gone)
 		default:
 			return fmt.Errorf("mgmt: %w", err)
 		}
@@ -371,7 +371,7 @@
 			return name
 		})
 	}
-	steer, err := startFleet(c, host, figs, began != nil && began.Shared())
+	steer, err := startFleet(c, host, metricSet, began != nil && began.Shared())
 	if err != nil {
 		return err
 	}
@@ -495,13 +495,13 @@
 			if err == nil {
 				err = host.Retune(next.settings)
 			}
-			figs.Configured(err == nil)
+			metricSet.Configured(err == nil)
 			if err != nil {
 				slog.Error("configuration not taken over: the one before stays", "err", err)
 				continue
 			}
 			c = next
-			figs.Classes(c.settings.Names())
+			metricSet.Classes(c.settings.Names())
 			r.retune(next)
 			switch {
 			case old != nil:
@@ -528,12 +528,12 @@
 	}
 }
 
-// openLate opens the operators' door once its address is free, unless gone is closed before.
-func openLate(addr string, ops *door.Door, gone <-chan struct{}) {
+// openLate opens the admin endpoint once its address is free, unless gone is closed before.
+func openLate(addr string, adminServer *admin.Server, gone <-chan struct{}) {
 	until(gone, func() bool {
 		ln, err := net.Listen("tcp", addr)
 		if err == nil {
-			ops.Serve(ln)
+			adminServer.Serve(ln)
 		}
 		return err == nil
 	})
@@ -556,8 +556,8 @@
 	}
 }
 
-// gauges adds the figures that are asked of those who hold them.
-func gauges(f *figures.Set, host *sidecar.Host, srv *front.Server, pool *upstream.Pool, watcher *discovery.Watcher) {
+// gauges adds the metrics that are asked of those who hold them.
+func gauges(f *metrics.Set, host *sidecar.Host, srv *front.Server, pool *upstream.Pool, watcher *discovery.Watcher) {
 	f.Gauge("active", "", func() float64 { return float64(srv.Active()) })
 	f.Gauge("pool_size", "", func() float64 { n, _ := host.Servers(); return float64(n) })
 	f.Gauge("pool_ejected", "", func() float64 { _, n := host.Servers(); return float64(n) })
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,226 @@
+// Package admin is the admin endpoint of a sidecar: GET /api/ready and
+// GET /api/telemetry over HTTP/1.1, one request per connection, on a listener separate
+// from the clients'.
+//
+// It owns its connections: at most MaxConns at once, each with a bounded lifetime. When
+// one more arrives, the oldest connection is closed, so that callers that only connect
+// can't keep the others out. The package takes no lock of the data path itself; the
+// functions given to New may. It decides nothing about client requests.
+//
+// Requests are read as package front reads them (package framing, then net/http's
+// parser) and not with net/http's server, which alone cost an idle sidecar 1.2 MB.
+package admin
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"martendrum/internal/framing"
+)
+
+const (
+	// MaxConns is the maximum number of open connections. Their descriptors are
+	// reserved: clients and servers can't use them.
+	MaxConns = 12
+	// MaxSockets is the maximum number of descriptors in use: MaxConns, the listener,
+	// and one connection accepted before another is closed.
+	MaxSockets = MaxConns + 2
+
+	// readTimeout is the time from accepting a connection to the end of its request.
+	readTimeout = 5 * time.Second
+	// writeTimeout is the time for writing the response.
+	writeTimeout = 6 * time.Second
+	// After the response, what the caller still sends is read and dropped within
+	// lingerTimeout and lingerBytes: closing over unread bytes would reset the
+	// connection and could lose the response.
+	lingerTimeout = 200 * time.Millisecond
+	lingerBytes   = 256 << 10
+	// acceptRetryDelay is the pause after a failed accept.
+	acceptRetryDelay = 20 * time.Millisecond
+)
+
+// Server serves the admin endpoint.
+type Server struct {
+	ready        func() bool
+	writeMetrics func(io.Writer)
+
+	mu         sync.Mutex
+	listener   net.Listener
+	acceptedAt map[net.Conn]time.Time // of open connections
+	closed     bool
+	handlers   sync.WaitGroup
+}
+
+// New returns a Server that answers /api/ready from ready and /api/telemetry from
+// writeMetrics.
+func New(ready func() bool, writeMetrics func(io.Writer)) *Server {
+	return &Server{ready: ready, writeMetrics: writeMetrics, acceptedAt: make(map[net.Conn]time.Time)}
+}
+
+// Serve answers requests on listener until Close.
+func (s *Server) Serve(listener net.Listener) {
+	s.mu.Lock()
+	s.listener = listener
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil: // out of descriptors, for example: retry
+			slog.Warn("the admin endpoint can't accept", "err", err)
+			time.Sleep(acceptRetryDelay)
+		case s.add(conn):
+			go s.serve(conn)
+		}
+	}
+}
+
+// add registers a connection, and closes the oldest one if there are too many. It
+// returns false, with the connection closed, if the server is closed.
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		conn.Close()
+		return false
+	}
+	if len(s.acceptedAt) >= MaxConns {
+		oldest := s.oldest()
+		oldest.Close()
+		delete(s.acceptedAt, oldest)
+	}
+	s.acceptedAt[conn] = time.Now()
+	s.handlers.Add(1)
+	return true
+}
+
+// oldest returns the open connection that was accepted first. The lock is held.
+func (s *Server) oldest() (oldest net.Conn) {
+	for conn, at := range s.acceptedAt {
+		if oldest == nil || at.Before(s.acceptedAt[oldest]) {
+			oldest = conn
+		}
+	}
+	return oldest
+}
+
+// serve handles the one request of a connection.
+func (s *Server) serve(conn net.Conn) {
+	defer s.handlers.Done()
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic in the admin endpoint", "panic", p, "stack", string(debug.Stack()))
+		}
+		s.remove(conn)
+	}()
+	conn.SetReadDeadline(time.Now().Add(readTimeout))
+	status, body := s.respond(conn)
+	if status == 0 { // no complete request
+		return
+	}
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := conn.Write(encode(status, body)); err != nil {
+		return
+	}
+	linger(conn)
+}
+
+// remove closes a connection and forgets it.
+func (s *Server) remove(conn net.Conn) {
+	conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.acceptedAt, conn)
+}
+
+// encode returns a response as it is sent.
+func encode(status int, body []byte) []byte {
+	response := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n",
+		status, http.StatusText(status), len(body))
+	if status == http.StatusMethodNotAllowed {
+		response = append(response, "Allow: GET\r\n"...)
+	}
+	response = append(response, "\r\n"...)
+	return append(response, body...)
+}
+
+// linger closes the sending side and drops what the caller still sends, within bounds.
+func linger(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.Copy(io.Discard, io.LimitReader(conn, lingerBytes))
+}
+
+// readRequest reads a request's head and parses it.
+func readRequest(conn net.Conn) (*http.Request, error) {
+	reader := bufio.NewReaderSize(conn, framing.HeadMost)
+	head, err := framing.Await(reader)
+	if err != nil {
+		return nil, err
+	}
+	if err := framing.Check(head); err != nil {
+		return nil, err
+	}
+	return http.ReadRequest(reader)
+}
+
+// respond reads a request and returns the response; status is 0 if the caller has left.
+func (s *Server) respond(conn net.Conn) (status int, body []byte) {
+	request, err := readRequest(conn)
+	switch {
+	case errors.Is(err, framing.ErrLong):
+		return http.StatusRequestHeaderFieldsTooLarge, []byte("the call's head is too long\n")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, []byte("no whole call came\n")
+	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
+		return 0, nil
+	case err != nil:
+		return http.StatusBadRequest, []byte("no call of HTTP/1.1\n")
+	}
+	path := request.URL.Path
+	if path != "/api/ready" && path != "/api/telemetry" {
+		return http.StatusNotFound, []byte("no such call; there are GET /api/ready and GET /api/telemetry\n")
+	}
+	switch {
+	case request.Method != http.MethodGet:
+		return http.StatusMethodNotAllowed, []byte(path + " takes GET only\n")
+	case path == "/api/telemetry":
+		var text bytes.Buffer
+		s.writeMetrics(&text)
+		return http.StatusOK, text.Bytes()
+	case s.ready():
+		return http.StatusOK, []byte("yes\n")
+	}
+	return http.StatusServiceUnavailable, []byte("no: this process takes no clients\n")
+}
+
+// Close closes the listener and all connections, and waits for their handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for conn := range s.acceptedAt {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	s.handlers.Wait()
+}
--- a/internal/door/door_test.go
+++ b/internal/admin/admin_test.go
@@ -1,4 +1,4 @@
-package door
+package admin
 
 import (
 	"bufio"
@@ -22,11 +22,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := New(ready.Load, func(w io.Writer) { io.WriteString(w, "figure 1\n") })
+	server := New(ready.Load, func(w io.Writer) { io.WriteString(w, "figure 1\n") })
 	done := make(chan struct{})
-	go func() { defer close(done); d.Serve(ln) }()
+	go func() { defer close(done); server.Serve(ln) }()
 	t.Cleanup(func() {
-		d.Close()
+		server.Close()
 		<-done
 		goleak.VerifyNone(t)
 	})
@@ -81,14 +81,14 @@
 	}
 }
 
-// Callers that never finish a call, many more than the door holds, keep nobody out,
-// and the longest-silent goes first.
-func TestDoorAnswersUnderLoad(t *testing.T) {
+// Callers that never finish a request, many more than may be connected, keep nobody
+// out, and the oldest is closed first.
+func TestAnswersUnderLoad(t *testing.T) {
 	var ready atomic.Bool
 	ready.Store(true)
 	addr := start(t, &ready)
 	var silent []net.Conn
-	for n := range 4 * CallersMost {
+	for n := range 4 * MaxConns {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/scrape/scrape.go
+++ b/internal/fleet/scrape/scrape.go
@@ -1,5 +1,5 @@
-// Package scrape reads what a sidecar tells at its operators' door, and what the
-// machine knows of its process. It opens one connection a call and keeps nothing.
+// Package scrape reads a sidecar's metrics from its admin endpoint, and its process's
+// resource usage from /proc. It opens one connection per call and keeps no state.
 package scrape
 
 import (
@@ -23,47 +23,47 @@
 	"martendrum/internal/fleet/judge"
 )
 
-// answerMost bounds a door's answer, in bytes: several hundred classes fit.
-const answerMost = 1 << 20
+// maxResponse bounds a response, in bytes: several hundred classes fit.
+const maxResponse = 1 << 20
 
 // slowOver is the bound of edge_balancer_own_seconds past which a request counts as
 // slow in the sidecar.
 const slowOver = "0.005"
 
-// Door asks a door for its figures; most is how long that may take.
-func Door(ctx context.Context, addr string, most time.Duration) (*api.Sample, error) {
-	ctx, cancel := context.WithTimeout(ctx, most)
+// Door reads the metrics of the admin endpoint at addr, within timeout.
+func Door(ctx context.Context, addr string, timeout time.Duration) (*api.Sample, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+"/api/telemetry", nil)
 	if err != nil {
-		return nil, fmt.Errorf("scrape: door %s: %w", addr, err)
+		return nil, fmt.Errorf("scrape: admin endpoint %s: %w", addr, err)
 	}
 	r.Close = true
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{KeepAlive: -1}).DialContext}}
 	resp, err := client.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("scrape: door %s: %w", addr, err)
+		return nil, fmt.Errorf("scrape: admin endpoint %s: %w", addr, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("scrape: door %s answered %s", addr, resp.Status)
+		return nil, fmt.Errorf("scrape: admin endpoint %s answered %s", addr, resp.Status)
 	}
-	s, err := Read(io.LimitReader(resp.Body, answerMost))
+	s, err := Read(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
-		return nil, fmt.Errorf("scrape: door %s: %w", addr, err)
+		return nil, fmt.Errorf("scrape: admin endpoint %s: %w", addr, err)
 	}
 	return s, nil
 }
 
-// Read reads figures in the text form.
+// Read parses metrics in the Prometheus text format.
 func Read(in io.Reader) (*api.Sample, error) {
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(in)
 	if err != nil {
-		return nil, fmt.Errorf("figures: %w", err)
+		return nil, fmt.Errorf("metrics: %w", err)
 	}
 	if families["edge_balancer_tries"] == nil {
-		return nil, errors.New("figures: no edge_balancer_tries among them: not a sidecar's door")
+		return nil, errors.New("metrics: no edge_balancer_tries among them: not a sidecar's admin endpoint")
 	}
 	s := &api.Sample{Classes: make(map[string]judge.Counts)}
 	each := func(name string, do func(label func(string) string, v uint32)) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,8 +17,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"martendrum/internal/figures"
 	"martendrum/internal/framing"
+	"martendrum/internal/metrics"
 	"martendrum/internal/settings"
 	"martendrum/internal/sock"
 )
@@ -82,14 +82,14 @@
 	// Answered takes the status of a request's final answer; class is one of the settings.
 	Answered(class string, status int)
 	// Limited takes why the server itself refused a request.
-	Limited(why figures.Reason)
+	Limited(why metrics.Reason)
 }
 
 // unmetered counts nothing.
 type unmetered struct{}
 
 func (unmetered) Answered(string, int)   {}
-func (unmetered) Limited(figures.Reason) {}
+func (unmetered) Limited(metrics.Reason) {}
 
 // Config is what a Server is told.
 type Config struct {
@@ -570,9 +570,9 @@
 	case crowded || !fits:
 		slog.Warn("request refused at a limit", "crowded", crowded, "conns", c.srv.Conns())
 		if crowded {
-			c.srv.meter.Limited(figures.Crowded)
+			c.srv.meter.Limited(metrics.Crowded)
 		} else {
-			c.srv.meter.Limited(figures.Bytes)
+			c.srv.meter.Limited(metrics.Bytes)
 		}
 		if x.Release(); x.up != nil || !fits && r.ContentLength > bodyMost { // the client still sends
 			return nil, http.StatusServiceUnavailable
--- a/internal/figures/figures.go
+++ b/internal/metrics/metrics.go
@@ -1,11 +1,10 @@
-// Package figures holds a sidecar's figures, which operators read at its door.
+// Package metrics holds a sidecar's metrics, which its admin endpoint exports.
 //
-// It owns what must be counted as it happens: the ends of requests and attempts.
-// What can be read from those who hold it (requests open, servers, connections) is
-// asked of them at each reading and kept nowhere else. Names and labels are those
-// of the operators' page; what is ours beside them is kept few and bounded: a label
-// is a class of the settings or a word of this program.
-package figures
+// It owns the counters of events: the ends of requests and attempts. What another
+// package already knows (open requests, servers, connections) is a gauge that asks that
+// package at each export. docs/operate/figures.md lists names and labels. Label values
+// are bounded: a class of the settings or a constant of this program.
+package metrics
 
 import (
 	"io"
@@ -21,7 +20,7 @@
 
 const prefix = "edge_balancer_"
 
-// outcomes names attempts' ends.
+// outcomes are the label values of attempts' outcomes.
 var outcomes = [...]string{
 	martendrum.OK:            "ok",
 	martendrum.ServerError:   "error",
@@ -33,10 +32,10 @@
 	martendrum.NotSent:       "not_sent",
 }
 
-// ownBounds are of the time in the sidecar itself, in seconds.
+// ownBounds are the buckets of the time spent in the sidecar itself, in seconds.
 var ownBounds = []float64{.0001, .0002, .0005, .001, .002, .005, .01, .02, .05, .1, .5}
 
-// Set is a sidecar's figures. Its methods may be called from any goroutine.
+// Set is a sidecar's metrics. Its methods may be called from any goroutine.
 type Set struct {
 	set      *metrics.Set
 	mu       sync.Mutex                        // of changes to classes
@@ -64,7 +63,7 @@
 	Held    Reason = "held"        // as many requests held as the settings allow
 )
 
-// New returns figures of which all stand at 0.
+// New returns metrics that are all 0.
 func New() *Set {
 	s := &Set{set: metrics.NewSet(), reasons: make(map[Reason]*metrics.Counter)}
 	s.classes.Store(&map[string]*class{})
@@ -87,8 +86,8 @@
 	return name + "{" + key + "=" + strconv.Quote(value) + "}"
 }
 
-// Gauge adds a figure that is asked of its owner at each reading. labels is in the
-// text form, or empty.
+// Gauge adds a gauge whose value is read at each export. labels is in the text
+// format, or empty.
 func (s *Set) Gauge(name, labels string, read func() float64) {
 	if labels != "" {
 		name += "{" + labels + "}"
@@ -174,5 +173,5 @@
 	}
 }
 
-// Write writes all figures in the text form.
+// Write writes all metrics in the Prometheus text format.
 func (s *Set) Write(w io.Writer) { s.set.WritePrometheus(w) }
--- a/internal/sidecar/meter.go
+++ b/internal/sidecar/meter.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"martendrum"
-	"martendrum/internal/figures"
+	"martendrum/internal/metrics"
 )
 
 // Meter counts what becomes of attempts. Its methods may be called from any
 // goroutine, some under the Host's lock: they must not wait.
 type Meter interface {
-	Limited(why figures.Reason)
+	Limited(why metrics.Reason)
 	// Own takes the time from a request's last byte to its first send.
 	Own(took time.Duration)
 	// Began takes a send, Wrote one whose last byte has been written, Ended its end;
@@ -23,7 +23,7 @@
 // unmetered counts nothing.
 type unmetered struct{}
 
-func (unmetered) Limited(figures.Reason)               {}
+func (unmetered) Limited(metrics.Reason)               {}
 func (unmetered) Own(time.Duration)                    {}
 func (unmetered) Began(bool)                           {}
 func (unmetered) Wrote()                               {}
--- a/internal/sidecar/figures_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -13,14 +13,14 @@
 	"sync/atomic"
 	"testing"
 
-	"martendrum/internal/figures"
+	"martendrum/internal/metrics"
 )
 
-// read is all figures of a Host that start made, by full name.
+// read is all metrics of a Host that start made, by full name.
 func read(t *testing.T, h *Host) map[string]float64 {
 	t.Helper()
 	var text bytes.Buffer
-	h.meter.(*figures.Set).Write(&text)
+	h.meter.(*metrics.Set).Write(&text)
 	got := make(map[string]float64)
 	for in := bufio.NewScanner(&text); in.Scan(); {
 		at := strings.LastIndexByte(in.Text(), ' ')
@@ -29,7 +29,7 @@
 		}
 		v, err := strconv.ParseFloat(in.Text()[at+1:], 64)
 		if err != nil {
-			t.Fatalf("figure %q: %v", in.Text(), err)
+			t.Fatalf("metric %q: %v", in.Text(), err)
 		}
 		got[strings.TrimPrefix(in.Text()[:at], "edge_balancer_")] = v
 	}
@@ -37,8 +37,8 @@
 }
 
 // A scripted day: served, declined and tried again, failed, broken, refused at a
-// limit, abandoned, cancelled. Each figure agrees with what servers and clients counted.
-func TestFiguresAgreeWithCounted(t *testing.T) {
+// limit, abandoned, cancelled. Each metric agrees with what servers and clients counted.
+func TestMetricsAgreeWithCounted(t *testing.T) {
 	var ran atomic.Int64 // requests that came whole to a server
 	declined := new(sync.Map)
 	hold := make(chan struct{})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,8 +16,8 @@
 
 	"martendrum"
 	"martendrum/internal/discovery"
-	"martendrum/internal/figures"
 	"martendrum/internal/front"
+	"martendrum/internal/metrics"
 	"martendrum/internal/settings"
 	"martendrum/internal/upstream"
 )
@@ -140,7 +140,7 @@
 	h.locked(func(now time.Duration) {
 		if !h.room() {
 			slog.Warn("request refused: too many held", "held", len(h.held))
-			h.meter.Limited(figures.Held)
+			h.meter.Limited(metrics.Held)
 			h.actions = append(h.actions, func() { x.Refuse(h.set.Config.MaxRetryAfter / 10) }, x.Release)
 			return
 		}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -11,8 +11,8 @@
 
 	"martendrum"
 	"martendrum/internal/discovery"
-	"martendrum/internal/figures"
 	"martendrum/internal/front"
+	"martendrum/internal/metrics"
 	"martendrum/internal/settings"
 	"martendrum/internal/standin/tcp"
 	"martendrum/internal/upstream"
@@ -53,10 +53,10 @@
 	}
 	h.Listed(l)
 	srv := front.New(front.Config{MostConns: 100, MostBody: 1 << 20}, h)
-	figs := figures.New()
-	figs.Classes(set.Names())
-	h.SetMeter(figs)
-	srv.SetMeter(figs)
+	metricSet := metrics.New()
+	metricSet.Classes(set.Names())
+	h.SetMeter(metricSet)
+	srv.SetMeter(metricSet)
 	ln := listen(t)
 	go srv.Serve(ln)
 	return h, srv, ln.Addr().String()
