front: one file per job, and names of the field

Each has a file now, as have bodies and responses; long functions are cut into steps (awaitRequest with endWait, readRequest, readBody, parse, writeStream, evict). States, limits and fields are named for what they are (stateIdle, requestTimeout, evictionRank, pacedReader); Held is BodyBytes, CloseQuiet is CloseIdle, Uploads is UploadTimeout. An unused field (accepted) is gone. Timeouts, limits, log keys and the order of locks are as before; the tests change by those names only.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -564,8 +564,8 @@
 	f.Gauge("held", "", func() float64 { return float64(host.Held()) })
 	f.Gauge("connections", `side="client"`, func() float64 { return float64(srv.Conns()) })
 	f.Gauge("connections", `side="server"`, func() float64 { return float64(pool.Conns()) })
-	f.Gauge("body_bytes", `of="held"`, func() float64 { n, _ := srv.Held(); return float64(n) })
-	f.Gauge("body_bytes", `of="most"`, func() float64 { _, n := srv.Held(); return float64(n) })
+	f.Gauge("body_bytes", `of="held"`, func() float64 { n, _ := srv.BodyBytes(); return float64(n) })
+	f.Gauge("body_bytes", `of="most"`, func() float64 { _, n := srv.BodyBytes(); return float64(n) })
 	f.Gauge("discovery_age_seconds", "", func() float64 {
 		age, ok := watcher.Age()
 		if !ok {
@@ -609,9 +609,9 @@
 			succeeded = old.Needs(r.uses()) // one that came late may take over still
 		}
 		if old != nil && (succeeded || n < softLeast || n < softMost && old.Talking()) {
-			srv.CloseQuiet(quietFor)
+			srv.CloseIdle(quietFor)
 		} else {
-			srv.CloseQuiet(0)
+			srv.CloseIdle(0)
 		}
 	}
 	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -35,8 +35,8 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c = range s.conns {
-			if c.state == reading {
-				c.since = c.since.Add(-2 * stuckMost)
+			if c.state == stateReading {
+				c.stateSince = c.stateSince.Add(-2 * stalledTimeout)
 				return true
 			}
 		}
@@ -126,14 +126,14 @@
 			}
 			io.WriteString(c, look("2"))
 			// The reader has the bytes and waits for the lock.
-			eventually(t, "the request to be read", func() bool { return tcp.Unread(t, server.nc.(*net.TCPConn)) == 0 })
+			eventually(t, "the request to be read", func() bool { return tcp.Unread(t, server.netConn.(*net.TCPConn)) == 0 })
 			var closed []*conn
 			if how == "quiet" {
-				closed = s.retire(0)
+				closed = s.markIdleClosed(0)
 			}
 			s.mu.Unlock()
 			for _, c := range closed {
-				c.finish()
+				c.closeWrite()
 			}
 			if how == "evict" && s.evict() {
 				t.Error("a connection with a request was evicted")
@@ -155,13 +155,13 @@
 	status(t, br)
 	eventually(t, "an idle connection", func() bool { return s.Busy() == 0 })
 	s.mu.Lock()
-	closed := s.retire(0)
+	closed := s.markIdleClosed(0)
 	s.mu.Unlock()
 	if len(closed) != 1 {
 		t.Fatalf("%d connections were closed", len(closed))
 	}
 	io.WriteString(c, look("2"))
-	closed[0].finish()
+	closed[0].closeWrite()
 	if got := status(t, br); got != 0 {
 		t.Errorf("the second request was answered %d", got)
 	}
@@ -184,15 +184,15 @@
 		defer s.mu.Unlock()
 		n := 0
 		for c := range s.conns {
-			if c.state == reading {
+			if c.state == stateReading {
 				n++
 			}
 		}
-		return n >= most-crowdRoom(most)
+		return n >= most-refusalReserve(most)
 	})
 	s.mu.Lock()
 	for c := range s.conns {
-		c.since = c.since.Add(-2 * silentMost)
+		c.stateSince = c.stateSince.Add(-2 * silentTimeout)
 	}
 	s.mu.Unlock()
 	for n := range 3 {
@@ -213,7 +213,7 @@
 	s.mu.Lock()
 	io.WriteString(c, strings.TrimPrefix(look("1"), "GET /look HTTP/1.1\r\n"))
 	// The reader takes the rest and waits for the lock to begin the request.
-	eventually(t, "the rest to be read", func() bool { return tcp.Unread(t, server.nc.(*net.TCPConn)) == 0 })
+	eventually(t, "the rest to be read", func() bool { return tcp.Unread(t, server.netConn.(*net.TCPConn)) == 0 })
 	s.mu.Unlock()
 	evicted := s.evict()
 	go func() {
@@ -235,7 +235,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		raw, err := c.nc.(*net.TCPConn).SyscallConn()
+		raw, err := c.netConn.(*net.TCPConn).SyscallConn()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -257,7 +257,7 @@
 		t.Fatal("nothing was given up")
 	}
 	// A read that had armed its own deadline before would go on with what comes.
-	server.nc.SetReadDeadline(time.Now().Add(patience))
+	server.netConn.SetReadDeadline(time.Now().Add(patience))
 	for range 500 { // far from the whole body and from the end of its pace, which would end it too
 		if _, err := c.Write([]byte("x")); err != nil {
 			return // reset: it is closed
@@ -307,7 +307,7 @@
 	wg.Wait()
 	eventually(t, "no connection", func() bool { return s.Conns() == 0 })
 	eventually(t, "no goroutine more than before", func() bool { return runtime.NumGoroutine() <= before })
-	if held, _ := s.Held(); held != 0 {
+	if held, _ := s.BodyBytes(); held != 0 {
 		t.Errorf("%d bytes are held", held)
 	}
 	_, br := dial(t, addr, look("after"))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -186,7 +186,7 @@
 }
 
 func TestIDsAreForgotten(t *testing.T) {
-	i := ids{known: make(map[string]bool)}
+	i := requestIDs{known: make(map[string]bool)}
 	for n := range 3 * recentIDs {
 		id := fmt.Sprint(n)
 		if !i.open(id) {
@@ -250,8 +250,8 @@
 			t.Errorf("answered %d, %v", resp.StatusCode, resp.Header)
 		}
 	}
-	if s.budget.left != s.cfg.MostBody {
-		t.Errorf("%d bytes of the budget left of %d", s.budget.left, s.cfg.MostBody)
+	if s.budget.left != s.config.MostBody {
+		t.Errorf("%d bytes of the budget left of %d", s.budget.left, s.config.MostBody)
 	}
 	if _, err := br.ReadByte(); err != io.EOF {
 		t.Errorf("idle connection: %v, want its end", err)
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -70,7 +70,7 @@
 		if arrived > 1 {
 			t.Error("a second request arrived")
 		}
-		if held, _ := s.Held(); held != 0 {
+		if held, _ := s.BodyBytes(); held != 0 {
 			t.Errorf("%d bytes are held after the end", held)
 		}
 	})
--- /dev/null
+++ b/internal/front/ids.go
@@ -0,0 +1,65 @@
+package front
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// recentIDs is how many ids of answered requests are remembered.
+	recentIDs = 2048
+	// maxIDLength is the longest request id accepted.
+	maxIDLength = 128
+)
+
+// SharedIDs is a set of request ids shared with another process. Open adds the id of a
+// hash; it returns false if the id is in the set already.
+type SharedIDs interface {
+	Open(hash uint64, at time.Time) bool
+}
+
+// ShareIDs shares the known ids with another process. A set shared before is not used
+// any more.
+func (s *Server) ShareIDs(with SharedIDs) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids.shared = with
+	for id := range s.ids.known {
+		with.Open(xxhash.Sum64String(id), now)
+	}
+}
+
+// UnshareIDs ends the sharing of a set: when it returns, the set is not used any more.
+func (s *Server) UnshareIDs(with SharedIDs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids.shared == with {
+		s.ids.shared = nil
+	}
+}
+
+// requestIDs knows the ids of open requests and of those answered last.
+type requestIDs struct {
+	known  map[string]bool
+	shared SharedIDs         // nil: no other process takes clients
+	recent [recentIDs]string // circular buffer of answered ids
+	next   int               // index in recent
+}
+
+// open adds the id of a new request; false if it is known.
+func (r *requestIDs) open(id string) bool {
+	if r.known[id] || r.shared != nil && !r.shared.Open(xxhash.Sum64String(id), time.Now()) {
+		return false
+	}
+	r.known[id] = true
+	return true
+}
+
+// close makes an open id a recent one; the oldest recent one is forgotten.
+func (r *requestIDs) close(id string) {
+	delete(r.known, r.recent[r.next])
+	r.recent[r.next] = id
+	r.next = (r.next + 1) % recentIDs
+}
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"martendrum/internal/framing"
+	"martendrum/internal/metrics"
+)
+
+// Results of reading a request beside the HTTP statuses to reject it with.
+const (
+	statusNone         = 0  // the request is not rejected
+	statusDisconnected = -1 // the client has left: nothing is written
+)
+
+// limitRetryAfter is when a client refused at a limit may come back.
+const limitRetryAfter = 200 * time.Millisecond
+
+// readRequest reads one request. It returns an Exchange for the handler, or the status
+// to end the connection with, or neither if the request is answered already.
+func (c *conn) readRequest(crowded bool) (*Exchange, int) {
+	r, err := c.readHead()
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	if r.ContentLength > maxStreamedBody {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	x := &Exchange{conn: c, keepAlive: !r.Close && !crowded, http10: !r.ProtoAtLeast(1, 1)}
+	if isHealthCheck(r) {
+		x.answerHealth()
+		return nil, statusNone
+	}
+	if status := x.parse(r, c.server.handler); status != statusNone {
+		return nil, status
+	}
+	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	fits, status := x.readBody(r)
+	if status == statusNone && fits && (x.upload == nil || crowded) && c.input.Buffered() > 0 {
+		status = http.StatusBadRequest // more than one request, or a wrong length
+	}
+	if status != statusNone {
+		x.Release()
+		return nil, status
+	}
+	if crowded || !fits {
+		return nil, x.refuseAtLimit(r, crowded, fits)
+	}
+	x.Received = time.Now()
+	return x, statusNone
+}
+
+// readHead reads and checks a request's head.
+func (c *conn) readHead() (*http.Request, error) {
+	head, err := framing.Await(c.input.Reader())
+	if err != nil {
+		return nil, err
+	}
+	if err := framing.Check(head); err != nil {
+		return nil, err
+	}
+	return http.ReadRequest(c.input.Reader())
+}
+
+// statusOf returns the status for a request whose head can't be read.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, framing.ErrLong):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return statusDisconnected
+	}
+	if _, ok := errors.AsType[net.Error](err); ok {
+		return statusDisconnected
+	}
+	return http.StatusBadRequest
+}
+
+// isHealthCheck reports whether a request asks for the sidecar's own health.
+func isHealthCheck(r *http.Request) bool {
+	return r.URL.Path == "/_health" && r.Method == http.MethodGet && r.Body == http.NoBody
+}
+
+// answerHealth answers a health check.
+func (x *Exchange) answerHealth() {
+	server := x.conn.server
+	status := http.StatusOK
+	if !server.handler.Ready() {
+		status = http.StatusServiceUnavailable
+	}
+	x.answer(status, server.healthHeader(), nil, nil)
+}
+
+// refuseAtLimit refuses a request for which there is no connection (crowded) or no
+// buffer (it does not fit). It returns the status to end the connection with if the
+// client is still sending; otherwise the request is answered.
+func (x *Exchange) refuseAtLimit(r *http.Request, crowded, fits bool) (status int) {
+	server := x.conn.server
+	slog.Warn("request refused at a limit", "crowded", crowded, "conns", server.Conns())
+	reason := metrics.Bytes
+	if crowded {
+		reason = metrics.Crowded
+	}
+	server.meter.Limited(reason)
+	x.Release()
+	if x.upload != nil || !fits && r.ContentLength > maxBufferedBody {
+		return http.StatusServiceUnavailable
+	}
+	x.Refuse(limitRetryAfter)
+	return statusNone
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,211 @@
+package front
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"martendrum/internal/sock"
+)
+
+const (
+	// acceptRetryDelay is the pause after a failed accept.
+	acceptRetryDelay = 5 * time.Millisecond
+	// newConnGrace is how long a new connection without a byte counts as busy when
+	// the sidecar stops.
+	newConnGrace = 500 * time.Millisecond
+)
+
+// Server serves the clients.
+type Server struct {
+	config  Config
+	handler Handler
+	meter   Meter
+	budget  budget
+
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
+	ids         requestIDs
+	draining    bool
+	health      string          // a header line of health responses
+	healthFuncs []func() string // of further header lines
+}
+
+// New returns a Server that hands requests to handler.
+func New(config Config, handler Handler) *Server {
+	return &Server{
+		config:  config,
+		handler: handler,
+		meter:   unmetered{},
+		budget:  budget{left: config.MostBody},
+		conns:   make(map[*conn]struct{}),
+		ids:     requestIDs{known: make(map[string]bool)},
+	}
+}
+
+// SetMeter sets the Server's Meter. It is called before Serve.
+func (s *Server) SetMeter(meter Meter) { s.meter = meter }
+
+// Limit replaces the limits, for connections and bodies still to come.
+func (s *Server) Limit(config Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.give(config.MostBody - s.config.MostBody)
+	s.config = config
+}
+
+// SetHealth sets a header line that health responses carry.
+func (s *Server) SetHealth(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = name + ": " + value + "\r\n"
+}
+
+// SetHealthFunc adds a header line whose value is read for each health response.
+func (s *Server) SetHealthFunc(name string, value func() string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthFuncs = append(s.healthFuncs, func() string { return name + ": " + value() + "\r\n" })
+}
+
+// healthHeader returns the header lines of a health response.
+func (s *Server) healthHeader() string {
+	s.mu.Lock()
+	header, funcs := s.health, s.healthFuncs
+	s.mu.Unlock()
+	for _, line := range funcs {
+		header += line()
+	}
+	return header
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		netConn, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			// Out of descriptors, for example: retry. Connections wait in the queue.
+			slog.Warn("can't accept", "err", err)
+			s.evict()
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		s.add(netConn)
+	}
+}
+
+// refusalReserve is how many of the connections up to the limit are only used to tell
+// clients that they can't be served. Past the limit new connections are closed without
+// a response: descriptors are finite.
+func refusalReserve(limit int) int { return limit / 8 }
+
+// add starts the goroutine of an accepted connection, or closes it if there is no room.
+func (s *Server) add(netConn net.Conn) {
+	now := time.Now()
+	c := &conn{server: s, netConn: netConn, stateSince: now}
+	c.answered.L = &s.mu
+	s.mu.Lock()
+	n, limit := len(s.conns), s.config.MostConns
+	s.mu.Unlock()
+	crowded := n >= limit-refusalReserve(limit) && !s.evict()
+	if crowded && n >= limit {
+		slog.Warn("connection closed: no descriptor left for it", "conns", n)
+		netConn.Close()
+		return
+	}
+	netConn.SetReadDeadline(now.Add(firstRequestTimeout))
+	c.input = sock.NewLazy(netConn)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	go c.serve(crowded)
+}
+
+// Drain prepares for the end: idle connections are closed, the others after their next
+// response. New connections are still served. With keepIdle, idle connections stay until
+// CloseIdle: closing one may race with its client's next request.
+func (s *Server) Drain(keepIdle bool) {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	if !keepIdle {
+		s.CloseIdle(0)
+	}
+}
+
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// CloseIdle closes the connections that have been idle for at least the given time.
+func (s *Server) CloseIdle(idleFor time.Duration) {
+	s.mu.Lock()
+	closed := s.markIdleClosed(idleFor)
+	s.mu.Unlock()
+	for _, c := range closed {
+		c.closeWrite()
+	}
+}
+
+// markIdleClosed marks the connections that have been idle for at least the given time
+// as closed and returns them. A connection on which a request has arrived is not among
+// them: its goroutine needs the lock, which is held, to take the request, so exactly one
+// of the two wins.
+func (s *Server) markIdleClosed(idleFor time.Duration) (closed []*conn) {
+	for c := range s.conns {
+		if c.state == stateIdle && time.Since(c.stateSince) >= idleFor && c.input.Quiet() {
+			c.enter(stateClosed)
+			closed = append(closed, c)
+		}
+	}
+	return closed
+}
+
+// Active returns the number of requests that are not answered yet.
+func (s *Server) Active() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.exchange != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Busy returns the number of connections that have a request, may be about to send one,
+// or are being closed.
+func (s *Server) Busy() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.isBusy() {
+			n++
+		}
+	}
+	return n
+}
+
+// Conns returns the number of client connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// BodyBytes returns how many bytes of request bodies are buffered, and the limit.
+func (s *Server) BodyBytes() (used, limit int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.config.MostBody - s.budget.left, s.config.MostBody
+}
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -3,76 +3,34 @@
 import (
 	"errors"
 	"io"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-const (
-	// streamMost is the longest body taken. Guards against clients that send without end.
-	streamMost = 33 << 20
-	// A body must come at paceLeast bytes a second after paceGrace, on the whole: a
-	// client may be slow, but not stand still. Guards against half a request and
-	// silence, which ends after the grace, and against a trickle, which would hold a
-	// server's connection. It may do harm to a client below that pace.
-	paceLeast = 40 << 10
-	paceGrace = 2200 * time.Millisecond
-	// takeMost is how long a client may take nothing of a streamed answer.
-	takeMost = 10 * time.Second
-)
-
-// paced reads a body from a connection at the client's pace, within bounds.
-type paced struct {
-	c     *conn
-	from  io.Reader
-	began time.Time
-	got   int64
-}
-
-// Read implements io.Reader. It ends where the connection was given up meanwhile: what
-// that set as its deadline may have been before arm's.
-func (p *paced) Read(b []byte) (int, error) {
-	p.arm()
-	s := p.c.srv
-	s.mu.Lock()
-	over := p.c.state == shut
-	s.mu.Unlock()
-	if over {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return p.take(b)
-}
+// maxStreamedBody is the longest body accepted. Guards against clients that send without
+// end.
+const maxStreamedBody = 33 << 20
 
-func (p *paced) arm() {
-	p.c.nc.SetReadDeadline(p.began.Add(paceGrace + time.Duration(p.got)*time.Second/paceLeast))
-}
-
-func (p *paced) take(b []byte) (int, error) {
-	n, err := p.from.Read(b)
-	p.got += int64(n)
-	return n, err
-}
-
-// upload is the part of a request's body that is not held. One attempt reads it.
+// upload is the part of a request's body that is not buffered. One attempt reads it.
 type upload struct {
-	from   *paced
-	length int64 // of the whole body; -1: not known
-	linger atomic.Bool
-
-	mu      sync.Mutex
-	claimed bool
-	stopped bool // nobody may claim it any more
-	whole   bool
-	closed  bool // who claimed it reads no more
-	once    sync.Once
-	done    chan struct{} // closed when nobody reads it any more
+	from   *pacedReader
+	length int64       // of the whole body; -1: not known
+	linger atomic.Bool // the connection must end: the body did not arrive completely
+
+	mu       sync.Mutex
+	claimed  bool // an attempt reads it, or has read it
+	stopped  bool // the request is over: nobody may claim it any more
+	complete bool // its end has been read
+	closed   bool // the attempt that claimed it reads no more
+	once     sync.Once
+	done     chan struct{} // closed when nobody reads it any more
 }
 
 // stream makes what is left of the body the request's stream, and completes the head.
-func (x *Exchange) stream(length int64, from *paced) {
-	x.up = &upload{from: from, length: length, done: make(chan struct{})}
-	x.Request.Stream = x.up
+func (x *Exchange) stream(length int64, from *pacedReader) {
+	x.upload = &upload{from: from, length: length, done: make(chan struct{})}
+	x.Request.Stream = x.upload
 	if length >= 0 {
 		x.Request.Head = appendLength(x.Request.Head, length)
 	} else {
@@ -80,16 +38,16 @@
 	}
 }
 
-// Uploads is how long the rest of the body may take at most.
-func (x *Exchange) Uploads() time.Duration {
-	if x.up == nil {
+// UploadTimeout returns how long the rest of the body may take at most.
+func (x *Exchange) UploadTimeout() time.Duration {
+	if x.upload == nil {
 		return 0
 	}
-	length := x.up.length
+	length := x.upload.length
 	if length < 0 {
-		length = streamMost
+		length = maxStreamedBody
 	}
-	return paceGrace + time.Duration(length)*time.Second/paceLeast
+	return bodyTimeout(length)
 }
 
 // Claim implements upstream.Stream.
@@ -106,7 +64,7 @@
 // Chunked implements upstream.Stream.
 func (u *upload) Chunked() bool { return u.length < 0 }
 
-// errStopped ends the reading of a body whose request has its answer.
+// errStopped ends the reading of a body whose request is over.
 var errStopped = errors.New("front: the request is over")
 
 // Read implements upstream.Stream.
@@ -116,63 +74,64 @@
 		u.mu.Unlock()
 		return 0, errStopped
 	}
-	u.from.arm()
+	u.from.setDeadline()
 	u.mu.Unlock()
-	n, err := u.from.take(b)
-	if u.from.got > streamMost {
+	n, err := u.from.read(b)
+	if u.from.received > maxStreamedBody {
 		return 0, io.ErrShortBuffer
 	}
 	if err == io.EOF {
 		u.mu.Lock()
-		u.whole = true
+		u.complete = true
 		u.mu.Unlock()
-		u.from.c.nc.SetReadDeadline(time.Time{}) // the connection's goroutine watches again
+		u.from.conn.netConn.SetReadDeadline(time.Time{}) // the connection's goroutine reads again
 	}
 	return n, err
 }
 
-// Close implements upstream.Stream. The connection's goroutine may read again, but not
-// before the request's answer where the body did not come whole: what the client still
-// sends of it would pass for its next request.
+// Close implements upstream.Stream. The connection's goroutine may read again, but if the
+// body is not complete only after the response: what the client still sends of the body
+// would be taken for its next request.
 func (u *upload) Close() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closed = true
-	if u.whole || u.stopped {
-		u.free()
+	if u.complete || u.stopped {
+		u.finish()
 	}
 	return nil
 }
 
-// unread says that nobody has begun to read the body, and may still.
-func (u *upload) unread() bool {
+// unclaimed reports that no attempt has begun to read the body, and one still may.
+func (u *upload) unclaimed() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return !u.claimed && !u.stopped
 }
 
-func (u *upload) free() { u.once.Do(func() { close(u.done) }) }
+// finish notes that nobody reads the body any more.
+func (u *upload) finish() { u.once.Do(func() { close(u.done) }) }
 
-// came says that the body has come whole.
-func (u *upload) came() bool {
+// isComplete reports whether the whole body has been read.
+func (u *upload) isComplete() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.whole
+	return u.complete
 }
 
-// stop says that the request has its answer; true if its body has come whole. Whoever
-// reads the body stops.
+// stop notes that the request is over, which stops whoever reads the body. It returns
+// whether the whole body has been read.
 func (u *upload) stop() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.stopped = true
-	u.linger.Store(!u.whole)
+	u.linger.Store(!u.complete)
 	switch {
-	case u.whole: // freed, or about to be
+	case u.complete: // finished, or about to be
 	case u.claimed && !u.closed:
-		u.from.c.nc.SetReadDeadline(time.Unix(1, 0))
+		u.from.conn.netConn.SetReadDeadline(time.Unix(1, 0))
 	default:
-		u.free()
+		u.finish()
 	}
-	return u.whole
+	return u.complete
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -151,7 +151,7 @@
 		wait -= min(deadlineMargin, wait/10)
 		deadline := now - time.Since(x.Received) + wait
 		if x.Request.Stream != nil {
-			deadline += x.Uploads() // the client's time begins with its last byte
+			deadline += x.UploadTimeout() // the client's time begins with its last byte
 		}
 		if h.quitAt > 0 {
 			deadline = min(deadline, h.quitAt)
