sidecar: one file per job, timers and requests by their usual names

The host with its lock, requests, attempts, timers, limits, probes and servers have a file each now, and long functions are steps with names (newRequest, newAttempt, endAttempt, popDue). The house words are gone: alarm, ring and wind are timer, fireTimers and armTimer; held is in flight (InFlight, ShareInFlight); tell is recordEnd; QuitAt is StopWithin. Metric labels and log keys stay.

One thing beside names: the Retry-After of a refusal at the limit is read under the lock; it was read by an action after it, beside Retune's write.

go test -race of front, sidecar, cmd/sidecar and upstream passes; vet and staticcheck are clean.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -228,14 +228,14 @@
 func (r *rooms) ShareIDs(t *link.IDs) {
 	r.srv.ShareIDs(t)
 	if t.Counted() {
-		r.host.ShareHeld(t)
+		r.host.ShareInFlight(t)
 	}
 }
 
 // UnshareIDs implements link.Host.
 func (r *rooms) UnshareIDs(t *link.IDs) {
 	r.srv.UnshareIDs(t)
-	r.host.UnshareHeld(t)
+	r.host.UnshareInFlight(t)
 }
 
 func (r *rooms) leave() {
@@ -251,7 +251,7 @@
 		Sockets:  r.c.reserved() + 2*max(r.srv.Conns(), r.pool.Conns()),
 		MemoryMB: residentMB(),
 		// So with the requests held, where no tally is shared.
-		Held: max(r.host.Held(), r.srv.Conns()),
+		Held: max(r.host.InFlight(), r.srv.Conns()),
 	}
 }
 
@@ -478,7 +478,7 @@
 			r.Limit(full(c))
 			if inherited != nil {
 				forget = time.After(idtable.Life)
-				host.UnshareHeld(inherited) // what the old one counted has ended with it
+				host.UnshareInFlight(inherited) // what the old one counted has ended with it
 			}
 			at := c.listen // c may change under the snapshot
 			old = link.NewOld(place, r.lns, handover.NewOld(at, full(c), func() []byte { return learned(at, host) }), r)
@@ -561,7 +561,7 @@
 	f.Gauge("active", "", func() float64 { return float64(srv.Active()) })
 	f.Gauge("pool_size", "", func() float64 { n, _ := host.Servers(); return float64(n) })
 	f.Gauge("pool_ejected", "", func() float64 { _, n := host.Servers(); return float64(n) })
-	f.Gauge("held", "", func() float64 { return float64(host.Held()) })
+	f.Gauge("held", "", func() float64 { return float64(host.InFlight()) })
 	f.Gauge("connections", `side="client"`, func() float64 { return float64(srv.Conns()) })
 	f.Gauge("connections", `side="server"`, func() float64 { return float64(pool.Conns()) })
 	f.Gauge("body_bytes", `of="held"`, func() float64 { n, _ := srv.BodyBytes(); return float64(n) })
@@ -585,8 +585,8 @@
 	for _, d := range c.settings.Deadlines {
 		longest = max(longest, d)
 	}
-	slog.Info("stopping", "held", host.Held())
-	host.QuitAt(longest + quitAfter)
+	slog.Info("stopping", "held", host.InFlight())
+	host.StopWithin(longest + quitAfter)
 	r.leave()
 	succeeded = old != nil && old.Leave()
 	srv.Drain(old != nil) // softly for a moment: a process may be about to take over
@@ -614,7 +614,7 @@
 			srv.CloseIdle(0)
 		}
 	}
-	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
+	slog.Info("stopped", "busy", srv.Busy(), "held", host.InFlight(), "after", time.Since(began))
 	return succeeded
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,9 +58,9 @@
 
 // The reasons.
 const (
-	Crowded Reason = "connections" // no room for the connection
-	Bytes   Reason = "bytes"       // no room for the body
-	Held    Reason = "held"        // as many requests held as the settings allow
+	Crowded  Reason = "connections" // no room for the connection
+	Bytes    Reason = "bytes"       // no room for the body
+	InFlight Reason = "held"        // as many requests in flight as the settings allow
 )
 
 // New returns metrics that are all 0.
@@ -71,7 +71,7 @@
 	for n, name := range outcomes {
 		s.ends[n] = s.set.NewCounter(prefix + label("attempts", "outcome", name))
 	}
-	for _, r := range []Reason{Crowded, Bytes, Held} {
+	for _, r := range []Reason{Crowded, Bytes, InFlight} {
 		s.reasons[r] = s.set.NewCounter(prefix + label("limited", "reason", string(r)))
 	}
 	s.copies = s.set.NewCounter(prefix + "copies")
--- /dev/null
+++ b/internal/sidecar/attempt.go
@@ -0,0 +1,146 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/upstream"
+)
+
+// attempt is one attempt of a request. Beside what upstream owns, it is guarded by the
+// Host's lock.
+type attempt struct {
+	upstream.Attempt
+	host    *Host
+	request *clientRequest
+	index   int // among the request's attempts
+
+	ended    bool
+	isCopy   bool // another attempt was open when it was sent
+	unsent   bool // cancelled before a byte was written
+	neverRan bool // certainly
+}
+
+// Send implements martendrum.Host.
+func (h *Host) Send(id martendrum.RequestID, server string, timeout, within time.Duration) {
+	request := h.requests[id]
+	if request == nil {
+		return
+	}
+	now := time.Now()
+	a := h.newAttempt(request, server, now.Add(timeout), now.Add(within))
+	if a.index == 0 {
+		h.meter.Own(now.Sub(request.exchange.Received))
+	}
+	h.meter.Began(a.isCopy)
+	request.attempts = append(request.attempts, a)
+	request.open++
+	if entry := request.entry; entry != nil {
+		h.enqueue(func() { h.sendRecorded(entry, a) })
+		return
+	}
+	h.enqueue(func() { h.pool.Start(&a.Attempt) })
+}
+
+// newAttempt returns the next attempt of a request.
+func (h *Host) newAttempt(request *clientRequest, server string, deadline, latest time.Time) *attempt {
+	x := request.exchange
+	a := &attempt{
+		host:    h,
+		request: request,
+		index:   len(request.attempts),
+		isCopy:  request.open > 0,
+	}
+	a.Attempt = upstream.Attempt{
+		Request:  &x.Request,
+		Server:   server,
+		Deadline: deadline,
+		Latest:   latest,
+		Sink:     a,
+		Once:     x.Rules.Rules.Effect == martendrum.Unsafe,
+		Wrote:    h.wrote,
+	}
+	if x.Request.Stream != nil {
+		a.Claimed, a.Wrote = a.claimed, a.uploaded
+	}
+	return a
+}
+
+// claimed notes that no other attempt can send the request's body any more.
+func (a *attempt) claimed() {
+	a.host.handle(func(now time.Duration) { a.host.balancer.Started(now, a.request.id, a.index) })
+}
+
+// uploaded notes that the request is complete: the client's time begins.
+func (a *attempt) uploaded() {
+	h := a.host
+	h.wrote()
+	h.handle(func(now time.Duration) {
+		request := a.request
+		if request.exchange == nil || request.answered {
+			return
+		}
+		h.setDeadline(request, h.beforeStop(min(request.deadline, now+request.timeout)))
+	})
+}
+
+// Cancel implements martendrum.Host.
+func (h *Host) Cancel(id martendrum.RequestID, n int) {
+	request := h.requests[id]
+	if request == nil || n >= len(request.attempts) {
+		return
+	}
+	a := request.attempts[n]
+	a.unsent = !a.Abandon()
+	h.enqueue(func() {
+		a.Close()
+		a.Done(martendrum.Cancelled, nil, martendrum.Report{})
+	})
+}
+
+// expireAttempt ends an attempt at the deadline of its request.
+func (h *Host) expireAttempt(now time.Duration, a *attempt) {
+	outcome := martendrum.TimedOut
+	if !a.Abandon() {
+		outcome = martendrum.ConnectFailed // not a byte of it was written
+	}
+	h.enqueue(a.Close)
+	h.endAttempt(now, a, outcome, nil, martendrum.Report{})
+}
+
+// Done implements upstream.Sink.
+func (a *attempt) Done(outcome martendrum.Outcome, answer *upstream.Answer, report martendrum.Report) {
+	a.host.handle(func(now time.Duration) { a.host.endAttempt(now, a, outcome, answer, report) })
+}
+
+// endAttempt takes an attempt's outcome, of which only the first counts.
+func (h *Host) endAttempt(now time.Duration, a *attempt, outcome martendrum.Outcome, answer *upstream.Answer, report martendrum.Report) {
+	if a.ended {
+		return
+	}
+	request := a.request
+	a.ended, a.neverRan = true, a.unsent || outcome.NeverRan()
+	request.open--
+	if answer != nil && answer.Rest != nil && request.entry != nil {
+		// The record would have to hold it whole, and serve it after Done.
+		slog.Warn("an answer too long for the record", "server", a.Server)
+		outcome, answer = martendrum.Reset, nil
+	}
+	if outcome == martendrum.OK && answer == nil && !request.answered {
+		outcome = martendrum.Reset // there is nothing to answer with
+	}
+	success := outcome == martendrum.OK && answer != nil
+	served := success && !request.answered
+	switch {
+	case served:
+		h.markAnswered(request)
+		x := request.exchange
+		h.recordEnd(request, Served, answer, func() { x.Serve(answer) })
+	case success: // too late for the client, not for the record
+		h.recordEnd(request, Served, answer, nil)
+	}
+	h.meter.Ended(outcome, a.isCopy, served)
+	h.balancer.Done(now, request.id, a.index, outcome, request.answered, report)
+	h.releaseIfDone(request)
+}
--- /dev/null
+++ b/internal/sidecar/host.go
@@ -0,0 +1,157 @@
+// Package sidecar hosts one Balancer on real sockets. It brings the events of
+// clients, servers and discovery to the Balancer and carries out its decisions;
+// it makes none itself, beyond enforcing its limits.
+package sidecar
+
+import (
+	"cmp"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/settings"
+	"martendrum/internal/upstream"
+)
+
+// Host is the martendrum.Host of a real sidecar. One lock guards the Balancer and
+// all that belongs to it. What the Balancer asks for is queued under the lock and
+// carried out after it is released, by the goroutine that brought the event.
+type Host struct {
+	pool    *upstream.Pool
+	watcher *discovery.Watcher
+	classes atomic.Pointer[map[string]*settings.Class] // by name, of the settings in force
+
+	recorder Recorder // nil: nothing is recorded
+	meter    Meter
+	wrote    func() // the meter's Wrote
+
+	started     time.Time
+	startedUnix time.Duration // started as Unix time
+
+	// Guarded by mu.
+	mu       sync.Mutex
+	settings *settings.Settings
+	balancer *martendrum.Balancer
+	requests map[martendrum.RequestID]*clientRequest // in flight
+	lastID   martendrum.RequestID
+	limits   inFlightLimits
+	timers   timerQueue
+	actions  []func()      // to be carried out once mu is released
+	stopAt   time.Duration // every request ends by then; 0: no stop is planned
+	ready    bool
+}
+
+// New returns a Host of a new Balancer, to which the watcher reports the servers.
+func New(set *settings.Settings, seed uint64, pool *upstream.Pool, watcher *discovery.Watcher) (*Host, error) {
+	started := time.Now()
+	h := &Host{
+		pool:        pool,
+		watcher:     watcher,
+		meter:       unmetered{},
+		started:     started,
+		startedUnix: time.Duration(started.UnixNano()),
+		settings:    set,
+		requests:    make(map[martendrum.RequestID]*clientRequest),
+		limits: inFlightLimits{
+			own:    cmp.Or(set.MostHeld, math.MaxInt),
+			shared: cmp.Or(set.MostHeld, math.MaxInt),
+		},
+	}
+	watcher.Listed, watcher.Failed = h.Listed, h.DiscoveryFailed
+	h.wrote = h.meter.Wrote
+	h.publishClasses()
+	h.timers.runtime = time.AfterFunc(time.Hour, h.fireTimers)
+	var err error
+	h.handle(func(time.Duration) { h.balancer, err = martendrum.New(set.Config, seed, h) })
+	return h, err
+}
+
+// now returns Unix time that never goes back. It is read under the lock, so that the
+// Balancer's events are in the order of their times.
+func (h *Host) now() time.Duration { return h.startedUnix + time.Since(h.started) }
+
+// handle brings an event to the Balancer and then carries out what it asked for.
+func (h *Host) handle(event func(now time.Duration)) {
+	for _, action := range h.decide(event) {
+		action()
+	}
+}
+
+// decide runs event under the lock and returns the actions to carry out. It releases the
+// lock also if the Balancer panics: other requests go on.
+func (h *Host) decide(event func(now time.Duration)) []func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	event(h.now())
+	h.armTimer()
+	actions := h.actions
+	h.actions = nil
+	return actions
+}
+
+// enqueue adds an action to be carried out once the lock is released. The lock is held.
+func (h *Host) enqueue(action func()) { h.actions = append(h.actions, action) }
+
+// Ready implements front.Handler.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
+// SetReady sets whether the sidecar takes clients.
+func (h *Host) SetReady(ready bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = ready
+}
+
+// Class implements front.Handler.
+func (h *Host) Class(name string) *settings.Class {
+	return (*h.classes.Load())[name]
+}
+
+// Retune replaces the settings, as a whole or not at all. Requests that have been read
+// keep the class that they were read under.
+func (h *Host) Retune(set *settings.Settings) (err error) {
+	h.handle(func(time.Duration) {
+		set.Follow(h.settings)
+		if err = h.balancer.Retune(set.Config); err == nil {
+			h.settings = set
+			h.publishClasses()
+		}
+	})
+	return err
+}
+
+// publishClasses makes the classes of the settings in force visible to Class, which
+// takes no lock.
+func (h *Host) publishClasses() {
+	classes := make(map[string]*settings.Class)
+	for _, name := range h.settings.Names() {
+		classes[name] = h.settings.ByName(name)
+	}
+	h.classes.Store(&classes)
+}
+
+// Learned returns what the Balancer has learned.
+func (h *Host) Learned() martendrum.Learned {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.balancer.Learned(h.now())
+}
+
+// Learn takes over what another process's Balancer had learned by age ago. It is called
+// after the list of servers has arrived and before the first request.
+func (h *Host) Learn(learned martendrum.Learned, age time.Duration) {
+	h.handle(func(now time.Duration) { h.balancer.Learn(now, learned, age) })
+}
+
+// Steer lets steer read the Balancer and set its bounds; arrivals is how many requests
+// have arrived so far. steer must not block.
+func (h *Host) Steer(steer func(now time.Duration, arrivals uint64, b *martendrum.Balancer)) {
+	h.handle(func(now time.Duration) { steer(now, uint64(h.lastID), h.balancer) })
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/host_test.go
@@ -115,20 +115,20 @@
 		t.Fatal(err)
 	}
 	io.WriteString(far, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: far\r\nReq-Deadline-Ms: 2000000000\r\n\r\n")
-	wait(t, "the request to be taken", func() bool { return h.Held() == 1 })
+	wait(t, "the request to be taken", func() bool { return h.InFlight() == 1 })
 	h.mu.Lock()
-	for _, q := range h.held {
+	for _, q := range h.requests {
 		if left := q.deadline - h.now(); left > 20*time.Second {
 			t.Errorf("held for %v", left)
 		}
 	}
 	h.mu.Unlock()
 	far.Close()
-	wait(t, "nothing held", func() bool { return h.Held() == 0 })
+	wait(t, "nothing held", func() bool { return h.InFlight() == 0 })
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, a := range h.alarms {
-		if a.q != nil {
+	for _, a := range h.timers.heap {
+		if a.request != nil {
 			t.Error("a deadline outlived its request")
 		}
 	}
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -37,9 +37,9 @@
 				h, _, at := startWith(t, strings.Replace(usual, `"mayCancel":true`, `"mayCancel":`+may, 1), addr)
 				c := dialled(t, at)
 				io.WriteString(c, request)
-				wait(t, "the request to be taken", func() bool { return h.Held() == 1 })
+				wait(t, "the request to be taken", func() bool { return h.InFlight() == 1 })
 				c.Close()
-				wait(t, "the client's leaving to be noticed", func() bool { return h.Held() == 0 })
+				wait(t, "the client's leaving to be noticed", func() bool { return h.InFlight() == 0 })
 				open()
 				wait(t, "the connection to come up and end", func() bool {
 					select {
@@ -81,7 +81,7 @@
 	wait(t, "the repeat", func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		for _, q := range h.held {
+		for _, q := range h.requests {
 			if len(q.attempts) == 2 {
 				latest = q.attempts[1].Latest
 			}
--- /dev/null
+++ b/internal/sidecar/limits.go
@@ -0,0 +1,71 @@
+package sidecar
+
+// inFlightLimits limits how many requests are in flight at once. It is guarded by the
+// Host's lock.
+type inFlightLimits struct {
+	own    int   // for this process alone
+	shared int   // for this process and the other one together, while there is a tally
+	tally  Tally // nil: no other process counts
+}
+
+// Tally is a count of the requests in flight that two processes share.
+type Tally interface {
+	// Hold sets the count of this process to n, and returns that of the other one.
+	Hold(n int) (others int)
+}
+
+// Limit replaces the limits on requests in flight, for those still to come: own for this
+// process alone, shared for two processes together while they share a Tally.
+func (h *Host) Limit(own, shared int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits.own, h.limits.shared = own, shared
+}
+
+// ShareInFlight counts requests in flight in tally from now on, and limits the sum. A
+// tally set before is not used any more.
+func (h *Host) ShareInFlight(tally Tally) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits.tally = tally
+	h.updateTally()
+}
+
+// UnshareInFlight ends the sharing: when it returns, tally is not used any more.
+func (h *Host) UnshareInFlight(tally Tally) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.limits.tally == tally {
+		h.limits.tally = nil
+	}
+}
+
+// InFlight returns the number of requests in flight: those that are not answered yet, or
+// still have an attempt open.
+func (h *Host) InFlight() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.requests)
+}
+
+// hasRoom reports whether one more request may be in flight, and if so counts it in the
+// tally: two processes that ask at the same time don't both take the last place. The
+// lock is held.
+func (h *Host) hasRoom() bool {
+	if h.limits.tally == nil {
+		return len(h.requests) < h.limits.own
+	}
+	n := len(h.requests) + 1
+	if n+h.limits.tally.Hold(n) > h.limits.shared {
+		h.updateTally()
+		return false
+	}
+	return true
+}
+
+// updateTally sets this process's count in the tally. The lock is held.
+func (h *Host) updateTally() {
+	if h.limits.tally != nil {
+		h.limits.tally.Hold(len(h.requests))
+	}
+}
--- a/internal/sidecar/meter.go
+++ b/internal/sidecar/meter.go
@@ -10,17 +10,19 @@
 // Meter counts what becomes of attempts. Its methods may be called from any
 // goroutine, some under the Host's lock: they must not wait.
 type Meter interface {
+	// Limited counts a request that the Host itself refused.
 	Limited(why metrics.Reason)
-	// Own takes the time from a request's last byte to its first send.
+	// Own observes the time from a request's last byte to its first send.
 	Own(took time.Duration)
-	// Began takes a send, Wrote one whose last byte has been written, Ended its end;
-	// served says that the client gets its answer.
+	// Began counts an attempt that is sent.
 	Began(isCopy bool)
+	// Wrote counts an attempt whose last byte has been written.
 	Wrote()
-	Ended(o martendrum.Outcome, isCopy, served bool)
+	// Ended counts the end of an attempt; served means that the client gets its answer.
+	Ended(outcome martendrum.Outcome, isCopy, served bool)
 }
 
-// unmetered counts nothing.
+// unmetered is a Meter that counts nothing.
 type unmetered struct{}
 
 func (unmetered) Limited(metrics.Reason)               {}
@@ -29,5 +31,5 @@
 func (unmetered) Wrote()                               {}
 func (unmetered) Ended(martendrum.Outcome, bool, bool) {}
 
-// SetMeter makes the Host count. It is called before the first request.
-func (h *Host) SetMeter(m Meter) { h.meter, h.wrote = m, m.Wrote }
+// SetMeter sets the Host's Meter. It is called before the first request.
+func (h *Host) SetMeter(meter Meter) { h.meter, h.wrote = meter, meter.Wrote }
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -99,7 +99,7 @@
 		fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: %s-%d\r\nContent-Length: 0\r\n\r\n", what, 1000+n)
 		open = append(open, c)
 	}
-	wait(t, "three to be held", func() bool { return h.Held() == 3 && srv.Active() == 3 })
+	wait(t, "three to be held", func() bool { return h.InFlight() == 3 && srv.Active() == 3 })
 	h.Limit(3, 3)
 	send("fine", "pay", 9999)
 	h.Limit(100, 100)
@@ -112,7 +112,7 @@
 		}
 		counted[`responses{kind="pay",result="ok"}`]++
 	}
-	wait(t, "nothing held", func() bool { return h.Held() == 0 })
+	wait(t, "nothing held", func() bool { return h.InFlight() == 0 })
 	got := read(t, h)
 	for _, class := range []string{"look", "pay"} {
 		for _, result := range []string{"ok", "shed", "errors"} {
--- /dev/null
+++ b/internal/sidecar/probe.go
@@ -0,0 +1,44 @@
+package sidecar
+
+import (
+	"time"
+
+	"martendrum"
+	"martendrum/internal/upstream"
+)
+
+// probeTimeout is how long a probe may take.
+const probeTimeout = 500 * time.Millisecond
+
+// probeRequest asks a server for its load.
+var probeRequest = &upstream.Request{Method: "GET", Head: []byte("GET /_load HTTP/1.1\r\nHost: server\r\n")}
+
+// probe is an attempt that asks a server for its load.
+type probe struct {
+	upstream.Attempt
+	host *Host
+}
+
+// Probe implements martendrum.Host.
+func (h *Host) Probe(server string) {
+	p := &probe{host: h}
+	p.Attempt = upstream.Attempt{Request: probeRequest, Server: server, Deadline: time.Now().Add(probeTimeout), Sink: p}
+	h.enqueue(func() {
+		time.AfterFunc(probeTimeout, func() {
+			p.Abandon()
+			p.Close()
+		})
+		h.pool.Start(&p.Attempt)
+	})
+}
+
+// Done implements upstream.Sink.
+func (p *probe) Done(outcome martendrum.Outcome, answer *upstream.Answer, report martendrum.Report) {
+	if outcome != martendrum.OK || answer == nil {
+		return
+	}
+	if !report.HasInFlight && !report.HasUtil {
+		report = upstream.ParseLoad(string(answer.Body))
+	}
+	p.host.handle(func(now time.Duration) { p.host.balancer.Probed(now, p.Server, report) })
+}
--- a/internal/sidecar/recorder.go
+++ b/internal/sidecar/recorder.go
@@ -8,17 +8,17 @@
 	"martendrum/internal/upstream"
 )
 
-// Recorder keeps what becomes of requests beyond the life of this process, and knows
-// a request's key again. A Host without one keeps nothing, at no cost.
+// Recorder stores what becomes of requests, so that it outlives this process, and
+// recognizes a repeated request by its key. A Host without one stores nothing, at no cost.
 type Recorder interface {
 	// Begin takes a request that has arrived and whose client waits for left. It
 	// calls then once, from any goroutine and well within left.
 	Begin(x *front.Exchange, left time.Duration, then func(Verdict))
 }
 
-// Verdict is what the record says to a request.
+// Verdict is a Recorder's decision about a request.
 type Verdict struct {
-	// Answer gives the client its answer, where the record has it; nil: go on.
+	// Answer gives the client its recorded response; nil: there is none, go on.
 	Answer func(x *front.Exchange)
 	Entry  Entry // of a request that goes on; nil: it is not recorded
 }
@@ -26,89 +26,88 @@
 // Entry is a recorded request. Each then is called once, from any goroutine, within
 // the wait of the request's class.
 type Entry interface {
-	// Sending says that attempt n is about to go to server. If it is not ok, not a
-	// byte may go.
+	// Sending records that attempt n is about to be sent to server. If it is not ok,
+	// not a byte may be sent.
 	Sending(n int, server string, then func(ok bool))
-	// End says what the request came to; ans is set for Served. It may be called
-	// again when more is known. then is when the client may be told, which is within
-	// left: its time is over then.
-	End(e End, ans *upstream.Answer, left time.Duration, then func())
+	// End records how the request ended; answer is set for Served. It may be called
+	// again when more is known. then is called when the client may be answered, which
+	// is within left: its time is over then.
+	End(end End, answer *upstream.Answer, left time.Duration, then func())
 }
 
-// End is what a request came to.
+// End is how a request ended.
 type End int
 
 const (
 	notEnded   End = iota
 	Served         // it ran, and this is the answer
-	NeverRan       // no attempt of it ran, for certain
-	MayHaveRun     // one may have
+	NeverRan       // certainly, no attempt of it ran
+	MayHaveRun     // an attempt may have run
 )
 
-// SetRecorder makes the Host record. It is called before the first request.
-func (h *Host) SetRecorder(r Recorder) { h.recorder = r }
+// SetRecorder sets the Host's Recorder. It is called before the first request.
+func (h *Host) SetRecorder(recorder Recorder) { h.recorder = recorder }
 
-// begun takes the record's verdict on a request.
-func (h *Host) begun(q *request, v Verdict) {
-	h.locked(func(now time.Duration) {
+// admitRecorded takes the recorder's verdict on a request.
+func (h *Host) admitRecorded(request *clientRequest, verdict Verdict) {
+	h.handle(func(now time.Duration) {
 		switch {
-		case q.x == nil: // its client has left, or its time is up
-			if v.Entry != nil {
-				h.actions = append(h.actions, func() { v.Entry.End(NeverRan, nil, 0, func() {}) })
+		case request.exchange == nil: // its client has left, or its time is up
+			if verdict.Entry != nil {
+				h.enqueue(func() { verdict.Entry.End(NeverRan, nil, 0, func() {}) })
 			}
-			return
-		case v.Answer != nil:
-			h.over(q)
-			x := q.x
-			h.actions = append(h.actions, func() { v.Answer(x) })
-			h.forget(q)
-			return
+		case verdict.Answer != nil:
+			h.markAnswered(request)
+			x := request.exchange
+			h.enqueue(func() { verdict.Answer(x) })
+			h.releaseIfDone(request)
+		default:
+			request.awaitsRecord, request.entry = false, verdict.Entry
+			h.admit(now, request)
 		}
-		q.pending, q.entry = false, v.Entry
-		h.admit(now, q)
 	})
 }
 
-// sendRecorded sends an attempt once the record has it.
-func (h *Host) sendRecorded(e Entry, a *attempt) {
-	e.Sending(a.n, a.Server, func(ok bool) {
+// sendRecorded sends an attempt once it is recorded.
+func (h *Host) sendRecorded(entry Entry, a *attempt) {
+	entry.Sending(a.index, a.Server, func(ok bool) {
 		if !ok {
 			a.Done(martendrum.NotSent, nil, martendrum.Report{})
 			return
 		}
 		h.mu.Lock()
-		done := a.done
+		ended := a.ended
 		h.mu.Unlock()
-		if !done {
+		if !ended {
 			h.pool.Start(&a.Attempt)
 		}
 	})
 }
 
-// came is what a request came to, as far as its attempts have ended.
-func (q *request) came() End {
-	for _, a := range q.attempts {
-		if !a.done || !a.neverRan {
+// endSoFar returns how a request without an answer has ended, as far as its attempts
+// have.
+func (r *clientRequest) endSoFar() End {
+	for _, a := range r.attempts {
+		if !a.ended || !a.neverRan {
 			return MayHaveRun
 		}
 	}
 	return NeverRan
 }
 
-// tell tells the record what q came to, where that is new, and then does act.
-func (h *Host) tell(q *request, e End, ans *upstream.Answer, act func()) {
-	switch {
-	case q.entry == nil || q.told == Served || q.told == e:
-		if act != nil {
-			h.actions = append(h.actions, act)
+// recordEnd records how a request ended, if that is new, and then does then, if not nil.
+func (h *Host) recordEnd(request *clientRequest, end End, answer *upstream.Answer, then func()) {
+	entry := request.entry
+	if entry == nil || request.recordedEnd == Served || request.recordedEnd == end {
+		if then != nil {
+			h.enqueue(then)
 		}
-	default:
-		q.told = e
-		left := q.deadline - h.now()
-		entry := q.entry
-		if act == nil {
-			act = func() {}
-		}
-		h.actions = append(h.actions, func() { entry.End(e, ans, left, act) })
+		return
+	}
+	request.recordedEnd = end
+	left := request.deadline - h.now()
+	if then == nil {
+		then = func() {}
 	}
+	h.enqueue(func() { entry.End(end, answer, left, then) })
 }
--- /dev/null
+++ b/internal/sidecar/request.go
@@ -0,0 +1,204 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/front"
+	"martendrum/internal/metrics"
+)
+
+// deadlineMargin is how much earlier than by the client's own clock a deadline is met:
+// the response has still to reach the client.
+const deadlineMargin = 5 * time.Millisecond
+
+// clientRequest is a request that is owed a response, or whose attempts are still open.
+// It is guarded by the Host's lock.
+type clientRequest struct {
+	id       martendrum.RequestID
+	exchange *front.Exchange // nil: released
+	deadline time.Duration
+	timeout  time.Duration // from its last byte to its deadline
+	timer    *timer        // at its deadline
+	attempts []*attempt
+	open     int  // attempts that have not ended
+	answered bool // it has its final response, or needs none any more
+
+	awaitsRecord bool  // the recorder has not admitted it yet: the Balancer does not know it
+	entry        Entry // nil: it is not recorded
+	recordedEnd  End   // what the recorder was given
+}
+
+// Arrive implements front.Handler.
+func (h *Host) Arrive(x *front.Exchange) {
+	h.handle(func(now time.Duration) {
+		if !h.hasRoom() {
+			h.refuseForRoom(x)
+			return
+		}
+		request := h.newRequest(now, x)
+		if h.recorder == nil {
+			h.admit(now, request)
+			return
+		}
+		request.awaitsRecord = true
+		left := request.deadline - now
+		h.enqueue(func() {
+			h.recorder.Begin(x, left, func(verdict Verdict) { h.admitRecorded(request, verdict) })
+		})
+	})
+}
+
+// refuseForRoom refuses a request because too many are in flight.
+func (h *Host) refuseForRoom(x *front.Exchange) {
+	slog.Warn("request refused: too many held", "held", len(h.requests))
+	h.meter.Limited(metrics.InFlight)
+	retryAfter := h.limitRetryAfter()
+	h.enqueue(func() { x.Refuse(retryAfter) })
+	h.enqueue(x.Release)
+}
+
+// limitRetryAfter returns when a client refused at a limit may come back. The lock is
+// held.
+func (h *Host) limitRetryAfter() time.Duration { return h.settings.Config.MaxRetryAfter / 10 }
+
+// newRequest registers the request of x, with its deadline.
+func (h *Host) newRequest(now time.Duration, x *front.Exchange) *clientRequest {
+	timeout := x.Rules.Wait // no client waits longer, whatever it says
+	if x.Wait > 0 {
+		timeout = min(timeout, x.Wait)
+	}
+	timeout -= min(deadlineMargin, timeout/10)
+	deadline := now - time.Since(x.Received) + timeout
+	if x.Request.Stream != nil {
+		deadline += x.UploadTimeout() // the client's time begins with its last byte
+	}
+	h.lastID++
+	request := &clientRequest{id: h.lastID, exchange: x, deadline: h.beforeStop(deadline), timeout: timeout}
+	x.State = request
+	h.requests[request.id] = request
+	request.timer = h.timers.add(&timer{at: request.deadline, request: request})
+	return request
+}
+
+// beforeStop limits a deadline to the planned stop, if there is one.
+func (h *Host) beforeStop(deadline time.Duration) time.Duration {
+	if h.stopAt > 0 {
+		return min(deadline, h.stopAt)
+	}
+	return deadline
+}
+
+// StopWithin sees to it that every request is answered by then.
+func (h *Host) StopWithin(limit time.Duration) {
+	h.handle(func(now time.Duration) {
+		h.stopAt = now + limit
+		for _, request := range h.requests {
+			if request.deadline > h.stopAt {
+				h.setDeadline(request, h.stopAt)
+			}
+		}
+	})
+}
+
+// setDeadline changes a request's deadline, and its timer.
+func (h *Host) setDeadline(request *clientRequest, deadline time.Duration) {
+	request.deadline = deadline
+	h.timers.move(request.timer, deadline)
+}
+
+// admit brings a request to the Balancer.
+func (h *Host) admit(now time.Duration, request *clientRequest) {
+	x := request.exchange
+	h.balancer.Arrive(now, martendrum.Request{
+		ID:       request.id,
+		Class:    x.Rules.Place,
+		Rules:    x.Rules.Rules,
+		Tenant:   h.settings.Tenant([]byte(x.Tenant)),
+		Deadline: request.deadline,
+		Large:    x.Request.Stream != nil,
+	})
+}
+
+// Gone implements front.Handler.
+func (h *Host) Gone(x *front.Exchange) (taken bool) {
+	h.handle(func(now time.Duration) {
+		request, _ := x.State.(*clientRequest)
+		if request == nil || request.answered {
+			return
+		}
+		taken = true
+		h.markAnswered(request)
+		h.balancer.ClientGone(now, request.id)
+		h.releaseIfDone(request)
+	})
+	return taken
+}
+
+// Refuse implements martendrum.Host.
+func (h *Host) Refuse(id martendrum.RequestID, retryAfter time.Duration) {
+	h.answer(id, func(x *front.Exchange) { x.Refuse(retryAfter) })
+}
+
+// Fail implements martendrum.Host.
+func (h *Host) Fail(id martendrum.RequestID) { h.answer(id, (*front.Exchange).Fail) }
+
+// answer gives a request its final response, which is none of a server's, by respond.
+func (h *Host) answer(id martendrum.RequestID, respond func(*front.Exchange)) {
+	request := h.requests[id]
+	if request == nil || request.answered {
+		return
+	}
+	h.markAnswered(request)
+	x := request.exchange
+	h.recordEnd(request, request.endSoFar(), nil, func() { respond(x) })
+	h.releaseIfDone(request)
+}
+
+// markAnswered notes that a request has its final response, or needs none: attempts that
+// have not begun don't begin any more, whether or not the Balancer cancels them. Every
+// end of a request comes here.
+func (h *Host) markAnswered(request *clientRequest) {
+	request.answered = true
+	for _, a := range request.attempts {
+		if !a.ended && a.Withdraw() {
+			a.unsent = true
+			h.enqueue(func() { a.Done(martendrum.NotSent, nil, martendrum.Report{}) })
+		}
+	}
+}
+
+// releaseIfDone forgets a request that is answered and has no attempt open.
+func (h *Host) releaseIfDone(request *clientRequest) {
+	if !request.answered || request.open > 0 || request.exchange == nil {
+		return
+	}
+	h.recordEnd(request, request.endSoFar(), nil, nil)
+	delete(h.requests, request.id)
+	h.updateTally()
+	h.timers.remove(request.timer)
+	h.enqueue(request.exchange.Release)
+	request.exchange, request.attempts = nil, nil
+}
+
+// expire ends a request's open attempts at its deadline, and the request.
+func (h *Host) expire(now time.Duration, request *clientRequest) {
+	if h.requests[request.id] == nil {
+		return
+	}
+	for _, a := range request.attempts {
+		if !a.ended {
+			h.expireAttempt(now, a)
+		}
+	}
+	if request.awaitsRecord { // nothing was sent
+		h.Refuse(request.id, h.limitRetryAfter())
+	}
+	if !request.answered {
+		// Guards the rule of one final response, whatever the Balancer makes of it.
+		slog.Error("request unanswered at its deadline", "class", request.exchange.Class)
+		h.balancer.ClientGone(now, request.id)
+		h.Fail(request.id)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/servers.go
@@ -0,0 +1,70 @@
+package sidecar
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/discovery"
+)
+
+// Servers returns how many servers are listed, and how many of them are avoided now.
+func (h *Host) Servers() (listed, avoided int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.balancer.Servers(h.now())
+}
+
+// Listed takes a list of servers, or the changes to it, from discovery.
+func (h *Host) Listed(list *discovery.List) {
+	endpoints := make([]martendrum.Endpoint, len(list.Entries))
+	h.handle(func(now time.Duration) {
+		// The pool is updated under the lock too: it must know of a server before an
+		// attempt goes there.
+		listed := make(map[string]bool, len(list.Entries))
+		for n, entry := range list.Entries {
+			endpoints[n] = entry.Endpoint
+			listed[entry.Name] = true
+			h.updatePool(entry)
+		}
+		if list.Whole {
+			h.pool.Keep(listed)
+			h.balancer.ServersListed(now, endpoints)
+		} else {
+			h.balancer.ServersChanged(now, endpoints)
+		}
+	})
+}
+
+// updatePool brings the state of a listed server to the pool.
+func (h *Host) updatePool(entry discovery.Entry) {
+	if entry.State == martendrum.Serving {
+		h.pool.Serve(entry.Name, entry.Address, entry.Started)
+	} else {
+		h.pool.Leave(entry.Name, entry.State == martendrum.Gone)
+	}
+}
+
+// DiscoveryFailed takes a failed call to discovery, or the end of a watch.
+func (h *Host) DiscoveryFailed(err error) {
+	slog.Warn("discovery failed", "err", err)
+	h.handle(func(now time.Duration) { h.balancer.DiscoveryFailed(now) })
+}
+
+// Subscribe implements martendrum.Host.
+func (h *Host) Subscribe() { h.enqueue(h.AskNow) }
+
+// AskNow opens a watch at once, unless one is open.
+func (h *Host) AskNow() {
+	go func() {
+		if err := h.watcher.Watch(); !errors.Is(err, discovery.ErrOpen) {
+			h.DiscoveryFailed(err)
+		}
+	}()
+}
+
+// CloseIdle implements martendrum.Host.
+func (h *Host) CloseIdle(server string) {
+	h.enqueue(func() { h.pool.CloseIdle(server) })
+}
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -246,9 +246,9 @@
 	c := dialled(t, at)
 	fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: gone\r\nContent-Length: 900000\r\n\r\n")
 	c.Write(block(200 << 10))
-	wait(t, "the request to be taken", func() bool { return h.Held() == 1 })
+	wait(t, "the request to be taken", func() bool { return h.InFlight() == 1 })
 	c.Close()
-	wait(t, "nothing held", func() bool { return h.Held() == 0 && srv.Conns() == 0 })
+	wait(t, "nothing held", func() bool { return h.InFlight() == 0 && srv.Conns() == 0 })
 	if whole.Load() != 0 {
 		t.Error("half a request ran")
 	}
--- /dev/null
+++ b/internal/sidecar/timers.go
@@ -0,0 +1,118 @@
+package sidecar
+
+import (
+	"container/heap"
+	"log/slog"
+	"runtime/debug"
+	"time"
+)
+
+// timerResolution is the least time between two runs of the due timers.
+const timerResolution = 2 * time.Millisecond
+
+// timer is a timer of the Balancer's, or a request's deadline.
+type timer struct {
+	at      time.Duration
+	cookie  uint64         // the Balancer's
+	request *clientRequest // whose deadline it is; nil: it is the Balancer's
+	index   int            // in the heap; -1: it has been removed
+}
+
+// timerQueue is a set of timers that one runtime timer serves. It is guarded by the
+// Host's lock.
+type timerQueue struct {
+	heap    timerHeap
+	runtime *time.Timer
+	armedAt time.Duration // when runtime fires; 0: it is not armed
+}
+
+// timerHeap implements heap.Interface, the earliest timer first.
+type timerHeap []*timer
+
+func (t timerHeap) Len() int           { return len(t) }
+func (t timerHeap) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timerHeap) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timerHeap) Push(x any) {
+	added := x.(*timer)
+	added.index = len(*t)
+	*t = append(*t, added)
+}
+
+func (t *timerHeap) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	last.index = -1
+	return last
+}
+
+// add adds a timer and returns it.
+func (q *timerQueue) add(t *timer) *timer {
+	heap.Push(&q.heap, t)
+	return t
+}
+
+// move changes the time of a timer. One that has been removed stays so.
+func (q *timerQueue) move(t *timer, at time.Duration) {
+	t.at = at
+	if t.index >= 0 {
+		heap.Fix(&q.heap, t.index)
+	}
+}
+
+// remove removes a timer unless it has been removed already.
+func (q *timerQueue) remove(t *timer) {
+	if t.index >= 0 {
+		heap.Remove(&q.heap, t.index)
+	}
+}
+
+// popDue removes the earliest timer if it is due; nil if none is.
+func (q *timerQueue) popDue(now time.Duration) *timer {
+	if len(q.heap) == 0 || q.heap[0].at > now {
+		return nil
+	}
+	return heap.Pop(&q.heap).(*timer)
+}
+
+// SetTimer implements martendrum.Host.
+func (h *Host) SetTimer(cookie uint64, after time.Duration) {
+	h.timers.add(&timer{at: h.now() + max(after, 0), cookie: cookie})
+}
+
+// armTimer sets the runtime timer for the earliest timer. The lock is held.
+func (h *Host) armTimer() {
+	q := &h.timers
+	if len(q.heap) == 0 {
+		return
+	}
+	if at := q.heap[0].at; q.armedAt == 0 || at < q.armedAt {
+		q.armedAt = at
+		q.runtime.Reset(max(at-h.now(), timerResolution))
+	}
+}
+
+// fireTimers brings the Balancer the timers that are due, and ends overdue requests.
+func (h *Host) fireTimers() {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic at a timer", "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	h.handle(func(now time.Duration) {
+		h.timers.armedAt = 0
+		defer h.armTimer() // also if the Balancer panics: the next timers must fire
+		for due := h.timers.popDue(now); due != nil; due = h.timers.popDue(now) {
+			if due.request != nil {
+				h.expire(now, due.request)
+			} else {
+				h.balancer.Timer(now, due.cookie)
+			}
+		}
+	})
+}
