--- a/cmd/sidecar/config.go
+++ b/cmd/sidecar/config.go
@@ -217,7 +217,7 @@
 		s.Config.AskAgain = c.pace.Back
 	}
 	if path := getenv("MARTENDRUM_RECORD"); path != "" {
-		if c.record, err = loadRecord(path, s, (c.sockets-socketsSpare)/4); err != nil {
+		if c.record, err = loadRecord(path, s, (c.sockets-spareSockets)/4); err != nil {
 			return nil, fmt.Errorf("MARTENDRUM_RECORD: %w", err)
 		}
 	}
--- a/cmd/sidecar/fleet.go
+++ b/cmd/sidecar/fleet.go
@@ -163,7 +163,7 @@
 
 // bind waits until the old process has given up the address for datagrams.
 func (f *fleet) bind(share link.Config) {
-	until(f.stop, func() bool {
+	retryUntil(f.stop, func() bool {
 		l, err := link.Open(share)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			return false
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -98,9 +98,9 @@
 		t.Fatal(err)
 	}
 	term, hup, done := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error, 1)
-	r := &rooms{c: c, lns: []*net.TCPListener{ln.(*net.TCPListener)}}
-	r.Limit(full(c))
-	go func() { done <- run(c, r, nil, nil, term, hup) }()
+	r := &resources{config: c, listeners: []*net.TCPListener{ln.(*net.TCPListener)}}
+	r.Limit(c.fullShare())
+	go func() { done <- run(c, r, nil, nil, signals{terminate: term, reload: hup}) }()
 
 	client := &http.Client{Timeout: patience, Transport: &http.Transport{}}
 	id := 0
--- /dev/null
+++ b/cmd/sidecar/process.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"martendrum/internal/discovery"
+	"martendrum/internal/handover"
+	"martendrum/internal/handover/idtable"
+	"martendrum/internal/handover/link"
+	"martendrum/internal/metrics"
+)
+
+const (
+	// listTimeout is how long a start waits at most for the list of servers: the one in
+	// its configuration may be old.
+	listTimeout = 250 * time.Millisecond
+	// sweepInterval is how often connections to servers that have been idle for too long
+	// are closed.
+	sweepInterval = 2 * time.Second
+	// retryInterval is how often a new process checks whether the old one has released
+	// an address.
+	retryInterval = 100 * time.Millisecond
+)
+
+// sidecarProcess is a running sidecar: its parts, and its place between the process before it
+// and the one after. The goroutine of serve owns it.
+type sidecarProcess struct {
+	config    *config
+	resources *resources
+	watcher   *discovery.Watcher
+	recorder  recorder // nil: there is none
+	metrics   *metrics.Set
+	fleet     *fleet
+
+	place       *link.Place // of the hand-over; nil: processes don't hand over
+	predecessor *link.New   // the process that this one takes over from; nil as place
+	successor   *link.Old   // for the process that takes over from this one; nil until this one is alone
+
+	// Events of the predecessor; nil where there is none.
+	alone         <-chan struct{}
+	lateListeners <-chan []*net.TCPListener
+	failed        <-chan error
+
+	inheritedIDs *link.IDs        // shared with the predecessor; nil: none
+	forgetIDs    <-chan time.Time // when inheritedIDs are not needed any more
+
+	listed      chan struct{} // discovery has sent a list
+	listTimeout *time.Timer
+	acceptOnce  sync.Once
+}
+
+// newProcess returns a sidecarProcess whose parts are not created yet.
+func newProcess(c *config, r *resources, place *link.Place, predecessor *link.New) *sidecarProcess {
+	p := &sidecarProcess{
+		config:      c,
+		resources:   r,
+		place:       place,
+		predecessor: predecessor,
+		listed:      make(chan struct{}, 1),
+	}
+	if predecessor != nil {
+		p.alone, p.lateListeners, p.failed = predecessor.Alone(), predecessor.Late(), predecessor.Failed()
+	}
+	return p
+}
+
+// besidePredecessor reports whether an old process serves beside this one.
+func (p *sidecarProcess) besidePredecessor() bool {
+	return p.predecessor != nil && p.predecessor.Shared()
+}
+
+// serve accepts clients and acts on events until the process is to end.
+func (p *sidecarProcess) serve(on signals) error {
+	p.listTimeout = time.NewTimer(listTimeout)
+	defer p.listTimeout.Stop()
+	if !p.besidePredecessor() {
+		p.accept() // nobody else does: whoever connects now is better off than in the queue
+	}
+	if p.config.asks {
+		p.becomeReady()
+	} else {
+		p.followDiscovery()
+		defer p.watcher.Close()
+	}
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-p.listed:
+			p.becomeReady()
+		case <-p.listTimeout.C:
+			p.becomeReady()
+		case now := <-sweep.C:
+			p.resources.pool.Sweep(now)
+		case <-p.forgetIDs:
+			p.resources.UnshareIDs(p.inheritedIDs)
+		case listeners := <-p.lateListeners:
+			p.takeOverLate(listeners)
+		case <-p.alone:
+			p.continueAlone()
+		case err := <-p.failed:
+			return err
+		case <-on.reload:
+			p.reload()
+		case <-on.terminate:
+			p.stop()
+			return nil
+		}
+	}
+}
+
+// accept starts to accept clients, once.
+func (p *sidecarProcess) accept() {
+	p.acceptOnce.Do(func() { p.resources.accept(p.resources.listeners) })
+}
+
+// followDiscovery starts to follow discovery, and notes each list in p.listed.
+func (p *sidecarProcess) followDiscovery() {
+	host := p.resources.host
+	p.watcher.Listed = func(list *discovery.List) {
+		host.Listed(list)
+		select {
+		case p.listed <- struct{}{}:
+		default:
+		}
+	}
+	go p.watcher.Follow()
+}
+
+// becomeReady takes clients from now on, with what the process before this one had
+// learned. Only the first call counts.
+func (p *sidecarProcess) becomeReady() {
+	host := p.resources.host
+	if host.Ready() {
+		return
+	}
+	p.listTimeout.Stop()
+	if p.predecessor == nil || !p.warmUp() {
+		p.fleet.warm()
+	}
+	p.accept()
+	host.SetReady(true)
+	slog.Info("ready", "listen", p.resources.listeners[0].Addr())
+	if p.predecessor != nil {
+		p.predecessor.Ready()
+	}
+}
+
+// takeOverLate takes listeners over from a predecessor that was stopped, so that this
+// process opened a socket of its own beside, and that runs again now.
+func (p *sidecarProcess) takeOverLate(listeners []*net.TCPListener) {
+	p.resources.setListeners(slices.Concat(listeners, p.resources.listeners))
+	p.inheritIDs()
+	slog.Info("the old process has woken and hands over")
+	if p.resources.host.Ready() {
+		p.resources.accept(listeners)
+		p.predecessor.Ready()
+	}
+}
+
+// continueAlone takes the whole of the limits after the predecessor's end, and prepares
+// for a successor.
+func (p *sidecarProcess) continueAlone() {
+	p.alone = nil
+	select {
+	case listeners := <-p.lateListeners: // it ran again, and has ended since
+		p.takeOverLate(listeners)
+	default:
+	}
+	r, c := p.resources, p.config
+	r.Limit(c.fullShare())
+	if p.inheritedIDs != nil {
+		p.forgetIDs = time.After(idtable.Life)
+		r.host.UnshareInFlight(p.inheritedIDs) // the predecessor's requests have ended with it
+	}
+	listen, host := c.listen, r.host // p.config may change before the snapshot is taken
+	protocol := handover.NewOld(listen, c.fullShare(), func() []byte { return snapshot(listen, host) })
+	p.successor = link.NewOld(p.place, r.listeners, protocol, r)
+	if p.recorder != nil && p.recorder.Lock() != nil {
+		p.successor.PassRecord(p.recorder.Lock())
+	}
+	if err := p.successor.Publish(); err != nil {
+		slog.Warn("a new process can't take over from this one", "err", err)
+	}
+}
+
+// closeSuccessor ends the offer to a successor.
+func (p *sidecarProcess) closeSuccessor() {
+	if p.successor != nil {
+		p.successor.Close()
+	}
+}
+
+// inheritIDs shares the ids of open and recent requests with the predecessor, if there
+// is one. They are known for idtable.Life after its end.
+func (p *sidecarProcess) inheritIDs() {
+	if p.predecessor == nil {
+		return
+	}
+	if p.inheritedIDs = p.predecessor.IDs(); p.inheritedIDs != nil {
+		p.resources.ShareIDs(p.inheritedIDs)
+	}
+}
+
+// closeInheritedIDs ends the sharing of ids with the predecessor.
+func (p *sidecarProcess) closeInheritedIDs() {
+	if p.inheritedIDs != nil {
+		p.resources.UnshareIDs(p.inheritedIDs)
+		p.inheritedIDs.Close()
+	}
+}
+
+// reload applies the configuration file again, as a whole or not at all.
+func (p *sidecarProcess) reload() {
+	r := p.resources
+	next, err := reload(os.Getenv, p.config)
+	if err == nil {
+		err = r.host.Retune(next.settings)
+	}
+	p.metrics.Configured(err == nil)
+	if err != nil {
+		slog.Error("configuration not taken over: the one before stays", "err", err)
+		return
+	}
+	p.config = next
+	p.metrics.Classes(next.settings.Names())
+	r.setConfig(next)
+	switch {
+	case p.successor != nil:
+		p.successor.Retuned(next.fullShare())
+	case p.predecessor == nil:
+		r.Limit(next.fullShare())
+	default: // the predecessor decides about the share
+		r.Limit(r.currentShare())
+	}
+	r.server.SetHealth(healthSum, next.sum)
+	p.watcher.Move(next.discovery, next.pace)
+	if next.asks {
+		r.host.AskNow() // what has changed there must be known soon, whether or not a watch is open
+	}
+	slog.Info("configuration taken over", "discovery", next.discovery)
+}
+
+// retryUntil calls done each retryInterval until it returns true, or stop is closed: for
+// what an old process has to release first.
+func retryUntil(stop <-chan struct{}, done func() bool) {
+	retry := time.NewTicker(retryInterval)
+	defer retry.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-retry.C:
+		}
+		if done() {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/sidecar/recorder.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"martendrum/internal/sidecar"
+)
+
+// recordFlushTimeout is how long the last ends of requests may take to be written: it
+// fits between the last response and SIGKILL.
+const recordFlushTimeout = 200 * time.Millisecond
+
+// recorder is the store of record of a build that has one, see record.go.
+type recorder interface {
+	sidecar.Recorder
+	// Status is the state of the store, for health responses.
+	Status() string
+	// Lock is what a new process must have to own the store beside this one; nil: nothing.
+	Lock() *os.File
+	// Close writes what is buffered, as long as ctx allows.
+	Close(ctx context.Context) error
+}
+
+// closeRecorder closes the store of record, if there is one.
+func (p *sidecarProcess) closeRecorder() {
+	if p.recorder == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordFlushTimeout)
+	defer cancel()
+	if err := p.recorder.Close(ctx); err != nil {
+		slog.Warn("the record was not closed well", "err", err)
+	}
+}
--- /dev/null
+++ b/cmd/sidecar/resources.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+
+	"martendrum/internal/admin"
+	"martendrum/internal/discovery"
+	"martendrum/internal/front"
+	"martendrum/internal/handover"
+	"martendrum/internal/handover/link"
+	"martendrum/internal/sidecar"
+	"martendrum/internal/upstream"
+)
+
+const (
+	// spareSockets is how many descriptors are reserved for the listener, discovery,
+	// the runtime and the log.
+	spareSockets = 24
+	// unknownResidentMB is assumed where the resident memory can't be read.
+	unknownResidentMB = 1 << 10
+)
+
+// resources keeps the parts of a process to its share of the limits, which two processes
+// divide during a hand-over. It implements link.Host.
+type resources struct {
+	mu     sync.Mutex
+	config *config
+	share  handover.Share
+
+	// Set once, by createParts; nil before.
+	pool   *upstream.Pool
+	server *front.Server
+	host   *sidecar.Host
+
+	listeners []*net.TCPListener
+	accepting sync.WaitGroup // the loops that accept from listeners
+	stopping  bool
+}
+
+// fullShare is all that one sidecar may use by its configuration.
+func (c *config) fullShare() handover.Share {
+	inFlight := c.settings.MostHeld
+	if inFlight == 0 {
+		inFlight = math.MaxInt32
+	}
+	return handover.Share{Sockets: c.sockets, MemoryMB: c.memoryMB, Held: inFlight}
+}
+
+// reservedSockets is how many descriptors of a share clients and servers can't use.
+func (c *config) reservedSockets() int {
+	n := spareSockets + c.record.Sockets()
+	if c.mgmt != "" {
+		n += admin.MaxSockets
+	}
+	return n
+}
+
+// applyShare sets the limits of the runtime and returns those of the process's parts.
+func (c *config) applyShare(share handover.Share) (upstream.Config, front.Config) {
+	memory := int64(share.MemoryMB) << 20
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	debug.SetMemoryLimit(memory * 6 / 10)
+	conns := max(2, share.Sockets-c.reservedSockets())
+	upstreamConfig := upstream.Config{
+		ConnIdle:    c.settings.ConnIdle,
+		DialTimeout: c.settings.DialTimeout,
+		DrainGrace:  c.settings.DrainGrace,
+		MostConns:   conns - conns/2,
+	}
+	frontConfig := front.Config{
+		MostConns: conns / 2,
+		MostBody:  memory * 3 / 8,
+	}
+	return upstreamConfig, frontConfig
+}
+
+// createParts creates the parts, under the limits of the share in force.
+func (r *resources) createParts(watcher *discovery.Watcher) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.config
+	upstreamConfig, frontConfig := c.applyShare(r.share)
+	pool := upstream.New(upstreamConfig)
+	host, err := sidecar.New(c.settings, c.seed, pool, watcher)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	host.Limit(r.share.Held, c.fullShare().Held)
+	r.pool, r.server, r.host = pool, front.New(frontConfig, host), host
+	return nil
+}
+
+// Limit implements link.Host.
+func (r *resources) Limit(share handover.Share) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fewerSockets := share.Sockets < r.share.Sockets
+	r.share = share
+	upstreamConfig, frontConfig := r.config.applyShare(share)
+	if r.pool != nil {
+		r.pool.Limit(upstreamConfig)
+		r.server.Limit(frontConfig)
+		r.host.Limit(share.Held, r.config.fullShare().Held)
+	}
+	if fewerSockets && r.pool != nil && !r.stopping { // a stopping one gives up only what it does not use
+		r.server.Trim()
+		r.pool.Trim()
+		debug.FreeOSMemory()
+	}
+	slog.Info("share of the limits", "sockets", share.Sockets, "memory_mb", share.MemoryMB, "held", share.Held)
+}
+
+// currentShare is the share in force.
+func (r *resources) currentShare() handover.Share {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.share
+}
+
+// setConfig replaces the configuration. Limit puts its limits in force.
+func (r *resources) setConfig(c *config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = c
+}
+
+// setListeners sets where the process accepts.
+func (r *resources) setListeners(listeners []*net.TCPListener) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listeners = listeners
+}
+
+// accept serves on listeners.
+func (r *resources) accept(listeners []*net.TCPListener) {
+	for _, listener := range listeners {
+		r.accepting.Go(func() { r.server.Serve(listener) })
+	}
+}
+
+// StopAccepting implements link.Host.
+func (r *resources) StopAccepting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, listener := range r.listeners {
+		listener.Close()
+	}
+	// What was accepted is among the server's connections when this returns: the
+	// resources that they need are not given away.
+	r.accepting.Wait()
+}
+
+// ShareIDs implements link.Host.
+func (r *resources) ShareIDs(ids *link.IDs) {
+	r.server.ShareIDs(ids)
+	if ids.Counted() {
+		r.host.ShareInFlight(ids)
+	}
+}
+
+// UnshareIDs implements link.Host.
+func (r *resources) UnshareIDs(ids *link.IDs) {
+	r.server.UnshareIDs(ids)
+	r.host.UnshareInFlight(ids)
+}
+
+// setStopping notes that the process is about to end.
+func (r *resources) setStopping() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// used is what the process still uses of its share.
+func (r *resources) used() handover.Share {
+	return handover.Share{
+		// Each request that may come on a client's connection needs one to a server.
+		Sockets:  r.config.reservedSockets() + 2*max(r.server.Conns(), r.pool.Conns()),
+		MemoryMB: residentMB(),
+		// The same for requests in flight, where no tally is shared.
+		Held: max(r.host.InFlight(), r.server.Conns()),
+	}
+}
+
+// residentMB is the resident memory of the process, rounded up.
+func residentMB() int {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return unknownResidentMB
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return unknownResidentMB
+	}
+	return resident*os.Getpagesize()>>20 + 1
+}
--- /dev/null
+++ b/cmd/sidecar/start.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"martendrum/internal/admin"
+	"martendrum/internal/discovery"
+	"martendrum/internal/handover/link"
+	"martendrum/internal/metrics"
+)
+
+// gcPercent makes the collector run less often, as far as the memory limit allows:
+// requests are short-lived garbage over a small live heap.
+const gcPercent = 400
+
+// Header fields of health responses.
+const (
+	// healthSum is the SHA-256 of the configuration file in force. An agent sees by it
+	// whether a reload was applied.
+	healthSum = "Config-Sum"
+	// healthRecord is the state of the store of record, if there is one.
+	healthRecord = "Record"
+	// healthLaunch identifies, where processes can hand over, which of two answers: the
+	// name that whoever started it gave it, or its process id.
+	healthLaunch = "Hands-Over"
+)
+
+// start serves alone or takes over from an old process, which it finds by TMPDIR.
+func start(c *config, on signals) error {
+	r := &resources{config: c}
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return startAlone(c, r, on)
+	}
+	place := link.At(dir, c.listen)
+	defer place.Close()
+	predecessor, err := link.Start(place, c.listen, c.fullShare(), c.record != nil, r)
+	if err != nil {
+		return err
+	}
+	defer predecessor.Close()
+	r.listeners = predecessor.Listeners()
+	defer r.StopAccepting()
+	return run(c, r, place, predecessor, on)
+}
+
+// startAlone serves where processes don't hand over.
+func startAlone(c *config, r *resources, on signals) error {
+	r.Limit(c.fullShare())
+	listener, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listener.Close()
+	r.listeners = []*net.TCPListener{listener.(*net.TCPListener)}
+	return run(c, r, nil, nil, on)
+}
+
+// run serves until it is told to stop, and then until every request is answered. place
+// and predecessor are nil where processes don't hand over.
+func run(c *config, r *resources, place *link.Place, predecessor *link.New, on signals) error {
+	debug.SetGCPercent(gcPercent)
+	p := newProcess(c, r, place, predecessor)
+	if err := p.createParts(); err != nil {
+		return err
+	}
+	if err := p.openRecorder(); err != nil {
+		return err
+	}
+	defer p.closeRecorder()
+	if c.known != nil {
+		r.host.Listed(c.known)
+	}
+	p.exportMetrics()
+	closeAdmin, err := p.openAdmin()
+	if err != nil {
+		return err
+	}
+	defer closeAdmin()
+	p.setHealth()
+	if p.fleet, err = startFleet(c, r.host, p.metrics, p.besidePredecessor()); err != nil {
+		return err
+	}
+	defer p.fleet.close()
+	defer p.closeSuccessor()
+	defer p.closeInheritedIDs()
+	p.inheritIDs()
+	return p.serve(on)
+}
+
+// createParts creates the watcher, and the parts that keep to the limits.
+func (p *sidecarProcess) createParts() error {
+	c := p.config
+	p.watcher = &discovery.Watcher{Addr: c.discovery, Pace: c.pace}
+	if c.known != nil {
+		c.known.Whole = true
+		p.watcher.Index = c.known.Index
+	}
+	return p.resources.createParts(p.watcher)
+}
+
+// openRecorder opens the store of record, if the configuration has one.
+func (p *sidecarProcess) openRecorder() error {
+	var lock *os.File
+	if p.predecessor != nil {
+		lock = p.predecessor.Record()
+	}
+	opened, err := openRecord(p.config, lock)
+	if err != nil {
+		return err
+	}
+	if opened != nil {
+		p.recorder = opened
+		p.resources.host.SetRecorder(opened)
+	}
+	return nil
+}
+
+// exportMetrics creates the metrics and has the parts count in them.
+func (p *sidecarProcess) exportMetrics() {
+	r := p.resources
+	p.metrics = metrics.New()
+	p.metrics.Classes(p.config.settings.Names())
+	r.host.SetMeter(p.metrics)
+	r.server.SetMeter(p.metrics)
+	p.addGauges()
+}
+
+// openAdmin opens the admin endpoint, if the configuration has one. If the predecessor
+// still has its address, that is done later. The function that it returns closes it.
+func (p *sidecarProcess) openAdmin() (closeAdmin func(), err error) {
+	address := p.config.mgmt
+	if address == "" {
+		return func() {}, nil
+	}
+	r := p.resources
+	server := admin.New(func() bool { return r.host.Ready() && !r.server.Draining() }, p.metrics.Write)
+	listener, err := net.Listen("tcp", address)
+	switch {
+	case err == nil:
+		go server.Serve(listener)
+		return server.Close, nil
+	case errors.Is(err, syscall.EADDRINUSE) && p.besidePredecessor():
+		slog.Info("the old process has the admin address; this one listens there when that has gone", "mgmt", address)
+		stop := make(chan struct{})
+		go openAdminLate(address, server, stop)
+		return func() {
+			close(stop)
+			server.Close()
+		}, nil
+	}
+	return nil, fmt.Errorf("mgmt: %w", err)
+}
+
+// openAdminLate opens the admin endpoint once its address is free, unless stop is closed
+// before.
+func openAdminLate(address string, server *admin.Server, stop <-chan struct{}) {
+	retryUntil(stop, func() bool {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			server.Serve(listener)
+		}
+		return err == nil
+	})
+}
+
+// setHealth sets the header fields of health responses.
+func (p *sidecarProcess) setHealth() {
+	server := p.resources.server
+	server.SetHealth(healthSum, p.config.sum)
+	if p.recorder != nil {
+		server.SetHealthFunc(healthRecord, p.recorder.Status)
+	}
+	if p.place == nil {
+		return
+	}
+	name := os.Getenv("MARTENDRUM_LAUNCH")
+	if name == "" {
+		name = strconv.Itoa(os.Getpid())
+	}
+	server.SetHealthFunc(healthLaunch, func() string {
+		if !p.place.Locked() { // it can't hand over
+			return ""
+		}
+		return name
+	})
+}
--- /dev/null
+++ b/cmd/sidecar/stop.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"log/slog"
+	"time"
+
+	"martendrum/internal/handover/link"
+)
+
+const (
+	// lameDuckTime is how long new connections may still come after SIGTERM.
+	lameDuckTime = 700 * time.Millisecond
+	// Every request is answered within stopGrace after SIGTERM, beside the longest
+	// deadline; stopMargin later the process ends whatever is open. SIGKILL comes 0.7 s
+	// after stopGrace.
+	stopGrace  = 300 * time.Millisecond
+	stopMargin = 100 * time.Millisecond
+	// stopPollInterval is how often a stopping process checks what is still open.
+	stopPollInterval = 10 * time.Millisecond
+	// successorRounds is how many polls come between two questions to the successor.
+	successorRounds = 10
+	// While a successor serves, a client's connection is closed once it has been idle for
+	// idleBeforeClose: its client is not about to use it.
+	idleBeforeClose = 300 * time.Millisecond
+	// A process that was stopped by SIGSTOP may see SIGTERM and a successor at the same
+	// time. It waits for the successor for minSuccessorRounds polls before it closes idle
+	// connections under its clients, and for maxSuccessorRounds once one has connected.
+	minSuccessorRounds = 2
+	maxSuccessorRounds = 30
+)
+
+// stop ends the process when every request is answered. Unless a successor serves, it
+// stores what this process has learned.
+func (p *sidecarProcess) stop() {
+	replaced := newShutdown(p.config, p.resources, p.successor).run()
+	if p.place != nil && p.place.Locked() && !replaced {
+		p.saveSnapshot()
+	}
+}
+
+// shutdown is a stop in progress.
+type shutdown struct {
+	resources *resources
+	successor *link.Old // nil: no process can take over
+	began     time.Time
+	limit     time.Duration // from began until every request is answered
+	replaced  bool          // a successor serves
+	closed    bool          // no connection is accepted any more
+}
+
+// newShutdown returns a shutdown that begins now.
+func newShutdown(c *config, r *resources, successor *link.Old) *shutdown {
+	var longest time.Duration
+	for _, deadline := range c.settings.Deadlines {
+		longest = max(longest, deadline)
+	}
+	return &shutdown{resources: r, successor: successor, began: time.Now(), limit: longest + stopGrace}
+}
+
+// run serves on as long as connections may come, and until every request is answered. If
+// a successor serves, no connection comes any more, and those that are open are closed
+// as their clients leave them idle. It returns whether a successor serves.
+func (s *shutdown) run() (replaced bool) {
+	host, server := s.resources.host, s.resources.server
+	slog.Info("stopping", "held", host.InFlight())
+	host.StopWithin(s.limit)
+	s.resources.setStopping()
+	s.replaced = s.successor != nil && s.successor.Leave()
+	server.Drain(s.successor != nil) // one may be about to take over: idle connections stay for a moment
+	for round := 0; ; round++ {
+		switch s.next() {
+		case stepClose:
+			s.resources.StopAccepting()
+			s.closed = true
+			continue
+		case stepEnd:
+			slog.Info("stopped", "busy", server.Busy(), "held", host.InFlight(), "after", time.Since(s.began))
+			return s.replaced
+		}
+		time.Sleep(stopPollInterval)
+		if s.successor != nil && round%successorRounds == 0 {
+			s.replaced = s.successor.Needs(s.resources.used()) // a late one may still take over
+		}
+		server.CloseIdle(s.idleTime(round))
+	}
+}
+
+// shutdownStep is what a shutdown does next.
+type shutdownStep int
+
+const (
+	stepWait  shutdownStep = iota
+	stepClose              // stop accepting: nobody may connect between the last check and the end
+	stepEnd
+)
+
+// next decides the next step. Whoever connects before stepClose is among the connections
+// after it, and is waited for.
+func (s *shutdown) next() shutdownStep {
+	elapsed := time.Since(s.began)
+	switch {
+	case !s.replaced && elapsed < lameDuckTime:
+		return stepWait
+	case elapsed >= s.limit+stopMargin:
+		return stepEnd
+	case s.busy():
+		return stepWait
+	case s.replaced || s.closed:
+		return stepEnd
+	}
+	return stepClose
+}
+
+// busy reports whether there are connections to wait for.
+func (s *shutdown) busy() bool {
+	server := s.resources.server
+	return server.Busy() > 0 || s.replaced && server.Conns() > 0
+}
+
+// idleTime returns how long a connection must have been idle to be closed in a round.
+func (s *shutdown) idleTime(round int) time.Duration {
+	if s.successor == nil {
+		return 0
+	}
+	if s.replaced || round < minSuccessorRounds || round < maxSuccessorRounds && s.successor.Talking() {
+		return idleBeforeClose
+	}
+	return 0
+}
