cmd/sidecar: configuration and fleet in steps, without the house words

load was one function of 120 lines; it is parseFile, checkAddresses, checkLimits, checkSettings and the rest now, and reload has its own file. fleet.go mixed the words of MARTENDRUM_FLEET, the checkpoint's file, the link to peers and gauges: each has a file. tell is withNode, look is step, keep is checkpointPath, comeBack is gradualReturn. Messages, log keys, metric names and the order of checks are as before.

--- a/cmd/sidecar/gauges.go
+++ b/cmd/sidecar/gauges.go
@@ -1,6 +1,12 @@
 package main
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"martendrum/internal/metrics"
+	"martendrum/internal/peers"
+)
 
 // addGauges adds the metrics whose values the parts of the process know.
 func (p *sidecarProcess) addGauges() {
@@ -24,3 +30,33 @@
 	set.Gauge("share", `of="sockets"`, func() float64 { return float64(r.currentShare().Sockets) })
 	set.Gauge("share", `of="memory_mb"`, func() float64 { return float64(r.currentShare().MemoryMB) })
 }
+
+// addPeerGauges adds the metrics of what is exchanged with peers.
+func (f *fleet) addPeerGauges(metricSet *metrics.Set) {
+	ask := func(read func(now time.Duration, node *peers.Node) float64) func() float64 {
+		return func() float64 {
+			v := math.NaN()
+			f.withNode(func(now time.Duration, node *peers.Node) { v = read(now, node) })
+			return v
+		}
+	}
+	count := func(name, labels string, of func(peers.Stats) uint64) {
+		metricSet.Gauge(name, labels, ask(func(_ time.Duration, node *peers.Node) float64 { return float64(of(node.Stats())) }))
+	}
+	metricSet.Gauge("peers", `state="living"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Living) }))
+	metricSet.Gauge("peers", `state="known"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Known) }))
+	metricSet.Gauge("peers", `state="all"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Size) }))
+	metricSet.Gauge("peer_life", "", ask(func(_ time.Duration, node *peers.Node) float64 { return float64(node.Life()) }))
+	metricSet.Gauge("peer_health", "", ask(func(_ time.Duration, node *peers.Node) float64 { return float64(node.Health()) }))
+	count("peer_bytes", `way="out"`, func(s peers.Stats) uint64 { return s.SentBytes })
+	count("peer_bytes", `way="in"`, func(s peers.Stats) uint64 { return s.ReceivedBytes })
+	count("peer_dropped", `why="damaged"`, func(s peers.Stats) uint64 { return s.Damaged })
+	count("peer_dropped", `why="refused"`, func(s peers.Stats) uint64 { return s.Refused })
+	count("peer_dropped", `why="ceiling"`, func(s peers.Stats) uint64 { return s.Withheld })
+	metricSet.Gauge("peer_dropped", `why="stranger"`, func() float64 {
+		if l := f.currentLink(); l != nil {
+			return float64(l.Counts().Strays)
+		}
+		return math.NaN()
+	})
+}
--- /dev/null
+++ b/cmd/sidecar/reload.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// reload reads the file again; inForce is the configuration before. The environment is
+// as it was at the start, so the address of discovery comes from the file alone.
+func reload(getenv func(string) string, inForce *config) (*config, error) {
+	c, err := load(func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if key := missingKey("", inForce.keys, c.keys); key != "" {
+		return nil, fmt.Errorf("config: %s is missing; the file in force has it", key)
+	}
+	return c, nil
+}
+
+// optionalKeys are the top-level keys of the file that may come and go.
+var optionalKeys = map[string]bool{"known": true, "peers": true, "peers_all": true, "peer_listen": true, "mgmt": true, "name": true}
+
+// missingKey returns the first key that the file in force has and next lacks, empty if
+// there is none. In a list, every object must have the keys that all objects of the list
+// in force have. Guards against a file that was written in part: what it leaves out would
+// be taken for zero. Its cost: a file that leaves a key out on purpose must say null, or
+// needs a new process.
+func missingKey(at string, inForce, next any) string {
+	switch old := inForce.(type) {
+	case map[string]any:
+		fields, _ := next.(map[string]any)
+		return missingField(at, old, fields)
+	case []any:
+		items, _ := next.([]any)
+		return missingInItems(at, commonKeys(old), items)
+	}
+	return ""
+}
+
+// missingField is missingKey for objects.
+func missingField(at string, inForce, next map[string]any) string {
+	for _, key := range slices.Sorted(maps.Keys(inForce)) {
+		if at == "" && optionalKeys[key] {
+			continue
+		}
+		value, ok := next[key]
+		if !ok {
+			return strings.TrimPrefix(at+"."+key, ".")
+		}
+		if missing := missingKey(at+"."+key, inForce[key], value); missing != "" {
+			return missing
+		}
+	}
+	return ""
+}
+
+// missingInItems is missingKey for the items of a list, each of which must have the
+// common keys.
+func missingInItems(at string, common map[string]any, items []any) string {
+	if len(common) == 0 {
+		return ""
+	}
+	for i, item := range items {
+		if missing := missingKey(fmt.Sprintf("%s[%d]", at, i), common, item); missing != "" {
+			return missing
+		}
+	}
+	return ""
+}
+
+// commonKeys returns the keys that all objects of a list have; empty if it holds
+// anything else.
+func commonKeys(list []any) map[string]any {
+	var common map[string]any
+	for _, item := range list {
+		object, ok := item.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if common == nil {
+			common = maps.Clone(object)
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := object[key]; return !ok })
+	}
+	for key := range common {
+		common[key] = nil
+	}
+	return common
+}
