upstream: sending, receiving and loads in files of their own

Sending (send.go), reading answers (receive.go) and load reports (load.go) have a file each; readBody, readAnswer, send and the pool's take (acquire now) are cut into steps. Limits and fields are named for what they are: stallTimeout, maxBufferedBody, reused, idleSince, brokenShare, minRest. Limits, timeouts, log keys and the order of locks are as before; the tests change by those names only.

--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -48,7 +48,7 @@
 			defer there.Close()
 			framingtest.Send(there, append([]byte(head+"\r\n"), body...), piece)
 		}()
-		c := &conn{Conn: here, in: sock.NewLazy(here)}
+		c := &conn{Conn: here, input: sock.NewLazy(here)}
 		resp, ans, err := c.readAnswer(http.MethodPost)
 		var got []byte
 		if err == nil {
@@ -68,8 +68,8 @@
 			t.Errorf("answered %d", resp.StatusCode)
 		case ans.Rest == nil && ans.Length != int64(len(got)):
 			t.Errorf("%d bytes said to be %d", len(got), ans.Length)
-		case c.in.Buffered() > len(lenient.Rest):
-			t.Errorf("%d bytes are left over, want at most %d", c.in.Buffered(), len(lenient.Rest))
+		case c.input.Buffered() > len(lenient.Rest):
+			t.Errorf("%d bytes are left over, want at most %d", c.input.Buffered(), len(lenient.Rest))
 		}
 	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,29 +12,29 @@
 	"martendrum/internal/sock"
 )
 
-// Config is what a Pool is told.
+// Config is the configuration of a Pool.
 type Config struct {
 	ConnIdle    time.Duration // servers close connections that have been idle for so long
 	DialTimeout time.Duration
-	DrainGrace  time.Duration // no attempt starts later than this after its server left
+	DrainGrace  time.Duration // no attempt starts later than this after its server began to drain
 	MostConns   int           // connections at once, those being dialled included
 }
 
 // Pool keeps the connections to all servers.
 type Pool struct {
-	cfg     Config
-	mu      sync.Mutex
-	servers map[string]*server
-	conns   int // open or being dialled
-	rest    time.Duration
-	broke   float64 // running share of kept connections that broke at their next request
+	mu          sync.Mutex
+	config      Config
+	servers     map[string]*server
+	conns       int           // open or being dialled
+	minRest     time.Duration // a connection is not reused sooner
+	brokenShare float64       // running share of reused connections that broke at their next request
 }
 
 // server is where a server is, and the idle connections to it, oldest first.
 type server struct {
 	name, addr string
 	started    time.Duration
-	left       time.Time // when the list said that it drains or has gone; zero: it serves
+	drainedAt  time.Time // when it was reported to drain or to have gone; zero: it serves
 	idle       []*conn
 }
 
@@ -43,46 +43,48 @@
 // is used again, for an unsafe request that ends as a reset can't be saved.
 type conn struct {
 	net.Conn
-	in    *sock.Lazy
-	to    *server
-	addr  string
-	used  time.Time // when it went idle last
-	owner *Attempt  // nil while idle; guarded by the pool's lock
-	dead  bool      // taken out of the pool; guarded by the pool's lock
+	input  *sock.Lazy
+	server *server
+	addr   string
+
+	// Guarded by the pool's lock.
+	idleSince time.Time
+	owner     *Attempt // nil while idle
+	removed   bool     // from the pool
 }
 
 // New returns an empty Pool.
-func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, servers: make(map[string]*server), rest: restLeast}
+func New(config Config) *Pool {
+	return &Pool{config: config, servers: make(map[string]*server), minRest: defaultMinRest}
 }
 
 // Limit replaces the limits, for attempts still to come.
-func (p *Pool) Limit(cfg Config) {
+func (p *Pool) Limit(config Config) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cfg = cfg
+	p.config = config
 }
 
-// idleMost is how long a connection is kept idle. Guards against a request that
-// crosses its closing by the server.
-func (p *Pool) idleMost() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
+// idleTimeout is how long an idle connection is kept. Guards against a request that
+// races with the close by the server.
+func (p *Pool) idleTimeout() time.Duration { return p.config.ConnIdle * 6 / 10 }
 
 const (
-	// brokeMost is the share of kept connections that may break at their next
-	// request before requests that can't be repeated go on new ones; brokeStep is
-	// the step of its running mean. Guards against peers, or boxes between, that
-	// forget connections without a word: such a request fails for good, a new
-	// connection costs a handshake. It may do harm where handshakes are dear and
+	// maxBrokenShare is the share of reused connections that may break at their next
+	// request before requests that can't be repeated are sent on new ones;
+	// brokenShareWeight is the weight of one observation in its running mean. Guards
+	// against servers, or middleboxes, that drop connections silently: such a request
+	// fails for good, a new connection costs a handshake. Its cost: handshakes, where
 	// the breaks have another cause.
-	brokeMost = 0.01
-	brokeStep = 0.03
-	// brokeWithin is how soon such a break shows. Later ones are the request's own.
-	brokeWithin = 20 * time.Millisecond
+	maxBrokenShare    = 0.01
+	brokenShareWeight = 0.03
+	// breakWindow is how soon such a break shows. Later ones are the request's own.
+	breakWindow = 20 * time.Millisecond
 )
 
-// noteKept counts how an attempt on a kept connection went: whether it broke at once.
-func (p *Pool) noteKept(a *Attempt, broke bool) {
-	if !a.kept || broke && time.Since(a.at) > brokeWithin {
+// noteReused counts whether an attempt on a reused connection broke at once.
+func (p *Pool) noteReused(a *Attempt, broke bool) {
+	if !a.reused || broke && time.Since(a.startedAt) > breakWindow {
 		return
 	}
 	share := 0.0
@@ -90,18 +92,17 @@
 		share = 1
 	}
 	p.mu.Lock()
-	p.broke += brokeStep * (share - p.broke)
+	p.brokenShare += brokenShareWeight * (share - p.brokenShare)
 	p.mu.Unlock()
 }
 
-// restLeast is how long a connection rests before its next request. Guards
-// against bytes that follow an answer in a segment of their own: they would pass
-// for the next request's answer. It also catches a server that closes right after
-// its answer. It may do harm to a server with few connections to give, for some
-// more are open.
-const restLeast = 3 * time.Millisecond
+// defaultMinRest is how long a connection rests before its next request. Guards against
+// bytes that follow an answer in a segment of their own: they would be taken for the next
+// request's answer. It also detects a server that closes right after its answer. Its
+// cost: some more connections are open, which matters to a server that has few.
+const defaultMinRest = 3 * time.Millisecond
 
-// Serve says where a server is and when it last started. Idle connections to
+// Serve sets where a server is and when it last started. Idle connections to
 // another address or an earlier process are closed: they would end as resets.
 func (p *Pool) Serve(name, addr string, started time.Duration) {
 	p.mu.Lock()
@@ -114,19 +115,19 @@
 	if s.addr != addr || s.started != started {
 		old = p.takeIdle(s)
 	}
-	s.addr, s.started, s.left = addr, started, time.Time{}
+	s.addr, s.started, s.drainedAt = addr, started, time.Time{}
 	p.mu.Unlock()
 	closeAll(old)
 }
 
-// Leave says that a server drains or has gone.
+// Leave notes that a server drains or has gone.
 func (p *Pool) Leave(name string, gone bool) {
 	p.mu.Lock()
 	var old []*conn
 	if s := p.servers[name]; s != nil {
 		old = p.takeIdle(s)
-		if s.left.IsZero() {
-			s.left = time.Now()
+		if s.drainedAt.IsZero() {
+			s.drainedAt = time.Now()
 		}
 		if gone {
 			delete(p.servers, name)
@@ -136,7 +137,7 @@
 	closeAll(old)
 }
 
-// Keep lets go of all servers but those listed.
+// Keep forgets all servers but those listed.
 func (p *Pool) Keep(listed map[string]bool) {
 	var gone []string
 	p.mu.Lock()
@@ -167,9 +168,9 @@
 	p.mu.Lock()
 	var old []*conn
 	for _, s := range p.servers {
-		for len(s.idle) > 0 && now.Sub(s.idle[0].used) > p.idleMost() {
+		for len(s.idle) > 0 && now.Sub(s.idle[0].idleSince) > p.idleTimeout() {
 			old = append(old, s.idle[0])
-			p.drop(s.idle[0])
+			p.remove(s.idle[0])
 		}
 	}
 	p.mu.Unlock()
@@ -180,19 +181,19 @@
 func (p *Pool) Trim() {
 	p.mu.Lock()
 	var old []*conn
-	for p.conns > p.cfg.MostConns {
+	for p.conns > p.config.MostConns {
 		c := p.longestIdle()
 		if c == nil {
 			break
 		}
 		old = append(old, c)
-		p.drop(c)
+		p.remove(c)
 	}
 	p.mu.Unlock()
 	closeAll(old)
 }
 
-// Conns is the number of connections.
+// Conns returns the number of connections, those being dialled included.
 func (p *Pool) Conns() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -203,23 +204,23 @@
 func (p *Pool) takeIdle(s *server) []*conn {
 	old := s.idle
 	for _, c := range old {
-		c.dead = true
+		c.removed = true
 	}
 	p.conns -= len(old)
 	s.idle = nil
 	return old
 }
 
-// drop takes an open connection out of the pool. The caller closes it.
-func (p *Pool) drop(c *conn) {
-	if c.dead {
+// remove takes an open connection out of the pool. The caller closes it.
+func (p *Pool) remove(c *conn) {
+	if c.removed {
 		return
 	}
-	c.dead = true
+	c.removed = true
 	p.conns--
-	for i, o := range c.to.idle {
-		if o == c {
-			c.to.idle = append(c.to.idle[:i], c.to.idle[i+1:]...)
+	for i, idle := range c.server.idle {
+		if idle == c {
+			c.server.idle = append(c.server.idle[:i], c.server.idle[i+1:]...)
 			break
 		}
 	}
@@ -231,101 +232,115 @@
 	}
 }
 
-// take gives a the newest idle connection to its server that is still good. With
-// none it books a place for a new one; ok says whether there was one.
-func (p *Pool) take(a *Attempt) (c *conn, addr string, ok bool) {
+// acquire gives a the newest idle connection to its server that is still good. With
+// none it reserves the slot of a new one, to addr; ok is false if there is no slot, or no
+// such server.
+func (p *Pool) acquire(a *Attempt) (c *conn, addr string, ok bool) {
 	now := time.Now()
+	var expired []*conn
 	p.mu.Lock()
-	var old []*conn
 	defer func() {
 		p.mu.Unlock()
-		closeAll(old)
+		closeAll(expired)
 	}()
 	s := p.servers[a.Server]
 	if s == nil {
 		return nil, "", false // gone between the decision and now
 	}
-	a.to, a.wait = s, p.cfg.DialTimeout
-	for len(s.idle) > 0 && !(a.Once && p.broke > brokeMost) {
-		n := len(s.idle) - 1
-		for n > 0 && now.Sub(s.idle[n].used) < p.rest {
-			n--
-		}
-		c := s.idle[n]
-		rested := now.Sub(c.used) >= p.rest
-		// Whether something has come on it since, its end included, is seen when it is used.
-		if rested && now.Sub(c.used) <= p.idleMost() {
-			s.idle = append(s.idle[:n], s.idle[n+1:]...)
-			c.owner, a.kept = a, true
+	a.server, a.dialTimeout = s, p.config.DialTimeout
+	needsNew := a.Once && p.brokenShare > maxBrokenShare
+	if !needsNew {
+		if c, expired = p.acquireIdle(s, now); c != nil {
+			c.owner, a.reused = a, true
 			return c, "", true
 		}
-		if !rested {
-			break
-		}
-		old = append(old, c)
-		p.drop(c)
 	}
-	a.kept = false
-	if len(s.idle) > 0 && a.Once && p.broke > brokeMost {
-		// The new connection takes the place of one that is not trusted: a server holds
-		// only so many, and those left unused would keep the new ones out.
-		old = append(old, s.idle[0])
-		p.drop(s.idle[0])
+	a.reused = false
+	if needsNew && len(s.idle) > 0 {
+		// The new connection replaces one that is not trusted: a server accepts only so
+		// many, and those left unused would keep the new ones out.
+		expired = append(expired, s.idle[0])
+		p.remove(s.idle[0])
 	}
-	if p.conns >= p.cfg.MostConns {
-		c := p.longestIdle()
-		if c == nil {
+	if p.conns >= p.config.MostConns {
+		oldest := p.longestIdle()
+		if oldest == nil {
 			slog.Warn("no descriptor left for a connection to a server", "conns", p.conns)
 			return nil, "", false
 		}
-		old = append(old, c)
-		p.drop(c)
+		expired = append(expired, oldest)
+		p.remove(oldest)
 	}
 	p.conns++
 	return nil, s.addr, true
 }
 
+// acquireIdle takes the newest idle connection to s that has rested for minRest, nil if
+// there is none. It removes those that have been idle for too long, which the caller
+// closes. Whether anything has arrived on the connection since, its end included, is
+// found when it is used.
+func (p *Pool) acquireIdle(s *server, now time.Time) (c *conn, expired []*conn) {
+	for len(s.idle) > 0 {
+		n := len(s.idle) - 1
+		for n > 0 && now.Sub(s.idle[n].idleSince) < p.minRest {
+			n--
+		}
+		c := s.idle[n]
+		idleFor := now.Sub(c.idleSince)
+		switch {
+		case idleFor < p.minRest:
+			return nil, expired
+		case idleFor <= p.idleTimeout():
+			s.idle = append(s.idle[:n], s.idle[n+1:]...)
+			return c, expired
+		}
+		expired = append(expired, c)
+		p.remove(c)
+	}
+	return nil, expired
+}
+
 // longestIdle is the connection that has been idle for the longest, nil if none is.
 func (p *Pool) longestIdle() (oldest *conn) {
 	for _, s := range p.servers {
-		if len(s.idle) > 0 && (oldest == nil || s.idle[0].used.Before(oldest.used)) {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].idleSince.Before(oldest.idleSince)) {
 			oldest = s.idle[0]
 		}
 	}
 	return oldest
 }
 
-// release puts a connection back after an attempt; false if it is not wanted.
+// release puts a connection back after an attempt; false if it can't be reused.
 func (p *Pool) release(c *conn) bool {
-	c.in.Rest() // before the lock: whoever sends takes them the other way round
+	c.input.Rest() // before the lock: a sender takes the two locks in that order
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
+	if c.removed || c.addr != c.server.addr || !c.server.drainedAt.IsZero() {
 		return false
 	}
-	c.owner, c.used = nil, time.Now()
-	c.to.idle = append(c.to.idle, c)
+	c.owner, c.idleSince = nil, time.Now()
+	c.server.idle = append(c.server.idle, c)
 	return true
 }
 
 // discard closes a connection for good.
 func (p *Pool) discard(c *conn) {
 	p.mu.Lock()
-	p.drop(c)
+	p.remove(c)
 	p.mu.Unlock()
 	c.Close()
 }
 
-// unbook gives back the place of a connection that never came up.
-func (p *Pool) unbook() {
+// releaseSlot gives back the place of a connection that could not be opened.
+func (p *Pool) releaseSlot() {
 	p.mu.Lock()
 	p.conns--
 	p.mu.Unlock()
 }
 
-// late says that the grace of a server that left is over.
-func (p *Pool) late(s *server) bool {
+// pastDrainGrace reports whether the grace of a server that drains or has gone is over.
+func (p *Pool) pastDrainGrace(s *server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !s.left.IsZero() && time.Since(s.left) > p.cfg.DrainGrace
+	return !s.drainedAt.IsZero() && time.Since(s.drainedAt) > p.config.DrainGrace
 }
--- /dev/null
+++ b/internal/upstream/send.go
@@ -0,0 +1,160 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"time"
+
+	"martendrum"
+)
+
+const (
+	// maxDirectWrite is what a connection's empty send buffer certainly takes at once.
+	// More is written by a goroutine of its own.
+	maxDirectWrite = 8 << 10
+	// streamTimeout is how long a streamed body or answer may pause.
+	streamTimeout = 10 * time.Second
+)
+
+// buffers are the buffers of request heads.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+
+// streamBuffers are the read buffers of streamed bodies.
+var streamBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
+
+// errClaimed ends an attempt whose body another one sends.
+var errClaimed = errors.New("upstream: another attempt sends the body")
+
+// send writes the request, or the part that certainly fits the connection's send buffer:
+// a goroutine writes the rest, for the caller must not block. It returns false, and has
+// closed c, if anything had arrived on c before, its end included: that is no answer to
+// this request, which may be sent elsewhere.
+func (a *Attempt) send(c *conn) bool {
+	buf := buffers.Get().(*[]byte)
+	head := a.appendHead((*buf)[:0])
+	small := a.Request.Stream == nil && len(head)+len(a.Request.Body) <= maxDirectWrite
+	if small {
+		head = append(head, a.Request.Body...)
+	}
+	begun := false
+	var n int
+	var err error
+	quiet := c.input.IfQuiet(func() {
+		if begun = a.begin(c); begun {
+			n, err = c.Write(head)
+		}
+	})
+	complete := n == len(head)
+	*buf = head
+	buffers.Put(buf)
+	switch {
+	case !quiet:
+		a.pool.discard(c)
+		return false
+	case !begun:
+		a.pool.discard(c)
+		a.done(martendrum.NotSent)
+	case small || !complete:
+		a.endWrite(c, complete, err)
+	default:
+		go a.sendBody(c)
+	}
+	return true
+}
+
+// appendHead appends the request's head, with the time left until the deadline.
+func (a *Attempt) appendHead(b []byte) []byte {
+	b = append(b, a.Request.Head...)
+	b = append(b, "Req-Deadline-Ms: "...)
+	b = strconv.AppendInt(b, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	return append(b, "\r\n\r\n"...)
+}
+
+// sendBody writes what follows the head.
+func (a *Attempt) sendBody(c *conn) {
+	defer a.recoverPanic()
+	var err error
+	if a.Request.Stream != nil {
+		err = a.sendStream(c, a.Request.Stream)
+	} else {
+		c.SetWriteDeadline(a.latest())
+		_, err = c.Write(a.Request.Body)
+	}
+	c.SetWriteDeadline(time.Time{})
+	a.endWrite(c, err == nil, err)
+}
+
+// sendStream writes a body that is not buffered completely. Until the buffered part has
+// been written, another attempt can be made.
+func (a *Attempt) sendStream(c *conn, from Stream) error {
+	c.SetWriteDeadline(time.Now().Add(streamTimeout))
+	var to io.Writer = c
+	var chunks io.WriteCloser // nil: not chunked
+	if from.Chunked() {
+		chunks = httputil.NewChunkedWriter(c)
+		to = chunks
+	}
+	if _, err := to.Write(a.Request.Body); err != nil {
+		return err
+	}
+	if !from.Claim() {
+		return errClaimed
+	}
+	defer from.Close()
+	if a.Claimed != nil {
+		a.Claimed()
+	}
+	if err := copyStream(c, to, from); err != nil || chunks == nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(c, "\r\n") // no trailers
+	return err
+}
+
+// copyStream copies from until its end to to, which writes to c.
+func copyStream(c *conn, to io.Writer, from Stream) error {
+	buf := streamBuffers.Get().(*[]byte)
+	defer streamBuffers.Put(buf)
+	for {
+		n, err := from.Read(*buf)
+		if n > 0 {
+			c.SetWriteDeadline(time.Now().Add(streamTimeout))
+			if _, err := to.Write((*buf)[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// endWrite takes the end of the writing. A break before the last byte was written
+// proves that the request never ran; one after it proves nothing.
+func (a *Attempt) endWrite(c *conn, complete bool, err error) {
+	a.mu.Lock()
+	a.written = complete // until then, the reader leaves the report of a break to this function
+	readFailed := a.readFailed
+	a.mu.Unlock()
+	if complete && a.Wrote != nil {
+		a.Wrote()
+	}
+	switch {
+	case !complete:
+		slog.Debug("request not written", "server", a.Server, "err", err)
+		a.pool.discard(c)
+		a.done(martendrum.ConnectFailed)
+	case readFailed:
+		a.done(martendrum.Reset)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -136,7 +136,7 @@
 		})
 	}
 	p := newPool(tell(old))
-	p.rest = 0
+	p.minRest = 0
 	ask(t, p)
 	<-old
 	eventually(t, "a kept connection", func() bool { return p.idles("s") == 1 })
@@ -193,7 +193,7 @@
 		io.WriteString(c, good)
 	})
 	p := newPool(addr)
-	p.rest = time.Hour
+	p.minRest = time.Hour
 	for n := range 4 {
 		if e := ask(t, p); e.o != martendrum.OK {
 			t.Fatalf("request %d: %v", n, e.o)
@@ -202,7 +202,7 @@
 			t.Errorf("request %d went on connection %d, want a new one", n, got)
 		}
 	}
-	p.rest = 0
+	p.minRest = 0
 	for last, until := 4, time.Now().Add(patience); ; last++ {
 		ask(t, p)
 		if <-conns < last {
@@ -248,9 +248,9 @@
 			io.WriteString(c, good)
 		})
 		p := newPool(addr)
-		p.rest = 0
+		p.minRest = 0
 		until := time.Now().Add(patience)
-		for p.share() <= brokeMost && breaks || p.idles("s") == 0 {
+		for p.share() <= maxBrokenShare && breaks || p.idles("s") == 0 {
 			if time.Now().After(until) {
 				t.Fatal("no break was noticed, or no connection kept")
 			}
@@ -279,8 +279,8 @@
 		conns <- conn
 		io.WriteString(c, good)
 	}))
-	p.rest = 0
-	p.broke = 1
+	p.minRest = 0
+	p.brokenShare = 1
 	for n := range 10 {
 		if e := send(t, p, true); e.o != martendrum.OK {
 			t.Fatalf("request %d: %v", n, e.o)
@@ -298,7 +298,7 @@
 func (p *Pool) share() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.broke
+	return p.brokenShare
 }
 
 // What has come on a kept connection before a request goes out on it is no answer to
@@ -315,7 +315,7 @@
 		}
 	})
 	p := newPool(addr)
-	p.rest = 0
+	p.minRest = 0
 	if e := ask(t, p); e.o != martendrum.OK {
 		t.Fatal(e.o)
 	}
@@ -328,7 +328,7 @@
 	// The connection is taken for the next request while its goroutine waits for the lock.
 	s := make(sink, 1)
 	a := attemptOf(s)
-	a.pool, a.to, a.kept, a.at = p, p.servers["s"], true, time.Now()
+	a.pool, a.server, a.reused, a.startedAt = p, p.servers["s"], true, time.Now()
 	p.servers["s"].idle = nil
 	c.owner = a
 	p.mu.Unlock()
@@ -361,9 +361,9 @@
 	p := newPool(addr)
 	s := make(sink, 1)
 	a := attemptOf(s)
-	a.pool, a.to, a.kept, a.at = p, p.servers["s"], true, time.Now()
+	a.pool, a.server, a.reused, a.startedAt = p, p.servers["s"], true, time.Now()
 	p.conns++
-	c := &conn{Conn: nc, to: a.to, addr: addr, owner: a, in: sock.NewLazy(nc)}
+	c := &conn{Conn: nc, server: a.server, addr: addr, owner: a, input: sock.NewLazy(nc)}
 	c.read(p) // finds the stray answer, and returns
 	if len(s) > 0 {
 		e := <-s
@@ -384,7 +384,7 @@
 		ran <- struct{}{}
 		io.WriteString(c, good)
 	}))
-	p.rest = 0
+	p.minRest = 0
 	for _, kept := range []int{0, 1} {
 		eventually(t, "the connections", func() bool { return p.idles("s") == kept })
 		s := make(sink, 1)
