--- /dev/null
+++ b/cmd/sidecar/gauges.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"math"
+	"time"
+
+	"martendrum/internal/metrics"
+	"martendrum/internal/peers"
+)
+
+// addGauges adds the metrics whose values the parts of the process know.
+func (p *sidecarProcess) addGauges() {
+	set, r := p.metrics, p.resources
+	host, server, pool, watcher := r.host, r.server, r.pool, p.watcher
+	set.Gauge("active", "", func() float64 { return float64(server.Active()) })
+	set.Gauge("pool_size", "", func() float64 { listed, _ := host.Servers(); return float64(listed) })
+	set.Gauge("pool_ejected", "", func() float64 { _, avoided := host.Servers(); return float64(avoided) })
+	set.Gauge("held", "", func() float64 { return float64(host.InFlight()) })
+	set.Gauge("connections", `side="client"`, func() float64 { return float64(server.Conns()) })
+	set.Gauge("connections", `side="server"`, func() float64 { return float64(pool.Conns()) })
+	set.Gauge("body_bytes", `of="held"`, func() float64 { used, _ := server.BodyBytes(); return float64(used) })
+	set.Gauge("body_bytes", `of="most"`, func() float64 { _, limit := server.BodyBytes(); return float64(limit) })
+	set.Gauge("discovery_age_seconds", "", func() float64 {
+		age, ok := watcher.Age()
+		if !ok {
+			return math.NaN()
+		}
+		return age.Seconds()
+	})
+	set.Gauge("share", `of="sockets"`, func() float64 { return float64(r.currentShare().Sockets) })
+	set.Gauge("share", `of="memory_mb"`, func() float64 { return float64(r.currentShare().MemoryMB) })
+}
+
+// addPeerGauges adds the metrics of what is exchanged with peers.
+func (f *fleet) addPeerGauges(metricSet *metrics.Set) {
+	ask := func(read func(now time.Duration, node *peers.Node) float64) func() float64 {
+		return func() float64 {
+			v := math.NaN()
+			f.withNode(func(now time.Duration, node *peers.Node) { v = read(now, node) })
+			return v
+		}
+	}
+	count := func(name, labels string, of func(peers.Stats) uint64) {
+		metricSet.Gauge(name, labels, ask(func(_ time.Duration, node *peers.Node) float64 { return float64(of(node.Stats())) }))
+	}
+	metricSet.Gauge("peers", `state="living"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Living) }))
+	metricSet.Gauge("peers", `state="known"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Known) }))
+	metricSet.Gauge("peers", `state="all"`, ask(func(now time.Duration, node *peers.Node) float64 { return float64(node.Count(now).Size) }))
+	metricSet.Gauge("peer_life", "", ask(func(_ time.Duration, node *peers.Node) float64 { return float64(node.Life()) }))
+	metricSet.Gauge("peer_health", "", ask(func(_ time.Duration, node *peers.Node) float64 { return float64(node.Health()) }))
+	count("peer_bytes", `way="out"`, func(s peers.Stats) uint64 { return s.SentBytes })
+	count("peer_bytes", `way="in"`, func(s peers.Stats) uint64 { return s.ReceivedBytes })
+	count("peer_dropped", `why="damaged"`, func(s peers.Stats) uint64 { return s.Damaged })
+	count("peer_dropped", `why="refused"`, func(s peers.Stats) uint64 { return s.Refused })
+	count("peer_dropped", `why="ceiling"`, func(s peers.Stats) uint64 { return s.Withheld })
+	metricSet.Gauge("peer_dropped", `why="stranger"`, func() float64 {
+		if l := f.currentLink(); l != nil {
+			return float64(l.Counts().Strays)
+		}
+		return math.NaN()
+	})
+}
--- a/internal/sidecar/figures_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -13,14 +13,14 @@
 	"sync/atomic"
 	"testing"
 
-	"martendrum/internal/figures"
+	"martendrum/internal/metrics"
 )
 
-// read is all figures of a Host that start made, by full name.
+// read is all metrics of a Host that start made, by full name.
 func read(t *testing.T, h *Host) map[string]float64 {
 	t.Helper()
 	var text bytes.Buffer
-	h.meter.(*figures.Set).Write(&text)
+	h.meter.(*metrics.Set).Write(&text)
 	got := make(map[string]float64)
 	for in := bufio.NewScanner(&text); in.Scan(); {
 		at := strings.LastIndexByte(in.Text(), ' ')
@@ -29,7 +29,7 @@
 		}
 		v, err := strconv.ParseFloat(in.Text()[at+1:], 64)
 		if err != nil {
-			t.Fatalf("figure %q: %v", in.Text(), err)
+			t.Fatalf("metric %q: %v", in.Text(), err)
 		}
 		got[strings.TrimPrefix(in.Text()[:at], "edge_balancer_")] = v
 	}
@@ -37,8 +37,8 @@
 }
 
 // A scripted day: served, declined and tried again, failed, broken, refused at a
-// limit, abandoned, cancelled. Each figure agrees with what servers and clients counted.
-func TestFiguresAgreeWithCounted(t *testing.T) {
+// limit, abandoned, cancelled. Each metric agrees with what servers and clients counted.
+func TestMetricsAgreeWithCounted(t *testing.T) {
 	var ran atomic.Int64 // requests that came whole to a server
 	declined := new(sync.Map)
 	hold := make(chan struct{})
@@ -99,7 +99,7 @@
 		fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: %s-%d\r\nContent-Length: 0\r\n\r\n", what, 1000+n)
 		open = append(open, c)
 	}
-	wait(t, "three to be held", func() bool { return h.Held() == 3 && srv.Active() == 3 })
+	wait(t, "three to be held", func() bool { return h.InFlight() == 3 && srv.Active() == 3 })
 	h.Limit(3, 3)
 	send("fine", "pay", 9999)
 	h.Limit(100, 100)
@@ -112,7 +112,7 @@
 		}
 		counted[`responses{kind="pay",result="ok"}`]++
 	}
-	wait(t, "nothing held", func() bool { return h.Held() == 0 })
+	wait(t, "nothing held", func() bool { return h.InFlight() == 0 })
 	got := read(t, h)
 	for _, class := range []string{"look", "pay"} {
 		for _, result := range []string{"ok", "shed", "errors"} {
