--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -281,14 +281,25 @@
 	}))
 	p.minRest = 0
 	p.brokenShare = 1
-	for n := range 10 {
+	const rounds, most = 10, 50
+	kept := 0
+	for n := 0; kept < rounds; n++ {
+		if n == most {
+			t.Fatalf("of %d connections only %d were kept", most, kept)
+		}
 		if e := send(t, p, true); e.o != martendrum.OK {
 			t.Fatalf("request %d: %v", n, e.o)
 		}
 		if got := <-conns; got != n {
 			t.Errorf("request %d went on connection %d, want a new one", n, got)
 		}
-		eventually(t, "a kept connection", func() bool { return p.idles("s") == 1 })
+		// An answer that is read before the sender has noted that all is written is good, but
+		// its connection is not kept. That round shows nothing.
+		eventually(t, "a kept connection, or none", func() bool { return p.idles("s") == 1 || p.Conns() == 0 })
+		if p.Conns() == 0 {
+			continue
+		}
+		kept++
 		if got := p.Conns(); got != 1 {
 			t.Fatalf("%d connections after request %d, want the last one's only", got, n)
 		}
