A host's word on its settings is not lost while its connection to a relay begins

The state that changes between the beginning of a connection and the answer to its first call, up to 4 s, was never acknowledged: the call had told of the state before, and no connection counted as in use. Nor was one that changed while an acknowledgement was lost with the earlier connection. What is stale is now acknowledged when the connection counts as in use, by whichever loop runs; the first call waits 0.3 s at most.

--- a/internal/fleet/distribution/node/subscriber.go
+++ b/internal/fleet/distribution/node/subscriber.go
@@ -52,6 +52,10 @@
 // back. It is spread wide, so that a relay that returns is not asked by all at once.
 const moveEach = 30 * time.Second
 
+// firstWait is how long the first call of a connection waits for a change: a relay that has
+// just lost sight of the writer may be a little behind the host.
+const firstWait = 300 * time.Millisecond
+
 // NewSubscriber returns a Subscriber that does not run yet.
 func NewSubscriber(cfg SubscriberConfig) *Subscriber {
 	return &Subscriber{cfg: cfg, chooser: distribution.NewChooser(cfg.Interest.Host, cfg.Region, cfg.Zone, cfg.Relays)}
@@ -104,11 +108,12 @@
 }
 
 // nextSession is above all earlier ones, those of an earlier process of the host among them
-// unless the clock went back.
+// unless the clock went back. It begins with the copy's state as it is after this call.
 func (s *Subscriber) nextSession(now time.Time) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.session = max(s.session+1, now.UnixMicro())
+	s.stale = false
 	return s.session
 }
 
@@ -128,7 +133,7 @@
 	reader := distribution.NewReader(s.cfg.Limits)
 	move := time.Now().Add(moveEach/3 + rand.N(moveEach))
 	state := s.cfg.Copy.State()
-	in := &api.SettingsWatchIn{Host: s.cfg.Interest.Host, Session: session, Interest: &s.cfg.Interest, State: &state}
+	in := &api.SettingsWatchIn{Host: s.cfg.Interest.Host, Session: session, Interest: &s.cfg.Interest, State: &state, Wait: firstWait}
 	for {
 		if err := s.watch(ctx, conn, reader, in); err != nil {
 			return err
@@ -138,6 +143,8 @@
 			s.chooser.Served(relay.Name)
 			s.connected(conn, relay.Name)
 		}
+		// The waits of many hosts must not end together.
+		in.Wait = watchWait*3/4 + rand.N(watchWait/4)
 		if now := time.Now(); now.After(move) {
 			if s.chooser.Better(now, relay.Name) {
 				return nil
@@ -147,21 +154,22 @@
 	}
 }
 
-// connected notes the connection in use, and that a relay answers.
+// connected notes the connection in use, and that a relay answers. What has changed since the
+// session began is acknowledged.
 func (s *Subscriber) connected(conn Conn, relay string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn, s.relay = conn, relay
 	if conn != nil {
 		s.lastErr, s.failed = nil, 0
+		s.startAcknowledging()
 	}
 }
 
 // watch makes one call and takes what it brings.
 func (s *Subscriber) watch(ctx context.Context, conn Conn, reader *distribution.Reader, in *api.SettingsWatchIn) error {
 	query := reader.Query(s.cfg.Copy.State().Received, nil)
-	// The waits of many hosts must not end together.
-	in.After, in.Began, in.Wait = query.After, query.Began, watchWait*3/4+rand.N(watchWait/4)
+	in.After, in.Began = query.After, query.Began
 	var out api.SettingsWatchOut
 	if err := call(ctx, conn, watchWait+watchSlack, api.SettingsWatch, in, &out); err != nil {
 		return err
@@ -181,25 +189,31 @@
 	return nil
 }
 
-// Changed tells that the copy's state has changed: the relay is told. It does not wait.
+// Changed tells that the copy's state has changed: the relay is told, over the next connection
+// where there is none. It does not wait.
 func (s *Subscriber) Changed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stale = true
-	if s.acking || s.conn == nil {
+	s.startAcknowledging()
+}
+
+// startAcknowledging has a stale state acknowledged, unless that is under way; the lock is held.
+func (s *Subscriber) startAcknowledging() {
+	if !s.stale || s.acking || s.conn == nil {
 		return
 	}
 	s.acking = true
-	conn, session := s.conn, s.session
-	s.wg.Go(func() { s.acknowledge(conn, session) })
+	s.wg.Go(s.acknowledge)
 }
 
-// acknowledge tells the relay how far the host is until nothing is new. A call that fails is
-// not made again: the connection fails with it, and the next one begins with the state.
-func (s *Subscriber) acknowledge(conn Conn, session int64) {
+// acknowledge tells the relay in use how far the host is until nothing is new. A call that
+// fails is not made again: its connection fails with it, and the next one begins with the state.
+func (s *Subscriber) acknowledge() {
 	for {
 		s.mu.Lock()
-		if !s.stale || s.conn != conn {
+		conn, session := s.conn, s.session
+		if !s.stale || conn == nil {
 			s.acking = false
 			s.mu.Unlock()
 			return
