Settings: relays killed, half of them gone, a region cut off and back: tests

Each counts at the sidecars' own figures; the region's test counts the connections over its links while cut.

--- /dev/null
+++ b/internal/fleet/e2e/settings_relays_test.go
@@ -0,0 +1,228 @@
+package e2e
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"martendrum/internal/standin/faultnet"
+)
+
+// subscribed waits until each host asks the relay of its own region.
+func (w *settingsWorld) subscribed() {
+	w.t.Helper()
+	for n, h := range w.hosts {
+		want := w.relays[n%len(w.relays)].name
+		eventually(w.t, h.name+" asks "+want, func() bool {
+			return w.inspect(h, h.insts[0]).Settings.Relay == want
+		})
+	}
+}
+
+// A relay is killed when it has a change and its hosts have not: they get it from others. One
+// that is killed before it got the change follows when it is back.
+func TestRelayKilledMidChange(t *testing.T) {
+	t.Parallel()
+	w := newRegionalWorld(t, 3, 6)
+	w.subscribed()
+	before := w.reference(6, "limits/all", 80)[0]
+
+	// The first has copied the change; its answers to hosts are on their way.
+	answering := w.relays[1]
+	w.setLinks(w.hosts, []*host{answering}, faultnet.Fault{Stall: faultnet.Back})
+	change := w.publish("limits/all", memoryLimit(96))
+	w.copied(change, w.relays...)
+	answering.kill()
+	w.setLinks(w.hosts, []*host{answering}, faultnet.Fault{})
+	w.inForce(change, 6)
+	after := w.bodyLimit(w.hosts[0].insts[0])
+	if after == before {
+		t.Fatal("the figure does not tell the settings apart")
+	}
+	w.limits(after, instances(w.hosts...))
+
+	// The second has not got the next change when it is killed.
+	copying := w.relays[2]
+	w.setLinks([]*host{copying}, w.relays, faultnet.Fault{Stall: faultnet.Both})
+	change = w.publish("limits/all", memoryLimit(80))
+	if out, ok := w.status(copying, change); !ok || !change.After(out.Status.Latest) {
+		t.Errorf("relay %s has the change that its link keeps back: %+v", copying.name, out)
+	}
+	copying.kill()
+	w.setLinks([]*host{copying}, w.relays, faultnet.Fault{})
+	w.inForce(change, 6)
+	w.limits(before, instances(w.hosts...))
+
+	answering.start()
+	copying.start()
+	w.copied(change, answering, copying)
+}
+
+// Half of the relays go, the hosts that asked them go on with the others; changes reach all,
+// and the relays catch up when they are back.
+func TestHalfTheRelaysGone(t *testing.T) {
+	t.Parallel()
+	w := newRegionalWorld(t, 4, 8)
+	w.subscribed()
+	limits := w.reference(8, "limits/all", 80, 96)
+	gone := w.relays[2:]
+	for _, relay := range gone {
+		relay.kill()
+	}
+	for n, megabytes := range []int{80, 96, 80} {
+		change := w.publish("limits/all", memoryLimit(megabytes))
+		status := w.inForce(change, 8)
+		if status.Hosts != 8 {
+			t.Errorf("change %d: %d hosts are known, want 8", n, status.Hosts)
+		}
+		w.limits(limits[n%2], instances(w.hosts...))
+	}
+	for _, relay := range gone {
+		relay.start()
+	}
+	change := w.publish("limits/all", memoryLimit(96))
+	w.copied(change, w.relays...)
+	w.inForce(change, 8)
+	w.limits(limits[1], instances(w.hosts...))
+}
+
+// between is the links from each asker to each relay.
+func (w *settingsWorld) between(askers, relays []*host) (links []*faultnet.Link) {
+	for _, asker := range askers {
+		for _, relay := range relays {
+			if asker != relay {
+				links = append(links, w.link(asker, relay))
+			}
+		}
+	}
+	return links
+}
+
+// connections is how many connections were made over links.
+func connections(links []*faultnet.Link) (made int) {
+	for _, link := range links {
+		made += link.Made()
+	}
+	return made
+}
+
+// cutOff stalls links until heal is called. With reset all connections are reset as well, the
+// new ones within a few milliseconds: a caller sees at once that it failed.
+func cutOff(links []*faultnet.Link, reset bool) (heal func()) {
+	for _, link := range links {
+		link.Set(faultnet.Fault{Stall: faultnet.Both})
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		each := time.NewTicker(5 * time.Millisecond)
+		defer each.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-each.C:
+			}
+			for _, link := range links {
+				if reset {
+					link.Reset()
+				}
+			}
+		}
+	}()
+	return sync.OnceFunc(func() {
+		close(stop)
+		<-stopped
+		for _, link := range links {
+			link.Set(faultnet.Fault{})
+		}
+	})
+}
+
+// A region without the others, and hosts without any relay, serve on with the last accepted
+// settings, try again at a bounded rate, and catch up when the links are whole again.
+func TestRegionCutOffAndBack(t *testing.T) {
+	for name, reset := range map[string]bool{"stalled": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			regionCutOff(t, reset, 6*time.Second)
+		})
+	}
+}
+
+// The same for a minute, in which waits that do not grow would show.
+func TestRegionCutOffForLong(t *testing.T) {
+	long(t)
+	t.Parallel()
+	regionCutOff(t, true, time.Minute)
+}
+
+// Most connections of one agent while all that it asks fail: some at first, then so many a
+// second. A relay follows the writer, asks another relay who writes, and reports.
+const (
+	retriesFirst       = 6
+	relayRetriesSecond = 3.5
+	hostRetriesSecond  = 0.7
+)
+
+// regionCutOff cuts the second of two regions off, and the hosts of a third from all relays.
+func regionCutOff(t *testing.T, reset bool, lasts time.Duration) {
+	w := layOutSettings(t, settingsLayout{relays: 2, hosts: 6, each: 1, regions: 3})
+	w.startRelays()
+	w.startAll()
+	joined := []*host{w.hosts[0], w.hosts[3]}
+	apart := []*host{w.hosts[1], w.hosts[4]}
+	alone := []*host{w.hosts[2], w.hosts[5]}
+	writer, regional := w.relays[:1], w.relays[1:]
+	before := w.reference(6, "limits/all", 96)[0]
+	for _, h := range apart {
+		eventually(t, h.name+" asks the relay of its region", func() bool {
+			return w.inspect(h, h.insts[0]).Settings.Relay == regional[0].name
+		})
+	}
+
+	toWriter, toAny := w.between(regional, writer), w.between(alone, w.relays)
+	across := slices.Concat(w.between(writer, regional), w.between(apart, writer), w.between(joined, regional))
+	heal := cutOff(slices.Concat(toWriter, toAny, across), reset)
+	defer heal()
+	relayMade, hostsMade, acrossMade := connections(toWriter), connections(toAny), connections(across)
+	began := time.Now()
+	change := w.publish("limits/all", memoryLimit(80))
+	w.inForce(change, len(joined))
+	after := w.bodyLimit(joined[0].insts[0])
+	if after == before {
+		t.Fatal("the figure does not tell the settings apart")
+	}
+	for time.Since(began) < lasts {
+		for _, name := range instances(slices.Concat(apart, alone)...) {
+			if limit := w.bodyLimit(name); limit != before {
+				t.Fatalf("%s has a limit of %v while it is cut off; it had %v", name, limit, before)
+			}
+		}
+		time.Sleep(lasts / 20)
+	}
+	for _, h := range apart {
+		if relay := w.inspect(h, h.insts[0]).Settings.Relay; relay != regional[0].name {
+			t.Errorf("%s asks %q; the relay of its region serves on", h.name, relay)
+		}
+	}
+	took := time.Since(began)
+	atMost(t, "the region's relay", connections(toWriter)-relayMade, retriesFirst+relayRetriesSecond*took.Seconds())
+	atMost(t, "hosts without a relay", connections(toAny)-hostsMade, float64(len(alone))*(retriesFirst+hostRetriesSecond*took.Seconds()))
+	atMost(t, "agents that have a relay of their region", connections(across)-acrossMade, 0)
+
+	heal()
+	w.inForce(change, 6)
+	w.limits(after, instances(w.hosts...))
+	w.copied(change, w.relays...)
+}
+
+// atMost says whether so many connections are within a bound.
+func atMost(t *testing.T, whose string, made int, most float64) {
+	t.Helper()
+	t.Logf("%s made %d connections", whose, made)
+	if float64(made) > most {
+		t.Errorf("%s made %d connections while cut off; %.1f at most", whose, made, most)
+	}
+}
