Two relays promoted apart never write in the same epoch; tests of the writer

TestTwoRelaysPromotedApart: relays that knew nothing of each other were both promoted into epoch 2 and both acknowledged a revision 2.3, with different contents; linked again, neither stepped down. Each relay now takes the next epoch of its own share, by its place among the relays' names, so that epochs differ and the higher one stands. TestOldWriterIsFenced and TestWriterKilledAtEveryWrite passed before and after.

--- a/internal/fleet/distribution/node/relay.go
+++ b/internal/fleet/distribution/node/relay.go
@@ -193,6 +193,21 @@
 	return &api.SettingsPutOut{Resource: resource, Changed: true}, nil
 }
 
+// nextEpoch is the first epoch after the known one that is this relay's. The epochs above the
+// first are shared out among the relays by the order of their names: two that are promoted
+// while they know nothing of each other never write in the same epoch.
+func (r *Relay) nextEpoch(known int64) int64 {
+	var share int64
+	for _, other := range r.cfg.Relays {
+		if other.Name < r.cfg.Name {
+			share++
+		}
+	}
+	all := int64(len(r.cfg.Relays))
+	next := known + 1
+	return next + (share-next%all+all)%all
+}
+
 // Promote makes this relay the writer, in an epoch above all that it knows. It goes on from
 // its copy; what only the earlier writer has is void.
 func (r *Relay) Promote() (*api.SettingsWriter, error) {
@@ -202,7 +217,7 @@
 		return nil, err
 	}
 	r.mu.Lock()
-	next := api.SettingsWriter{Writer: r.cfg.Name, Epoch: r.writer.Epoch + 1}
+	next := api.SettingsWriter{Writer: r.cfg.Name, Epoch: r.nextEpoch(r.writer.Epoch)}
 	step := r.state.Promote(next.Epoch)
 	r.mu.Unlock()
 	batch := step.Batch()
