internal/hollow: subscribers of settings, many to a process, and a scale test by a flag

Need: how the distribution of settings behaves at the size of the fleet can not be measured with real agents and sidecars on one machine.

Worker processes hold many; the relays are real agent processes. TestScale measures by the flag -scale: start, rest, single changes, rates of changes, relays killed, a region cut off, a loss of power. TestHollowSubscribers runs the same with 60 subscribers and 3 relays.

--- /dev/null
+++ b/internal/hollow/scale_test.go
@@ -0,0 +1,473 @@
+package hollow
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"martendrum/internal/fleet/distribution"
+)
+
+var (
+	scaleSizes    = flag.String("scale", "", "numbers of subscribers, such as 1300,2600: the scale test runs at each")
+	scaleRelays   = flag.Int("scale.relays", 16, "relays of the scale test, the writer among them")
+	scaleOut      = flag.String("scale.out", "", "file that results are added to, in the format of Go's benchmarks")
+	scaleSpan     = flag.Duration("scale.span", 30*time.Second, "how long changes come at a rate")
+	scaleRest     = flag.Duration("scale.rest", 20*time.Second, "how long the fleet at rest is measured")
+	scaleProfiles = flag.String("scale.profiles", "", "folder for profiles of the relays and workers")
+)
+
+// coalesce is how long subscribers wait for more changes, the agents' default.
+const coalesce = time.Second
+
+// Rates of changes: 13,000 on an ordinary day, and ten times that.
+const (
+	ordinaryEach = 24 * time.Hour / 13000
+	tenfoldEach  = ordinaryEach / 10
+)
+
+// cutFor is how long a region is cut off.
+const cutFor = 10 * time.Second
+
+// patience bounds the wait until all subscribers have something.
+const patience = 60 * time.Second
+
+// scale is what one size is measured with.
+type scale struct {
+	t       testing.TB
+	cluster *cluster
+	workers *workers
+	results *results
+	version int // of the contents: each change is a new one
+	rest    time.Duration
+	span    time.Duration
+	pace    time.Duration // between changes of the ordinary rate
+}
+
+// TestScale measures the distribution at the sizes of the flag -scale.
+func TestScale(t *testing.T) {
+	if *scaleSizes == "" {
+		t.Skip("without -scale")
+	}
+	results := newResults(t, *scaleOut)
+	results.note("relays", fmt.Sprint(*scaleRelays))
+	results.note("layout", fmt.Sprintf("%d regions, %d zones, %d services with sizes as rank^-%v", Regions, Regions*ZonesPerRegion, Services, serviceSkew))
+	results.note("coalesce", coalesce.String())
+	results.note("baseline", "one command's reload, measured apart: 2.4-2.7 s at 400 hosts, 10-12 s at 1,600 (quadratic), one descriptor a host")
+	for _, field := range strings.Split(*scaleSizes, ",") {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(field, func(t *testing.T) { measure(t, results, size) })
+	}
+}
+
+// measure measures all cases at one size.
+func measure(t *testing.T, results *results, size int) {
+	results.load()
+	results.subscribers = size
+	const relaySubscribers = 8000
+	s := &scale{t: t, results: results, rest: *scaleRest, span: *scaleSpan, pace: ordinaryEach}
+	s.cluster = newCluster(t, *scaleRelays, relaySubscribers, *scaleProfiles)
+	s.workers = newWorkers(s.cluster, size, coalesce)
+	s.publishState(Services)
+	s.start("start")
+	s.atRest()
+	s.single("change-all", distribution.Scope{}, 3)
+	s.single("change-service", distribution.Scope{Labels: map[string]string{"service": ServiceName(0)}}, 3)
+	s.rate("rate-ordinary", ordinaryEach, s.span)
+	s.rate("rate-tenfold", tenfoldEach, s.span)
+	s.heapProfiles()
+	s.relaysKilled()
+	s.regionCut()
+	s.powerLoss()
+}
+
+// TestHollowSubscribers runs all cases of the scale test with few subscribers, small enough
+// for each run of the tests.
+func TestHollowSubscribers(t *testing.T) {
+	results := newResults(t, filepath.Join(t.TempDir(), "results"))
+	results.subscribers = 60
+	s := &scale{t: t, results: results, rest: 500 * time.Millisecond, span: time.Second}
+	s.cluster = newCluster(t, 3, 60, "")
+	s.workers = newWorkers(s.cluster, 60, 100*time.Millisecond)
+	s.publishState(10)
+	s.start("start")
+	s.atRest()
+	s.single("change-all", distribution.Scope{}, 1)
+	s.single("change-service", distribution.Scope{Labels: map[string]string{"service": ServiceName(0)}}, 1)
+	s.rate("rate", 100*time.Millisecond, s.span)
+	s.relaysKilled()
+	s.powerLoss()
+}
+
+// contentBytes is about the size of one resource's content.
+const contentBytes = 600
+
+// content is a new overlay.
+func (s *scale) content() []byte {
+	s.version++
+	return fmt.Appendf(nil, `{"limits":{"memory_mb":%d},"comment":%q}`, 64+s.version, strings.Repeat("x", contentBytes))
+}
+
+// publishState publishes a resource for all, one for each zone and one for each service.
+func (s *scale) publishState(services int) {
+	s.t.Helper()
+	s.publish("fleet/base", distribution.Scope{})
+	for zone := range Regions * ZonesPerRegion {
+		s.publish("zone/"+ZoneName(zone), distribution.Scope{Labels: map[string]string{"zone": ZoneName(zone)}})
+	}
+	for rank := range services {
+		s.publish("service/"+ServiceName(rank), distribution.Scope{Labels: map[string]string{"service": ServiceName(rank)}})
+	}
+}
+
+// change is a published change, and whom it concerns.
+type change struct {
+	Change
+	acknowledged time.Time
+	concerned    int
+}
+
+func (s *scale) publish(name string, scope distribution.Scope) change {
+	s.t.Helper()
+	made, at := s.cluster.publish(distribution.Put{Name: name, Scope: scope, Content: s.content()})
+	return change{Change: made, acknowledged: at, concerned: s.workers.concerned(scope)}
+}
+
+// inForce waits until all whom changes concern have accepted them, and returns when each did.
+func (s *scale) inForce(changes []change) [][]time.Time {
+	s.t.Helper()
+	asked := make([]Change, len(changes))
+	for n, change := range changes {
+		asked[n] = change.Change
+	}
+	const askEach = 500 * time.Millisecond // an answer of all costs the workers time
+	var times [][]time.Time
+	missing := ""
+	for until := time.Now().Add(patience); ; time.Sleep(askEach) {
+		times, missing = s.workers.accepted(asked...), ""
+		for n, change := range changes {
+			if len(times[n]) < change.concerned {
+				missing = fmt.Sprintf("%s %v at %d of %d", change.Name, change.Revision, len(times[n]), change.concerned)
+			}
+		}
+		if missing == "" {
+			return times
+		}
+		if time.Now().After(until) {
+			s.t.Fatalf("not in force after %v: %s", patience, missing)
+		}
+	}
+}
+
+// known waits until the writer's status counts all subscribers, and returns when it did.
+func (s *scale) known(revision distribution.Revision) time.Time {
+	s.t.Helper()
+	const askEach = 100 * time.Millisecond
+	var status distribution.Status
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(askEach) {
+		if status = s.cluster.status(revision); status.InForce == len(s.workers.hosts) {
+			return time.Now()
+		}
+	}
+	s.t.Fatalf("the writer does not know of %v after %v: %+v", revision, patience, status)
+	return time.Time{}
+}
+
+// relayUsage is the usage of each relay that runs.
+func (s *scale) relayUsage() []Usage {
+	s.t.Helper()
+	var usages []Usage
+	for _, relay := range s.cluster.relays {
+		if relay.process == nil {
+			continue
+		}
+		usage, err := ReadUsage(relay.process.pid())
+		s.cluster.must(err)
+		usages = append(usages, usage)
+	}
+	return usages
+}
+
+// start starts all subscribers at once, and tells when they have the state.
+func (s *scale) start(name string) {
+	s.t.Helper()
+	s.workers.launch()
+	peak := s.watchDescriptors()
+	began := s.workers.begin()
+	s.awaitState(name, began, peak)
+}
+
+// awaitState waits until all have the state, and writes the result.
+func (s *scale) awaitState(name string, began time.Time, peak *descriptorPeak) {
+	s.t.Helper()
+	var settled []time.Time
+	until := time.Now().Add(patience)
+	for settled = s.workers.settled(); len(settled) < len(s.workers.hosts); settled = s.workers.settled() {
+		if time.Now().After(until) {
+			s.t.Fatalf("%d of %d have the state after %v", len(settled), len(s.workers.hosts), patience)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	known := s.known(distribution.Revision{})
+	most, all := delays(began, settled)
+	var peaks []int64
+	for _, usage := range s.relayUsage() {
+		peaks = append(peaks, usage.ResidentPeak)
+	}
+	s.results.add(name, value{seconds(most), "s-999"}, value{seconds(all), "s-all"}, value{seconds(known.Sub(began)), "s-known"},
+		value{float64(peak.stop()), "peak-descriptors/relay"}, value{float64(largest(peaks)), "peak-B/relay"},
+		value{float64(s.workers.usage().ResidentPeak) / float64(len(s.workers.hosts)), "peak-B/subscriber"})
+}
+
+// cost is what the workers and relays used over a time.
+type cost struct {
+	began   time.Time
+	workers Usage
+	relays  []Usage
+}
+
+func (s *scale) cost() cost {
+	s.t.Helper()
+	return cost{began: time.Now(), workers: s.workers.usage(), relays: s.relayUsage()}
+}
+
+// addCost writes what was used since.
+func (s *scale) addCost(name string, before cost) {
+	s.t.Helper()
+	after, count := s.cost(), float64(len(s.workers.hosts))
+	elapsed := seconds(after.began.Sub(before.began))
+	var processor, resident, descriptors []float64
+	total := 0.0
+	for n, relay := range after.relays {
+		share := 100 * seconds(relay.Processor-before.relays[n].Processor) / elapsed
+		total += share
+		processor = append(processor, share)
+		resident = append(resident, float64(relay.Resident))
+		descriptors = append(descriptors, float64(relay.Descriptors))
+	}
+	relays := float64(len(after.relays))
+	s.results.add(name+"-subscriber",
+		value{float64(after.workers.Read-before.workers.Read) / elapsed / count, "received-B/s"},
+		value{float64(after.workers.Written-before.workers.Written) / elapsed / count, "sent-B/s"},
+		value{100 * seconds(after.workers.Processor-before.workers.Processor) / elapsed / count, "%core"},
+		value{float64(after.workers.Resident) / count, "resident-B"})
+	s.results.add(name+"-relay",
+		value{total / relays, "mean-%core"}, value{largest(processor), "max-%core"}, value{processor[0], "writer-%core"},
+		value{sum(resident) / relays, "mean-resident-B"}, value{largest(resident), "max-resident-B"}, value{resident[0], "writer-resident-B"},
+		value{sum(descriptors) / relays, "mean-descriptors"}, value{largest(descriptors), "max-descriptors"}, value{descriptors[0], "writer-descriptors"})
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+// atRest measures a time without changes.
+func (s *scale) atRest() {
+	s.t.Helper()
+	before := s.cost()
+	time.Sleep(s.rest)
+	s.addCost("rest", before)
+}
+
+// single publishes one change after the other, each once the one before is in force.
+func (s *scale) single(name string, scope distribution.Scope, repeats int) {
+	s.t.Helper()
+	for range repeats {
+		made := s.publish("single/"+name, scope)
+		known := s.known(made.Revision)
+		times := s.inForce([]change{made})
+		most, all := delays(made.acknowledged, times[0])
+		s.results.add(name, value{float64(made.concerned), "concerned"}, value{seconds(most), "s-999"}, value{seconds(all), "s-all"},
+			value{seconds(known.Sub(made.acknowledged)), "s-known"})
+	}
+}
+
+// changes publishes at a rate for a time: one in ten concerns all, the others one service.
+func (s *scale) changes(each, span time.Duration) []change {
+	s.t.Helper()
+	var made []change
+	ticker := time.NewTicker(each)
+	defer ticker.Stop()
+	for until := time.Now().Add(span); time.Now().Before(until); <-ticker.C {
+		n := len(made)
+		if n%10 == 0 {
+			made = append(made, s.publish(fmt.Sprint("rate/all-", n), distribution.Scope{}))
+			continue
+		}
+		// Ranks all over the services, the largest among them.
+		service := ServiceName((n - 1) * 37 % s.services())
+		made = append(made, s.publish("rate/"+service, distribution.Scope{Labels: map[string]string{"service": service}}))
+	}
+	return made
+}
+
+// services is how many services have a subscriber.
+func (s *scale) services() int {
+	seen := make(map[string]bool)
+	for _, host := range s.workers.hosts {
+		seen[host.Service] = true
+	}
+	return min(len(seen), Services)
+}
+
+// rate publishes changes at a rate and measures times and cost.
+func (s *scale) rate(name string, each, span time.Duration) {
+	s.t.Helper()
+	before := s.cost()
+	made := s.changes(each, span)
+	s.addCost(name, before)
+	s.addChanges(name, made)
+}
+
+// addChanges waits until all changes are in force, and writes how long that took: the middle
+// and the worst of them.
+func (s *scale) addChanges(name string, made []change) {
+	s.t.Helper()
+	var mosts, alls []time.Duration
+	for n, times := range s.inForce(made) {
+		if len(times) == 0 {
+			continue // it concerns nobody at this size
+		}
+		most, all := delays(made[n].acknowledged, times)
+		mosts, alls = append(mosts, most), append(alls, all)
+	}
+	s.results.add(name, value{float64(len(made)), "changes"},
+		value{seconds(middle(mosts)), "median-s-999"}, value{seconds(largest(mosts)), "worst-s-999"},
+		value{seconds(middle(alls)), "median-s-all"}, value{seconds(largest(alls)), "worst-s-all"})
+}
+
+// relaysKilled kills two relays, not the writer, while changes come at ten times the rate.
+func (s *scale) relaysKilled() {
+	s.t.Helper()
+	lost := s.cluster.relays[1:3]
+	each := min(tenfoldEach, s.span/10)
+	made := s.changes(each, s.span/6)
+	s.cluster.stop(syscall.SIGKILL, lost...)
+	killed := time.Now()
+	made = append(made, s.later(each, s.span/3)...)
+	s.addChanges("relays-killed", made)
+	known := s.known(made[len(made)-1].Revision)
+	s.results.add("relays-killed-known", value{seconds(known.Sub(killed)), "s-after-kill"})
+	s.cluster.startAll()
+}
+
+// later publishes changes of other names than changes does.
+func (s *scale) later(each, span time.Duration) []change {
+	s.t.Helper()
+	var made []change
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(each) {
+		made = append(made, s.publish(fmt.Sprintf("later/all-%d", len(made)), distribution.Scope{}))
+	}
+	return made
+}
+
+// regionCut stops the processes of one region while a change is made, and tells how long
+// after their return they have it.
+func (s *scale) regionCut() {
+	s.t.Helper()
+	var stopped []*workerHandle
+	for _, handle := range s.workers.handles {
+		if handle.hosts[0].Region == RegionName(0) {
+			stopped = append(stopped, handle)
+			handle.process.command.Process.Signal(syscall.SIGSTOP)
+		}
+	}
+	time.Sleep(cutFor / 2)
+	made := s.publish("cut/all", distribution.Scope{})
+	time.Sleep(cutFor / 2)
+	peak := s.watchDescriptors()
+	for _, handle := range stopped {
+		handle.process.command.Process.Signal(syscall.SIGCONT)
+	}
+	back := time.Now()
+	times := s.inForce([]change{made})[0]
+	_, all := delays(back, times)
+	known := s.known(made.Revision)
+	s.results.add("region-cut", value{seconds(all), "s-all-after-return"}, value{seconds(known.Sub(back)), "s-known-after-return"},
+		value{float64(peak.stop()), "peak-descriptors/relay"})
+}
+
+// powerLoss ends everything, and starts relays and subscribers at once. The relays have what
+// they wrote; the subscribers, with copies in memory, have nothing.
+func (s *scale) powerLoss() {
+	s.t.Helper()
+	s.cluster.disconnect()
+	s.workers.stop(syscall.SIGKILL)
+	s.cluster.stop(syscall.SIGKILL, s.cluster.relays...)
+	s.workers.launch() // certificates are made before the start counts
+	s.cluster.startAll()
+	peak := s.watchDescriptors()
+	began := s.workers.begin()
+	s.cluster.connect()
+	s.awaitState("power-loss", began, peak)
+}
+
+// descriptorPeak is the most descriptors that a relay had at once.
+type descriptorPeak struct {
+	done chan struct{}
+	most chan int
+}
+
+// watchDescriptors looks at the relays' descriptors until stop.
+func (s *scale) watchDescriptors() *descriptorPeak {
+	const lookEach = 200 * time.Millisecond
+	peak := &descriptorPeak{done: make(chan struct{}), most: make(chan int, 1)}
+	var pids []int
+	for _, relay := range s.cluster.relays {
+		if relay.process != nil {
+			pids = append(pids, relay.process.pid())
+		}
+	}
+	go func() {
+		most := 0
+		for {
+			for _, pid := range pids {
+				count, _ := Descriptors(pid) // 0 where it has ended
+				most = max(most, count)
+			}
+			select {
+			case <-peak.done:
+				peak.most <- most
+				return
+			case <-time.After(lookEach):
+			}
+		}
+	}()
+	return peak
+}
+
+// stop ends the watch and returns the most.
+func (p *descriptorPeak) stop() int {
+	close(p.done)
+	return <-p.most
+}
+
+// heapProfiles asks relays and workers for a profile of their memory, if profiles are wanted.
+func (s *scale) heapProfiles() {
+	if s.cluster.profiles == "" {
+		return
+	}
+	if err := os.MkdirAll(s.cluster.profiles, 0o700); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, relay := range s.cluster.relays {
+		relay.process.command.Process.Signal(syscall.SIGUSR1)
+	}
+	for _, handle := range s.workers.handles {
+		handle.process.command.Process.Signal(syscall.SIGUSR1)
+	}
+	time.Sleep(2 * time.Second)
+}
