A subscriber's state that changes while it connects anew is acknowledged

Cause: a change of state before a connection's first watch was answered, or while an acknowledgement on the connection before was open, was noted and never sent: the writer's status counted the host as behind until its next change. Found by TestScale at 1,300 subscribers: 6 of 1,300 stayed behind for a minute after a region of stopped processes went on. Change: what has changed is told as soon as a relay answers, on the connection in use, and a connection's first watch does not wait.

--- a/internal/fleet/distribution/node/subscriber.go
+++ b/internal/fleet/distribution/node/subscriber.go
@@ -147,21 +147,27 @@
 	}
 }
 
-// connected notes the connection in use, and that a relay answers.
+// connected notes the connection in use, and that a relay answers. It is told what has
+// changed since the state that the connection began with.
 func (s *Subscriber) connected(conn Conn, relay string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn, s.relay = conn, relay
 	if conn != nil {
 		s.lastErr, s.failed = nil, 0
+		s.startAcknowledging()
 	}
 }
 
 // watch makes one call and takes what it brings.
 func (s *Subscriber) watch(ctx context.Context, conn Conn, reader *distribution.Reader, in *api.SettingsWatchIn) error {
 	query := reader.Query(s.cfg.Copy.State().Received, nil)
-	// The waits of many hosts must not end together.
-	in.After, in.Began, in.Wait = query.After, query.Began, watchWait*3/4+rand.N(watchWait/4)
+	in.After, in.Began, in.Wait = query.After, query.Began, 0
+	if in.Interest == nil {
+		// The waits of many hosts must not end together. A connection's first call does not
+		// wait: acknowledgements can go out once it is answered.
+		in.Wait = watchWait*3/4 + rand.N(watchWait/4)
+	}
 	var out api.SettingsWatchOut
 	if err := call(ctx, conn, watchWait+watchSlack, api.SettingsWatch, in, &out); err != nil {
 		return err
@@ -181,25 +187,33 @@
 	return nil
 }
 
-// Changed tells that the copy's state has changed: the relay is told. It does not wait.
+// Changed tells that the copy's state has changed: the relay is told, if need be once one
+// answers. It does not wait.
 func (s *Subscriber) Changed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stale = true
-	if s.acking || s.conn == nil {
+	s.startAcknowledging()
+}
+
+// startAcknowledging starts acknowledge where there is something to tell and a relay to tell
+// it to; the lock is held.
+func (s *Subscriber) startAcknowledging() {
+	if s.acking || !s.stale || s.conn == nil {
 		return
 	}
 	s.acking = true
-	conn, session := s.conn, s.session
-	s.wg.Go(func() { s.acknowledge(conn, session) })
+	s.wg.Go(s.acknowledge)
 }
 
-// acknowledge tells the relay how far the host is until nothing is new. A call that fails is
-// not made again: the connection fails with it, and the next one begins with the state.
-func (s *Subscriber) acknowledge(conn Conn, session int64) {
+// acknowledge tells the relay in use how far the host is until nothing is new. A call that
+// fails is not made again: the connection fails with it, and the next one begins with the
+// state.
+func (s *Subscriber) acknowledge() {
 	for {
 		s.mu.Lock()
-		if !s.stale || s.conn != conn {
+		conn, session := s.conn, s.session
+		if !s.stale || conn == nil {
 			s.acking = false
 			s.mu.Unlock()
 			return
--- /dev/null
+++ b/internal/fleet/distribution/node/subscriber_test.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/distribution"
+)
+
+// heldConn is a connection whose watches and acknowledgements the test answers.
+type heldConn struct {
+	watches chan *api.SettingsWatchIn // each watch as it comes
+	answers chan error                // of watches
+	acks    chan *api.SettingsAckIn
+	ackErr  chan error // of acknowledgements
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newHeldConn() *heldConn {
+	return &heldConn{watches: make(chan *api.SettingsWatchIn), answers: make(chan error),
+		acks: make(chan *api.SettingsAckIn), ackErr: make(chan error), closed: make(chan struct{})}
+}
+
+func (c *heldConn) Call(ctx context.Context, method string, in, _ any) error {
+	asked, answered := true, make(<-chan error)
+	switch request := in.(type) {
+	case *api.SettingsWatchIn:
+		copied := *request
+		select {
+		case c.watches <- &copied:
+			answered = c.answers
+		case <-ctx.Done():
+			asked = false
+		}
+	case *api.SettingsAckIn:
+		select {
+		case c.acks <- request:
+			answered = c.ackErr
+		case <-ctx.Done():
+			asked = false
+		}
+	}
+	if !asked {
+		return ctx.Err()
+	}
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *heldConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// settlingCopy is a copy whose state the test sets.
+type settlingCopy struct {
+	mu    sync.Mutex
+	state distribution.HostState
+}
+
+func (c *settlingCopy) Take(distribution.Update) error { return nil }
+
+func (c *settlingCopy) State() distribution.HostState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *settlingCopy) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Settled = true
+}
+
+// runSubscriber runs a subscriber of one relay over the given connections, one after the other.
+func runSubscriber(t *testing.T, copied Copy, conns ...*heldConn) *Subscriber {
+	t.Helper()
+	dialed := make(chan *heldConn, len(conns))
+	for _, conn := range conns {
+		dialed <- conn
+	}
+	s := NewSubscriber(SubscriberConfig{
+		Interest: distribution.Interest{Host: "host"}, Relays: []distribution.Relay{{Name: "relay"}},
+		Limits: distribution.DefaultLimits(), Copy: copied,
+		Dial: func(ctx context.Context, _ distribution.Relay) (Conn, error) {
+			select {
+			case conn := <-dialed:
+				return conn, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+// receive waits for what must come.
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%s did not come", what)
+		panic("not reached")
+	}
+}
+
+// A state that changes while the first call of a connection is open is acknowledged once that
+// is answered, and that call does not wait for changes.
+func TestChangeBeforeConnectionAnswersIsAcknowledged(t *testing.T) {
+	copied, conn := &settlingCopy{}, newHeldConn()
+	s := runSubscriber(t, copied, conn)
+	first := receive(t, "the first watch", conn.watches)
+	if first.State == nil || first.State.Settled {
+		t.Fatalf("the connection begins with the state %+v", first.State)
+	}
+	if first.Wait != 0 {
+		t.Errorf("the first watch waits %v", first.Wait)
+	}
+	copied.settle()
+	s.Changed()
+	conn.answers <- nil
+	if acked := receive(t, "the acknowledgement", conn.acks); !acked.State.Settled {
+		t.Errorf("acknowledged %+v", acked.State)
+	}
+	conn.ackErr <- nil
+	if next := receive(t, "the second watch", conn.watches); next.Wait == 0 {
+		t.Error("the second watch does not wait")
+	}
+}
+
+// A state that changes while an acknowledgement on an earlier connection is still open is
+// acknowledged on the next one.
+func TestChangeDuringLostAcknowledgementIsAcknowledged(t *testing.T) {
+	copied, first, second := &settlingCopy{}, newHeldConn(), newHeldConn()
+	s := runSubscriber(t, copied, first, second)
+	receive(t, "the first watch", first.watches)
+	first.answers <- nil
+	receive(t, "the second watch", first.watches)
+	s.Changed()
+	receive(t, "the first acknowledgement", first.acks)
+	first.answers <- context.DeadlineExceeded
+	receive(t, "the next connection's watch", second.watches)
+	copied.settle()
+	s.Changed()
+	second.answers <- nil
+	first.ackErr <- context.DeadlineExceeded
+	if acked := receive(t, "the acknowledgement", second.acks); !acked.State.Settled {
+		t.Errorf("acknowledged %+v", acked.State)
+	}
+	second.ackErr <- nil
+}
