--- a/internal/hollow/scale_test.go
+++ b/internal/hollow/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -20,6 +21,7 @@
 	scaleOut      = flag.String("scale.out", "", "file that results are added to, in the format of Go's benchmarks")
 	scaleSpan     = flag.Duration("scale.span", 30*time.Second, "how long changes come at a rate")
 	scaleRest     = flag.Duration("scale.rest", 20*time.Second, "how long the fleet at rest is measured")
+	scaleCases    = flag.String("scale.cases", "", "cases to measure after the start, such as rest,power-loss; all by default")
 	scaleProfiles = flag.String("scale.profiles", "", "folder for profiles of the relays and workers")
 )
 
@@ -47,7 +49,7 @@
 	version int // of the contents: each change is a new one
 	rest    time.Duration
 	span    time.Duration
-	pace    time.Duration // between changes of the ordinary rate
+	cut     time.Duration // how long a region is cut off
 }
 
 // TestScale measures the distribution at the sizes of the flag -scale.
@@ -74,20 +76,39 @@
 	results.load()
 	results.subscribers = size
 	const relaySubscribers = 8000
-	s := &scale{t: t, results: results, rest: *scaleRest, span: *scaleSpan, pace: ordinaryEach}
+	s := &scale{t: t, results: results, rest: *scaleRest, span: *scaleSpan, cut: cutFor}
 	s.cluster = newCluster(t, *scaleRelays, relaySubscribers, *scaleProfiles)
 	s.workers = newWorkers(s.cluster, size, coalesce)
 	s.publishState(Services)
 	s.start("start")
-	s.atRest()
-	s.single("change-all", distribution.Scope{}, 3)
-	s.single("change-service", distribution.Scope{Labels: map[string]string{"service": ServiceName(0)}}, 3)
-	s.rate("rate-ordinary", ordinaryEach, s.span)
-	s.rate("rate-tenfold", tenfoldEach, s.span)
-	s.heapProfiles()
-	s.relaysKilled()
-	s.regionCut()
-	s.powerLoss()
+	for _, c := range s.cases() {
+		if *scaleCases == "" || slices.Contains(strings.Split(*scaleCases, ","), c.name) {
+			c.run()
+		}
+	}
+}
+
+// measured is a case of the scale test.
+type measured struct {
+	name string
+	run  func()
+}
+
+// cases are all that is measured after the start, in order.
+func (s *scale) cases() []measured {
+	largestService := distribution.Scope{Labels: map[string]string{"service": ServiceName(0)}}
+	return []measured{
+		{"rest", s.atRest},
+		{"change-all", func() { s.single("change-all", distribution.Scope{}, 3) }},
+		{"change-service", func() { s.single("change-service", largestService, 3) }},
+		{"rate-ordinary", func() { s.rate("rate-ordinary", ordinaryEach, s.span) }},
+		{"rate-tenfold", func() { s.rate("rate-tenfold", tenfoldEach, s.span) }},
+		{"profiles", s.heapProfiles},
+		{"relays-killed", s.relaysKilled},
+		{"relays-silent", s.relaysSilent},
+		{"region-cut", s.regionCut},
+		{"power-loss", s.powerLoss},
+	}
 }
 
 // TestHollowSubscribers runs all cases of the scale test with few subscribers, small enough
@@ -95,7 +116,7 @@
 func TestHollowSubscribers(t *testing.T) {
 	results := newResults(t, filepath.Join(t.TempDir(), "results"))
 	results.subscribers = 60
-	s := &scale{t: t, results: results, rest: 500 * time.Millisecond, span: time.Second}
+	s := &scale{t: t, results: results, rest: 500 * time.Millisecond, span: time.Second, cut: 500 * time.Millisecond}
 	s.cluster = newCluster(t, 3, 60, "")
 	s.workers = newWorkers(s.cluster, 60, 100*time.Millisecond)
 	s.publishState(10)
@@ -105,6 +126,7 @@
 	s.single("change-service", distribution.Scope{Labels: map[string]string{"service": ServiceName(0)}}, 1)
 	s.rate("rate", 100*time.Millisecond, s.span)
 	s.relaysKilled()
+	s.regionCut()
 	s.powerLoss()
 }
 
@@ -364,6 +386,25 @@
 	s.cluster.startAll()
 }
 
+// relaysSilent stops two relays, not the writer, and makes a change: their connections stay
+// open and say nothing, as those of a machine that is lost.
+func (s *scale) relaysSilent() {
+	s.t.Helper()
+	silent := s.cluster.relays[3:5] // not those of relaysKilled, whose subscribers are elsewhere yet
+	for _, relay := range silent {
+		relay.process.command.Process.Signal(syscall.SIGSTOP)
+	}
+	stopped := time.Now()
+	made := []change{s.publish("silent/all", distribution.Scope{})}
+	times := s.inForce(made)
+	most, all := delays(made[0].acknowledged, times[0])
+	known := s.known(made[0].Revision)
+	s.results.add("relays-silent", value{seconds(most), "s-999"}, value{seconds(all), "s-all"}, value{seconds(known.Sub(stopped)), "s-known"})
+	for _, relay := range silent {
+		relay.process.command.Process.Signal(syscall.SIGCONT)
+	}
+}
+
 // later publishes changes of other names than changes does.
 func (s *scale) later(each, span time.Duration) []change {
 	s.t.Helper()
@@ -385,9 +426,9 @@
 			handle.process.command.Process.Signal(syscall.SIGSTOP)
 		}
 	}
-	time.Sleep(cutFor / 2)
+	time.Sleep(s.cut / 2)
 	made := s.publish("cut/all", distribution.Scope{})
-	time.Sleep(cutFor / 2)
+	time.Sleep(s.cut / 2)
 	peak := s.watchDescriptors()
 	for _, handle := range stopped {
 		handle.process.command.Process.Signal(syscall.SIGCONT)
--- /dev/null
+++ b/internal/hollow/worker_test.go
@@ -0,0 +1,49 @@
+package hollow
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/pki"
+)
+
+// A worker ends with its input, though no relay answers, and leaves nothing running.
+func TestWorkerEndsWithInput(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	folder := t.TempDir()
+	if err := pki.Init(folder, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	config := WorkerConfig{Authority: folder, Serial: 1, Hosts: Layout(5),
+		Relays: []distribution.Relay{{Name: "relay", Address: "tls:127.0.0.1:1"}}}
+	requestReader, requests := io.Pipe()
+	replyReader, replies := io.Pipe()
+	ended := make(chan error, 1)
+	go func() { ended <- RunWorker(config, requestReader, replies) }()
+	for _, command := range []Command{Start, Measure} {
+		if err := json.NewEncoder(requests).Encode(Request{Command: command}); err != nil {
+			t.Fatal(err)
+		}
+		var reply Reply
+		if err := json.NewDecoder(replyReader).Decode(&reply); err != nil {
+			t.Fatal(err)
+		}
+		if reply.Connected != 0 || reply.Usage.Resident == 0 {
+			t.Errorf("%s: %+v", command, reply)
+		}
+	}
+	requests.Close()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the worker runs on")
+	}
+}
