Agents' certificates serve as clients too: with TLS no agent could follow a relay

Cause: martendrum ca gave agents server authentication only, and an agent's server asks for client authentication (found by the scale test's author; it used certificates of its own).

--- a/internal/fleet/pki/pki.go
+++ b/internal/fleet/pki/pki.go
@@ -64,10 +64,11 @@
 	return issue(dir, "ca", t, nil, nil)
 }
 
-// Agent makes the certificate of an agent that is reached under these names or addresses.
+// Agent makes the certificate of an agent that is reached under these names or addresses, and
+// that calls relays under its own. It has no role: the name alone counts there.
 func Agent(dir, name string, hosts []string, now time.Time) error {
 	t := leaf(name, now)
-	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	for _, h := range hosts {
 		if ip := net.ParseIP(h); ip != nil {
 			t.IPAddresses = append(t.IPAddresses, ip)
