--- a/internal/fleet/distribution/node/node.go
+++ b/internal/fleet/distribution/node/node.go
@@ -105,9 +105,3 @@
 	}
 	return err
 }
-
-// refused says whether an agent answered with that code.
-func refused(err error, name string) bool {
-	said, ok := errors.AsType[*api.Error](err)
-	return ok && said.Code == name
-}
