RED: settings over mutual TLS, until agents' certificates may be clients'

TestSettingsOverTLS fails: pki.Agent issues certificates for servers alone, so a relay turns every agent away that dials it (tls: bad certificate), and nothing is distributed over TLS. Needed in internal/fleet/pki: ExtKeyUsageClientAuth beside ExtKeyUsageServerAuth in Agent.

--- /dev/null
+++ b/internal/fleet/e2e/settings_tls_test.go
@@ -0,0 +1,169 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"martendrum/internal/fleet/agent"
+	"martendrum/internal/fleet/api"
+	"martendrum/internal/fleet/client"
+	"martendrum/internal/fleet/distribution"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/fleet/pki"
+	"martendrum/internal/fleet/store"
+	"martendrum/internal/fleet/store/sqlite"
+	"martendrum/internal/fleet/units"
+	"martendrum/internal/standin/simhost"
+)
+
+// tlsWorld is a relay and a host in this process that speak mutual TLS.
+type tlsWorld struct {
+	t       *testing.T
+	dir     string
+	address string // of the relay
+}
+
+// newTLSWorld makes certificates and starts a relay "relay" and a subscriber "host", whose
+// sidecar is pretended.
+func newTLSWorld(t *testing.T) *tlsWorld {
+	t.Helper()
+	w := &tlsWorld{t: t, dir: t.TempDir()}
+	ca, now := filepath.Join(w.dir, "ca"), time.Now()
+	local := []string{"127.0.0.1"}
+	for _, err := range []error{
+		pki.Init(ca, now), pki.Agent(ca, "relay", local, now), pki.Agent(ca, "host", local, now), pki.Agent(ca, "other", local, now),
+		pki.Operator(ca, "operator", api.Operate, now), pki.Operator(ca, "viewer", api.View, now),
+		os.WriteFile(filepath.Join(w.dir, "sidecar"), []byte("x"), 0o700),
+		os.WriteFile(filepath.Join(w.dir, "instance.json"), []byte(`{"listen":"127.0.0.1:1"}`), 0o600),
+	} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	// A relay does not dial itself: its own entry needs no true address.
+	w.address = w.serve("relay", "[relay]\n", "tls:127.0.0.1:1", "")
+	w.serve("host", "", w.address, "[[instance]]\nname = \"instance\"\nconfig = \"instance.json\"\n")
+	return w
+}
+
+// serve runs an agent that knows the relay by an address until the test ends, and returns its own.
+func (w *tlsWorld) serve(name, relay, address, instance string) string {
+	w.t.Helper()
+	text := fmt.Sprintf(`name = %q
+state_dir = "state-%s"
+[listen]
+tls = "127.0.0.1:0"
+[tls]
+ca = "ca/ca.crt"
+cert = "ca/%s.crt"
+key = "ca/%s.key"
+[sidecar]
+binary = "sidecar"
+%s[distribution]
+subscribe = %v
+writer = "relay"
+coalesce = "10ms"
+[[distribution.relay]]
+name = "relay"
+address = %q
+%s`, name, name, name, name, relay, relay == "", address, instance)
+	file := filepath.Join(w.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	cfg, err := agent.LoadConfig(file)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	served, err := agent.New(cfg, simhost.New(0, 0), func(path string) (store.Store, error) { return sqlite.Open(path, 1<<20) })
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	listening, ended := make(chan string, 1), make(chan error, 1)
+	go func() { ended <- served.Serve(ctx, func(at []net.Addr) { listening <- at[0].String() }) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			w.t.Error(err)
+		}
+		served.Close()
+	})
+	return "tls:" + <-listening
+}
+
+// as is the relay as the holder of a certificate sees it.
+func (w *tlsWorld) as(certificate string) *client.Agent {
+	w.t.Helper()
+	inv := &inventory.Inventory{Timeout: units.Duration(5 * time.Second), Hosts: []inventory.Host{{Name: "relay", Address: w.address}}}
+	inv.TLS.CA = filepath.Join(w.dir, "ca", "ca.crt")
+	inv.TLS.Cert = filepath.Join(w.dir, "ca", certificate+".crt")
+	inv.TLS.Key = filepath.Join(w.dir, "ca", certificate+".key")
+	fleet, err := client.New(inv, certificate)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(fleet.Close)
+	return fleet.Agents[0]
+}
+
+// Over mutual TLS a host follows a relay with its agent's certificate; nobody speaks for a host
+// or a relay but itself, and who may only look publishes and promotes nothing.
+func TestSettingsOverTLS(t *testing.T) {
+	w := newTLSWorld(t)
+	ctx := context.Background()
+	operator, viewer, other := w.as("operator"), w.as("viewer"), w.as("other")
+	put := &distribution.Put{Name: "limits/all", Content: []byte(memoryLimit(80))}
+	var made api.SettingsPutOut
+	if err := operator.Call(ctx, api.SettingsPut, put, &made); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the change in force, as a viewer sees it", func() bool {
+		var out api.SettingsStatusOut
+		err := viewer.Call(ctx, api.SettingsStatus, &api.SettingsStatusIn{Revision: made.Resource.Revision}, &out)
+		return err == nil && out.Complete && out.Status.Hosts == 1 && out.Status.InForce == 1
+	})
+
+	interest := &distribution.Interest{Host: "host"}
+	writer := &api.SettingsWriter{Writer: "relay", Epoch: 9}
+	watch := &api.SettingsWatchIn{Host: "host", Session: time.Now().UnixMicro(), Interest: interest, State: &distribution.HostState{}}
+	ack := &api.SettingsAckIn{Host: "host", State: distribution.HostState{Settled: true}}
+	for _, attempt := range []struct {
+		who    string
+		by     *client.Agent
+		method string
+		in     any
+	}{
+		{"a viewer", viewer, api.SettingsPut, put},
+		{"a viewer", viewer, api.SettingsPromote, &api.Empty{}},
+		{"a host", other, api.SettingsPut, put},
+		{"a host", other, api.SettingsPromote, &api.Empty{}},
+		{"a host", other, api.SettingsGet, &api.SettingsGetIn{}},
+		{"another host", other, api.SettingsWatch, watch},
+		{"another host", other, api.SettingsAck, ack},
+		{"an operator for a host", operator, api.SettingsWatch, watch},
+		{"an operator for a host", operator, api.SettingsAck, ack},
+		{"a host for a relay", other, api.SettingsFollow, &api.SettingsFollowIn{Relay: "relay", Writer: "relay", Epoch: 1}},
+		{"a host for a relay", other, api.SettingsReport, &api.SettingsReportIn{Relay: "relay", Epoch: 1}},
+		{"a host that is no relay", other, api.SettingsFollow, &api.SettingsFollowIn{Relay: "other", Writer: "relay", Epoch: 1}},
+		{"a host that is no relay", other, api.SettingsWriting, writer},
+		{"an operator", operator, api.SettingsWriting, writer},
+	} {
+		if err := attempt.by.Call(ctx, attempt.method, attempt.in, nil); code(err) != api.Forbidden {
+			t.Errorf("%s calls %s: %v; want %s", attempt.who, attempt.method, err, api.Forbidden)
+		}
+	}
+	misled := &api.SettingsWatchIn{Host: "other", Session: watch.Session, Interest: interest, State: watch.State}
+	if err := other.Call(ctx, api.SettingsWatch, misled, nil); code(err) != api.BadParams {
+		t.Errorf("a host with the interest of another: %v", err)
+	}
+	var out api.SettingsStatusOut
+	if err := viewer.Call(ctx, api.SettingsStatus, &api.SettingsStatusIn{}, &out); err != nil || out.Writer.Epoch != 1 || out.Status.Hosts != 1 {
+		t.Errorf("after that: %+v, %v", out, err)
+	}
+}
