Settings that end a process are refused the second time; settled hosts stay settled

Seen: a process that ended at SIGHUP counted as no answer, and each launch forgave refusals, so settings that crash a program were tried for ever. The second end in an attempt is a refusal now, and only another program is tried anew. While the test was written: a host that no change concerned showed as behind once its wait had ended, since Registry.Told took its place for something to be received (TestRegistryKeepsHostSettledOverEmptyUpdates, fails without the mend). An attempt knows its own configuration's sum; a process that refused reads the accepted file again; the writer's announcements no longer hold up what is due by the clock.

--- a/internal/fleet/agent/instance.go
+++ b/internal/fleet/agent/instance.go
@@ -60,6 +60,9 @@
 
 	applier *distribution.Applier // of distributed settings; nil: the host does not subscribe
 	attempt *settingsAttempt      // of the applier, nil for none
+	// attemptCrashes counts the processes that ended in an attempt since the last answer.
+	attemptCrashes int
+	program        string // the release of the latest process, "" if none is known
 	// settledAt is the revision at which the instance last waited for no settings.
 	settledAt distribution.Revision
 	// pendingReported says that the relay was told of settings that the instance waits for.
@@ -255,9 +258,7 @@
 		return kinds
 	}
 	i.proc, i.sum, i.record, i.hands = p, "", "", false
-	if i.applier != nil {
-		i.forgiveSettings(now)
-	}
+	i.programStarted(i.row.Running, now)
 	i.row.PID, i.row.Ticks, i.row.Boot = p.PID, p.Ticks, a.machine.Boot()
 	kinds := i.life.Launched(now)
 	a.told(i, nil)
@@ -296,30 +297,32 @@
 		settings = i.applier.Accepted()
 	}
 	a.mu.Unlock()
-	return a.configureWith(i, hash, settings, seed)
+	_, err := a.configureWith(i, hash, settings, seed)
+	return err
 }
 
-// configureWith writes an instance's configuration with the given distributed settings.
-func (a *Agent) configureWith(i *instance, hash string, settings []distribution.Resource, seed string) error {
+// configureWith writes an instance's configuration with the given distributed settings, and
+// returns its sum.
+func (a *Agent) configureWith(i *instance, hash string, settings []distribution.Resource, seed string) (sum string, err error) {
 	base, err := os.ReadFile(i.cfg.Config)
 	if err != nil {
-		return err
+		return "", err
 	}
 	overlay, err := os.ReadFile(a.releases.Path(hash, release.Overlay))
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err
+		return "", err
 	}
 	data, err := render(base, overlay, settings, seed)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if err := writeFile(a.configPath(i.cfg.Name), data); err != nil {
-		return err
+		return "", err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	i.wantSum = fmt.Sprintf("%x", sha256.Sum256(data))
-	return nil
+	return i.wantSum, nil
 }
 
 // health makes a health call and takes what it tells.
--- a/internal/fleet/agent/load.go
+++ b/internal/fleet/agent/load.go
@@ -118,7 +118,7 @@
 		}
 		delete(rows, c.Name)
 		ran, booted := row.Launch != "" && row.PID != 0 && row.Desired == api.Running, row.Boot == boot
-		i := &instance{cfg: c, row: row, life: life.New(limits, now), wake: make(chan struct{}, 1), ring: ring{most: a.keepSlots()}}
+		i := &instance{cfg: c, row: row, life: life.New(limits, now), program: row.Running, wake: make(chan struct{}, 1), ring: ring{most: a.keepSlots()}}
 		a.inst[c.Name] = i
 		a.names = append(a.names, c.Name)
 		launch := i.row.Launch
--- a/internal/fleet/agent/settings.go
+++ b/internal/fleet/agent/settings.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log/slog"
 	"maps"
 	"syscall"
 	"time"
@@ -22,9 +23,14 @@
 // and the process has got SIGHUP.
 type settingsAttempt struct {
 	process *Process
+	sum     string    // of the configuration that it was given
 	sent    time.Time // the SIGHUP
 }
 
+// crashesMost is how many processes may end while they take the same settings before these
+// count as refused: the first end may have had another cause.
+const crashesMost = 2
+
 // unconfirmedAfter is when settings count as taken by a program that does not tell which
 // configuration it runs.
 const unconfirmedAfter = time.Second
@@ -235,11 +241,11 @@
 	now := time.Now()
 	a.reportPending(i)
 	if i.attempt != nil {
+		process, hash := i.attempt.process, i.row.Running
 		refused := a.settleAttempt(i, now)
-		hash := i.row.Running
 		a.mu.Unlock()
 		if refused {
-			a.restoreSettings(i, hash)
+			a.restoreSettings(i, process, hash)
 		}
 		return time.Time{}
 	}
@@ -257,17 +263,17 @@
 		return now.Add(closeEach)
 	}
 	settings, process, hash := i.applier.Begin(), i.proc, i.row.Running
-	i.attempt = &settingsAttempt{process: process, sent: now}
 	a.mu.Unlock()
-	err := a.configureWith(i, hash, settings, random())
+	sum, err := a.configureWith(i, hash, settings, random())
 	if err == nil {
 		err = process.Signal(syscall.SIGHUP)
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if err != nil {
-		a.mu.Lock()
-		i.attempt = nil
 		i.applier.Abandon()
-		a.mu.Unlock()
+	} else {
+		i.attempt = &settingsAttempt{process: process, sum: sum, sent: now}
 	}
 	return now.Add(closeEach)
 }
@@ -284,16 +290,17 @@
 	a.settings.subscriber.Changed()
 }
 
-// settleAttempt looks how an attempt stands, and says whether the instance refused it. The
-// lock is held.
+// settleAttempt looks how an attempt stands, and says whether the process, which lives, has
+// refused it. The lock is held.
 func (a *Agent) settleAttempt(i *instance, now time.Time) (refused bool) {
 	waited := now.Sub(i.attempt.sent)
 	switch {
-	case i.proc != i.attempt.process || i.step != nil:
+	case i.step != nil:
 		i.attempt = nil
 		i.applier.Abandon()
-		return false
-	case i.sum == i.wantSum, i.sum == "" && waited > unconfirmedAfter:
+	case i.proc != i.attempt.process:
+		a.crashedAttempt(i)
+	case i.sum == i.attempt.sum, i.sum == "" && waited > unconfirmedAfter:
 		a.endAttempt(i, true, "")
 	case waited > hupWithin:
 		a.endAttempt(i, false, complaint(a.logPath(i.cfg.Name)))
@@ -302,8 +309,21 @@
 	return false
 }
 
+// crashedAttempt takes the end of a process that had been given settings. The next one is
+// started with the last accepted ones. The lock is held.
+func (a *Agent) crashedAttempt(i *instance) {
+	i.attemptCrashes++
+	if i.attemptCrashes < crashesMost {
+		i.attempt = nil
+		i.applier.Abandon()
+		return
+	}
+	a.endAttempt(i, false, "its process ended while it took them: "+i.row.LastExit)
+}
+
+// endAttempt takes the instance's answer; the lock is held.
 func (a *Agent) endAttempt(i *instance, accepted bool, reason string) {
-	i.attempt = nil
+	i.attempt, i.attemptCrashes = nil, 0
 	i.applier.Done(accepted, reason)
 	if a.commit(&store.Change{Settings: []distribution.Row{i.applier.Row()}}) != nil {
 		i.dirty = true // written again with its row
@@ -312,19 +332,24 @@
 }
 
 // restoreSettings puts the last accepted settings back into the file of an instance that has
-// refused others: it still runs the last ones.
-func (a *Agent) restoreSettings(i *instance, hash string) {
-	if err := a.configure(i, hash, random()); err != nil {
-		a.mu.Lock()
-		i.retryAt = time.Now().Add(retryEach)
-		a.mu.Unlock()
+// refused others, and has it read them: a process that was only late may have taken the
+// others by now.
+func (a *Agent) restoreSettings(i *instance, process *Process, hash string) {
+	err := a.configure(i, hash, random())
+	if err == nil {
+		err = process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		slog.Warn("an instance's file may hold settings that it refused", "instance", i.cfg.Name, "err", err)
 	}
 }
 
-// forgiveSettings lets what the last process refused be tried again by another one; until
-// then the instance counts as having nothing. The agent's lock is held.
-func (i *instance) forgiveSettings(now time.Time) {
-	if len(i.applier.Refused()) == 0 {
+// programStarted lets settings that an earlier program refused be tried again by another
+// one; until then the instance counts as having nothing. The agent's lock is held.
+func (i *instance) programStarted(release string, now time.Time) {
+	before := i.program
+	i.program = release
+	if i.applier == nil || before == "" || before == release || len(i.applier.Refused()) == 0 {
 		return
 	}
 	i.applier.Forgive(now)
--- a/internal/fleet/distribution/node/relay.go
+++ b/internal/fleet/distribution/node/relay.go
@@ -80,6 +80,7 @@
 	r.wg.Go(r.follow)
 	r.wg.Go(r.report)
 	r.wg.Go(r.keep)
+	r.wg.Go(r.announceUntilClosed)
 	return r, nil
 }
 
--- a/internal/fleet/distribution/node/relay_loops.go
+++ b/internal/fleet/distribution/node/relay_loops.go
@@ -238,6 +238,13 @@
 			}
 		}
 		r.mu.Unlock()
+	}
+}
+
+// announceUntilClosed tells other relays who writes, until the relay is closed. It dials, so
+// it is apart from what is due by the clock.
+func (r *Relay) announceUntilClosed() {
+	for pause(r.ctx, keepEach) {
 		r.announce()
 	}
 }
--- a/internal/fleet/distribution/registry.go
+++ b/internal/fleet/distribution/registry.go
@@ -145,7 +145,11 @@
 	case before.After(update.Revision):
 		// A later change has come since the update was read.
 	case update.Empty():
-		e.concerned = update.After
+		// Nothing after update.After concerns it. What concerned it before that stays: a
+		// subscriber goes on from an empty update without a word of having received it.
+		if before.After(update.After) {
+			e.concerned = update.After
+		}
 	default:
 		e.concerned = update.Revision
 	}
--- a/internal/fleet/distribution/registry_test.go
+++ b/internal/fleet/distribution/registry_test.go
@@ -360,3 +360,51 @@
 		t.Error("one more joins")
 	}
 }
+
+// A host that goes on from empty updates, which it does not acknowledge, stays settled: what
+// it was asked to take is what it has.
+func TestRegistryKeepsHostSettledOverEmptyUpdates(t *testing.T) {
+	state := NewState(DefaultLimits())
+	registry := NewRegistry("relay", 10)
+	interest := Interest{Host: "host", Instances: []map[string]string{{"service": "one"}}}
+	now := time.Unix(1789000000, 0)
+	put := func(name, service string) Revision {
+		t.Helper()
+		resource, step, err := state.Propose(now, 1, Put{Name: name, Scope: Scope{Labels: map[string]string{"service": service}}, Content: []byte(`{"a":1}`)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		state.Make(step)
+		registry.Advance(state)
+		return resource.Revision
+	}
+	ask := func(after Revision) Update {
+		t.Helper()
+		update, err := state.Read(Query{After: after, Interest: &interest})
+		if err != nil {
+			t.Fatal(err)
+		}
+		registry.Told("host", 1, &update)
+		return update
+	}
+	first := put("limits", "one")
+	if err := registry.Join(now, interest, 1, HostState{Received: first, Settled: true, Applied: first}); err != nil {
+		t.Fatal(err)
+	}
+	ask(first)
+	for n := range 3 {
+		latest := put("other", []string{"two", "three"}[n%2])
+		update := ask(first)
+		if !update.Empty() {
+			t.Fatalf("a change of another service is told: %+v", update)
+		}
+		// It asks from there on, and has acknowledged nothing since.
+		ask(update.Revision)
+		if status := registry.Status(latest, 1); status.InForce != 1 {
+			t.Errorf("after %d changes of other services: %+v", n+1, status)
+		}
+	}
+	if latest := put("limits/more", "one"); registry.Status(latest, 1).Behind != 1 {
+		t.Error("a change that concerns it is in force before it was told")
+	}
+}
