--- /dev/null
+++ b/internal/fleetsim/membership_capacity_test.go
@@ -0,0 +1,127 @@
+package fleetsim
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"martendrum/internal/peers"
+)
+
+var (
+	capacitySizes = flag.String("capacity-sizes", "50,100,150,200,300", "fleet sizes of BenchmarkMembershipCapacity")
+	capacitySeeds = flag.Int("capacity-seeds", 3, "seeds of BenchmarkMembershipCapacity, from 1")
+	capacityLimit = flag.Duration("capacity-limit", 5*time.Minute, "simulated time after which BenchmarkMembershipCapacity gives up")
+)
+
+// capacityWorkers bounds the goroutines of a simulated fleet in a capacity benchmark.
+const capacityWorkers = 3
+
+// membershipStep is the resolution of the measured time to converge.
+const membershipStep = 250 * time.Millisecond
+
+// sizesOf reads a comma separated list of sizes.
+func sizesOf(b *testing.B, list string) []int {
+	b.Helper()
+	var sizes []int
+	for field := range strings.SplitSeq(list, ",") {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes
+}
+
+// processorTime is what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapInUse is the live heap after a collection.
+func heapInUse() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// sentBytes is what all sidecars of a simulated fleet have sent so far.
+func sentBytes(fleet *Gossip, size int) uint64 {
+	total := uint64(0)
+	for rank := range size {
+		_, bytes := fleet.Sent(rank)
+		total += bytes
+	}
+	return total
+}
+
+// knowsNearlyAll says that a sidecar takes 99 in 100 of the fleet for alive.
+func knowsNearlyAll(fleet *Gossip, size int) func(Peer) bool {
+	return func(peer Peer) bool {
+		return float64(peer.Count(fleet.Now).Living) >= 0.99*float64(size)
+	}
+}
+
+// BenchmarkMembershipCapacity starts all sidecars of a simulated fleet at once, each with
+// the default budget of 600 bytes a second, and measures the simulated time until nine in
+// ten know 99 in 100 of the others. Run it with -benchtime=1x.
+func BenchmarkMembershipCapacity(b *testing.B) {
+	for _, size := range sizesOf(b, *capacitySizes) {
+		for seed := 1; seed <= *capacitySeeds; seed++ {
+			b.Run(fmt.Sprintf("size=%d/seed=%d", size, seed), func(b *testing.B) {
+				for b.Loop() {
+					measureMembership(b, size, uint64(seed))
+				}
+			})
+		}
+	}
+}
+
+func measureMembership(b *testing.B, size int, seed uint64) {
+	heapBefore := heapInUse()
+	processorBefore := processorTime(b)
+	fleet := gossip(size, seed, platform, capacityWorkers)
+	converged := func() bool { return fleet.Share(knowsNearlyAll(fleet, size)) >= 0.9 }
+	for !converged() && fleet.Now < *capacityLimit {
+		fleet.Run(fleet.Now+membershipStep, nil)
+	}
+	if !converged() {
+		b.Fatalf("%d sidecars: not converged after %v of simulated time", size, fleet.Now)
+	}
+	sidecarSeconds := float64(size) * fleet.Now.Seconds()
+	b.ReportMetric(fleet.Now.Seconds(), "s-to-converge")
+	b.ReportMetric(float64(sentBytes(fleet, size))/sidecarSeconds, "sent-B/s")
+	b.ReportMetric((processorTime(b)-processorBefore).Seconds()*1e6/sidecarSeconds, "cpu-us/s")
+	b.ReportMetric(float64(heapInUse()-heapBefore)/float64(size), "heap-B/sidecar")
+	runtime.KeepAlive(fleet)
+}
+
+// BenchmarkMemberCapacity measures the heap of one membership node that knows of nobody
+// yet, by the size of its fleet.
+func BenchmarkMemberCapacity(b *testing.B) {
+	for _, size := range []int{300, 1000, 3000, 10000, 21000} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				fleet := NewGossip(size, 1, platform, 1, peers.Config{Fleet: "test", Kinds: kinds})
+				places := heapInUse()
+				fleet.Up(0)
+				b.ReportMetric(float64(heapInUse()-places), "heap-B/node")
+				b.ReportMetric(float64(places-before)/float64(size), "model-B/place")
+				runtime.KeepAlive(fleet)
+			}
+		})
+	}
+}
