--- /dev/null
+++ b/internal/fleet/e2e/chain_capacity_test.go
@@ -0,0 +1,365 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"martendrum/internal/standin/shop"
+)
+
+var (
+	chainRate    = flag.Float64("chain-rate", 62, "calls a second that BenchmarkChainCapacity sends through each chain")
+	chainWindow  = flag.Duration("chain-window", 60*time.Second, "how long BenchmarkChainCapacity measures")
+	chainServers = flag.String("chain-servers", "30,300,3000", "lengths of the server lists of BenchmarkChainCapacity")
+)
+
+// chainDepth is how deep the calls of the fleet go.
+const chainDepth = 7
+
+// chainWarm is how long calls run before they are measured: connections are opened.
+const chainWarm = 5 * time.Second
+
+// The two ways through a chain, as a request's path. It begins with the class.
+const (
+	throughSidecars = "/status-check/sidecars"
+	direct          = "/status-check/direct"
+)
+
+// discoveryStandIn lists servers and sends an empty line each second, as the platform's
+// discovery does, and changes of the list that a test asks for.
+type discoveryStandIn struct {
+	whole   []byte
+	changes chan []byte
+	end     chan struct{}
+}
+
+// ServeHTTP implements http.Handler. Changes go to one watch.
+func (d *discoveryStandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	flusher := w.(http.Flusher)
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	line := d.whole
+	for {
+		if _, err := w.Write(line); err != nil {
+			return
+		}
+		flusher.Flush()
+		select {
+		case <-ticker.C:
+			line = []byte("\n")
+		case line = <-d.changes:
+		case <-r.Context().Done():
+			return
+		case <-d.end:
+			return
+		}
+	}
+}
+
+// chainEntry is a server in discovery's form.
+type chainEntry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+}
+
+// chainList is a list, or a change of it, in discovery's form.
+type chainList struct {
+	Index     int          `json:"index"`
+	Snapshot  bool         `json:"snapshot"`
+	Endpoints []chainEntry `json:"endpoints"`
+}
+
+func (l chainList) line(b *testing.B) []byte {
+	b.Helper()
+	line, err := json.Marshal(l)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return append(line, '\n')
+}
+
+// listServers starts a discovery that lists one address under so many names.
+func listServers(b *testing.B, servers int, address string) (*discoveryStandIn, string) {
+	b.Helper()
+	list := chainList{Index: 1, Snapshot: true}
+	for i := range servers {
+		list.Endpoints = append(list.Endpoints, chainEntry{
+			Name: fmt.Sprintf("server-%05d", i), Address: address, Zone: fmt.Sprintf("zone-%02d", i%27), Status: "up", Weight: 1,
+		})
+	}
+	discovery := &discoveryStandIn{whole: list.line(b), changes: make(chan []byte), end: make(chan struct{})}
+	at := serveHTTP(b, discovery)
+	b.Cleanup(func() { close(discovery.end) }) // before the server's end, which waits for its calls
+	return discovery, at
+}
+
+// serveHTTP serves on a port of loopback until the benchmark ends.
+func serveHTTP(b *testing.B, handler http.Handler) (address string) {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: patience, IdleTimeout: 2 * patience}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		server.Serve(listener)
+	}()
+	b.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			server.Close()
+		}
+		<-served
+	})
+	return listener.Addr().String()
+}
+
+// startSidecar starts a sidecar of its own process and waits until it is ready. It has
+// room for a connection to each server of its working set.
+func startSidecar(b *testing.B, name, discovery string) (pid int, listen string) {
+	b.Helper()
+	dir := b.TempDir()
+	path, listen, err := new(shop.Shop).Config(dir, name, int(addresses.Add(1)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	roomy := strings.Replace(string(text), `"sockets": 128`, `"sockets": 512`, 1)
+	if err := os.WriteFile(path, []byte(roomy), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	command := exec.Command(filepath.Join(programs(b), "sidecar"))
+	command.Env = append(os.Environ(), "TMPDIR="+dir, "BALANCER_CONFIG="+path, "BALANCER_DISCOVERY="+discovery,
+		"BALANCER_LISTEN=", "BALANCER_MGMT=", "MARTENDRUM_FLEET=return")
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		command.Process.Kill()
+		command.Wait()
+	})
+	health := &http.Client{Timeout: patience}
+	defer health.CloseIdleConnections()
+	eventually(b, "a sidecar that is ready", func() bool {
+		response, err := health.Get("http://" + listen + "/_health")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return command.Process.Pid, listen
+}
+
+// chain is applications that call each other, each through its own sidecar or directly.
+type chain struct {
+	client   *http.Client
+	sidecars []string // where each application's sidecar listens
+	apps     []string // where each application listens
+	pids     []int
+	lastID   atomic.Int64
+	ran      [2]atomic.Int64 // calls that the last application answered: through sidecars, direct
+}
+
+// newChain starts the applications in this process and a sidecar process before each.
+func newChain(b *testing.B, servers int) *chain {
+	b.Helper()
+	c := &chain{client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 3 * time.Second}}}
+	b.Cleanup(c.client.CloseIdleConnections)
+	c.apps, c.sidecars = make([]string, chainDepth), make([]string, chainDepth)
+	for depth := range chainDepth {
+		c.apps[depth] = serveHTTP(b, c.application(depth))
+	}
+	for depth := range chainDepth {
+		_, discovery := listServers(b, servers, c.apps[depth])
+		pid, listen := startSidecar(b, fmt.Sprint("depth-", depth), discovery)
+		c.pids = append(c.pids, pid)
+		c.sidecars[depth] = listen
+	}
+	return c
+}
+
+// application answers a call once it has called the next application.
+func (c *chain) application(depth int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if depth+1 < chainDepth {
+			if err := c.call(r.URL.Path, depth+1); err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+		} else if r.URL.Path == throughSidecars {
+			c.ran[0].Add(1)
+		} else {
+			c.ran[1].Add(1)
+		}
+		io.WriteString(w, "yes")
+	})
+}
+
+// call calls the application at a depth, the way that the path says.
+func (c *chain) call(path string, depth int) error {
+	address := c.apps[depth]
+	if path == throughSidecars {
+		address = c.sidecars[depth]
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Req-Id", fmt.Sprintf("c%d", c.lastID.Add(1)))
+	request.Header.Set("Req-Kind", "status-check")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s at depth %d: %s", path, depth, response.Status)
+	}
+	return nil
+}
+
+// latencies are the times of one way's calls.
+type latencies struct {
+	mu     sync.Mutex
+	took   []time.Duration
+	failed []error
+}
+
+func (l *latencies) add(took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failed = append(l.failed, err)
+		return
+	}
+	l.took = append(l.took, took)
+}
+
+// quantile is in milliseconds.
+func (l *latencies) quantile(q float64) float64 {
+	slices.Sort(l.took)
+	return l.took[int(q*float64(len(l.took)-1))].Seconds() * 1000
+}
+
+// load sends calls at random moments for a time, whether or not those before have ended.
+func (c *chain) load(path string, rate float64, last time.Duration) *latencies {
+	measured := &latencies{}
+	var calls sync.WaitGroup
+	next, end := time.Now(), time.Now().Add(last)
+	for {
+		next = next.Add(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+		if next.After(end) {
+			break
+		}
+		time.Sleep(time.Until(next))
+		calls.Go(func() {
+			began := time.Now()
+			err := c.call(path, 0)
+			measured.add(time.Since(began), err)
+		})
+	}
+	calls.Wait()
+	return measured
+}
+
+// both loads both ways at the same time, so that the machine is as busy for each.
+func (c *chain) both(last time.Duration) (sidecars, without *latencies) {
+	var ways sync.WaitGroup
+	ways.Go(func() { sidecars = c.load(throughSidecars, *chainRate, last) })
+	ways.Go(func() { without = c.load(direct, *chainRate, last) })
+	ways.Wait()
+	return sidecars, without
+}
+
+// BenchmarkChainCapacity sends calls through a chain of seven sidecars, a process each, and
+// through the same applications without them. Run it with -benchtime=1x.
+func BenchmarkChainCapacity(b *testing.B) {
+	for _, servers := range capacitySizes(b, *chainServers) {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c := newChain(b, servers)
+			c.both(chainWarm)
+			for b.Loop() {
+				before := usages(b, c.pids...)
+				ranBefore := c.ran[0].Load()
+				sidecars, without := c.both(*chainWindow)
+				reportShare(b, "sidecar", before, usages(b, c.pids...), *chainWindow)
+				for _, way := range []*latencies{sidecars, without} {
+					if failed := len(way.failed); failed > 0 {
+						b.Fatalf("%d calls failed and %d did not, the first: %v", failed, len(way.took), way.failed[0])
+					}
+				}
+				b.ReportMetric(sidecars.quantile(0.5), "sidecars-p50-ms")
+				b.ReportMetric(sidecars.quantile(0.99), "sidecars-p99-ms")
+				b.ReportMetric(without.quantile(0.5), "direct-p50-ms")
+				b.ReportMetric(without.quantile(0.99), "direct-p99-ms")
+				b.ReportMetric(sidecars.quantile(0.99)-without.quantile(0.99), "added-p99-ms")
+				b.ReportMetric(float64(c.ran[0].Load()-ranBefore)/float64(len(sidecars.took)), "runs/call")
+			}
+		})
+	}
+}
+
+// BenchmarkSidecarListCapacity measures one sidecar without traffic, by the length of its
+// server list: at rest, and while one server a tenth of a second starts to drain or comes
+// back. Run it with -benchtime=1x.
+func BenchmarkSidecarListCapacity(b *testing.B) {
+	const changeEvery = 100 * time.Millisecond
+	for _, servers := range []int{30, 300, 3000, 21000} {
+		for _, changing := range []bool{false, true} {
+			b.Run(fmt.Sprintf("servers=%d/changing=%v", servers, changing), func(b *testing.B) {
+				discovery, at := listServers(b, servers, "127.0.0.1:9")
+				pid, _ := startSidecar(b, "listed", at)
+				for b.Loop() {
+					time.Sleep(*capacitySettled)
+					before, began := usages(b, pid), time.Now()
+					for index := 2; changing && time.Since(began) < *capacityWindow; index++ {
+						time.Sleep(changeEvery)
+						discovery.changes <- changeOf(index, servers).line(b)
+					}
+					time.Sleep(time.Until(began.Add(*capacityWindow)))
+					reportShare(b, "sidecar", before, usages(b, pid), time.Since(began))
+				}
+			})
+		}
+	}
+}
+
+// changeOf is the change with an index: a server starts to drain, and comes back next.
+func changeOf(index, servers int) chainList {
+	status := "draining"
+	if index%2 == 1 {
+		status = "up"
+	}
+	server := index / 2 % servers
+	return chainList{Index: index, Endpoints: []chainEntry{{
+		Name: fmt.Sprintf("server-%05d", server), Address: "127.0.0.1:9", Zone: fmt.Sprintf("zone-%02d", server%27), Status: status, Weight: 1,
+	}}}
+}
--- a/internal/fleetsim/membership_capacity_test.go
+++ b/internal/fleetsim/membership_capacity_test.go
@@ -3,13 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"runtime"
-	"strconv"
-	"strings"
-	"syscall"
 	"testing"
 	"time"
 
+	"martendrum/internal/capacity/measure"
 	"martendrum/internal/peers"
 )
 
@@ -25,16 +24,12 @@
 // membershipStep is the resolution of the measured time to converge.
 const membershipStep = 250 * time.Millisecond
 
-// sizesOf reads a comma separated list of sizes.
-func sizesOf(b *testing.B, list string) []int {
+// capacityFleets reads the sizes that the flag gives.
+func capacityFleets(b *testing.B) []int {
 	b.Helper()
-	var sizes []int
-	for field := range strings.SplitSeq(list, ",") {
-		size, err := strconv.Atoi(field)
-		if err != nil {
-			b.Fatal(err)
-		}
-		sizes = append(sizes, size)
+	sizes, err := measure.Sizes(*capacitySizes)
+	if err != nil {
+		b.Fatal(err)
 	}
 	return sizes
 }
@@ -42,19 +37,11 @@
 // processorTime is what this process has used so far.
 func processorTime(b *testing.B) time.Duration {
 	b.Helper()
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+	usage, err := measure.Process(os.Getpid())
+	if err != nil {
 		b.Fatal(err)
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
-// heapInUse is the live heap after a collection.
-func heapInUse() uint64 {
-	var stats runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
+	return usage.Processor
 }
 
 // sentBytes is what all sidecars of a simulated fleet have sent so far.
@@ -78,7 +65,7 @@
 // the default budget of 600 bytes a second, and measures the simulated time until nine in
 // ten know 99 in 100 of the others. Run it with -benchtime=1x.
 func BenchmarkMembershipCapacity(b *testing.B) {
-	for _, size := range sizesOf(b, *capacitySizes) {
+	for _, size := range capacityFleets(b) {
 		for seed := 1; seed <= *capacitySeeds; seed++ {
 			b.Run(fmt.Sprintf("size=%d/seed=%d", size, seed), func(b *testing.B) {
 				for b.Loop() {
@@ -90,7 +77,7 @@
 }
 
 func measureMembership(b *testing.B, size int, seed uint64) {
-	heapBefore := heapInUse()
+	heapBefore := measure.HeapInUse()
 	processorBefore := processorTime(b)
 	fleet := gossip(size, seed, platform, capacityWorkers)
 	converged := func() bool { return fleet.Share(knowsNearlyAll(fleet, size)) >= 0.9 }
@@ -104,7 +91,7 @@
 	b.ReportMetric(fleet.Now.Seconds(), "s-to-converge")
 	b.ReportMetric(float64(sentBytes(fleet, size))/sidecarSeconds, "sent-B/s")
 	b.ReportMetric((processorTime(b)-processorBefore).Seconds()*1e6/sidecarSeconds, "cpu-us/s")
-	b.ReportMetric(float64(heapInUse()-heapBefore)/float64(size), "heap-B/sidecar")
+	b.ReportMetric(float64(measure.HeapInUse()-heapBefore)/float64(size), "heap-B/sidecar")
 	runtime.KeepAlive(fleet)
 }
 
@@ -114,11 +101,11 @@
 	for _, size := range []int{300, 1000, 3000, 10000, 21000} {
 		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
 			for b.Loop() {
-				before := heapInUse()
+				before := measure.HeapInUse()
 				fleet := NewGossip(size, 1, platform, 1, peers.Config{Fleet: "test", Kinds: kinds})
-				places := heapInUse()
+				places := measure.HeapInUse()
 				fleet.Up(0)
-				b.ReportMetric(float64(heapInUse()-places), "heap-B/node")
+				b.ReportMetric(float64(measure.HeapInUse()-places), "heap-B/node")
 				b.ReportMetric(float64(places-before)/float64(size), "model-B/place")
 				runtime.KeepAlive(fleet)
 			}
