--- a/internal/fleet/distribution/node/subscriber.go
+++ b/internal/fleet/distribution/node/subscriber.go
@@ -52,10 +52,6 @@
 // back. It is spread wide, so that a relay that returns is not asked by all at once.
 const moveEach = 30 * time.Second
 
-// firstWait is how long the first call of a connection waits for a change: a relay that has
-// just lost sight of the writer may be a little behind the host.
-const firstWait = 300 * time.Millisecond
-
 // NewSubscriber returns a Subscriber that does not run yet.
 func NewSubscriber(cfg SubscriberConfig) *Subscriber {
 	return &Subscriber{cfg: cfg, chooser: distribution.NewChooser(cfg.Interest.Host, cfg.Region, cfg.Zone, cfg.Relays)}
@@ -133,7 +129,8 @@
 	reader := distribution.NewReader(s.cfg.Limits)
 	move := time.Now().Add(moveEach/3 + rand.N(moveEach))
 	state := s.cfg.Copy.State()
-	in := &api.SettingsWatchIn{Host: s.cfg.Interest.Host, Session: session, Interest: &s.cfg.Interest, State: &state, Wait: firstWait}
+	// A connection's first call does not wait: acknowledgements go out once it is answered.
+	in := &api.SettingsWatchIn{Host: s.cfg.Interest.Host, Session: session, Interest: &s.cfg.Interest, State: &state}
 	for {
 		if err := s.watch(ctx, conn, reader, in); err != nil {
 			return err
--- a/internal/fleet/e2e/chain_capacity_test.go
+++ b/internal/fleet/e2e/chain_capacity_test.go
@@ -177,6 +177,7 @@
 
 // chain is applications that call each other, each through its own sidecar or directly.
 type chain struct {
+	depth    int
 	client   *http.Client
 	sidecars []string // where each application's sidecar listens
 	apps     []string // where each application listens
@@ -185,29 +186,30 @@
 	ran      [2]atomic.Int64 // calls that the last application answered: through sidecars, direct
 }
 
-// newChain starts the applications in this process and a sidecar process before each.
-func newChain(b *testing.B, servers int) *chain {
+// newChain starts applications in this process, so many deep, and a sidecar process before
+// each.
+func newChain(b *testing.B, depth, servers int) *chain {
 	b.Helper()
-	c := &chain{client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 3 * time.Second}}}
+	c := &chain{depth: depth, client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 3 * time.Second}}}
 	b.Cleanup(c.client.CloseIdleConnections)
-	c.apps, c.sidecars = make([]string, chainDepth), make([]string, chainDepth)
-	for depth := range chainDepth {
-		c.apps[depth] = serveHTTP(b, c.application(depth))
+	c.apps, c.sidecars = make([]string, depth), make([]string, depth)
+	for level := range depth {
+		c.apps[level] = serveHTTP(b, c.application(level))
 	}
-	for depth := range chainDepth {
-		_, discovery := listServers(b, servers, c.apps[depth])
-		pid, listen := startSidecar(b, fmt.Sprint("depth-", depth), discovery)
+	for level := range depth {
+		_, discovery := listServers(b, servers, c.apps[level])
+		pid, listen := startSidecar(b, fmt.Sprint("level-", level), discovery)
 		c.pids = append(c.pids, pid)
-		c.sidecars[depth] = listen
+		c.sidecars[level] = listen
 	}
 	return c
 }
 
 // application answers a call once it has called the next application.
-func (c *chain) application(depth int) http.Handler {
+func (c *chain) application(level int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if depth+1 < chainDepth {
-			if err := c.call(r.URL.Path, depth+1); err != nil {
+		if level+1 < c.depth {
+			if err := c.call(r.URL.Path, level+1); err != nil {
 				http.Error(w, err.Error(), http.StatusInternalServerError)
 				return
 			}
@@ -220,11 +222,11 @@
 	})
 }
 
-// call calls the application at a depth, the way that the path says.
-func (c *chain) call(path string, depth int) error {
-	address := c.apps[depth]
+// call calls the application at a level, the way that the path says.
+func (c *chain) call(path string, level int) error {
+	address := c.apps[level]
 	if path == throughSidecars {
-		address = c.sidecars[depth]
+		address = c.sidecars[level]
 	}
 	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
@@ -241,7 +243,7 @@
 		return err
 	}
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s at depth %d: %s", path, depth, response.Status)
+		return fmt.Errorf("%s at level %d: %s", path, level, response.Status)
 	}
 	return nil
 }
@@ -291,42 +293,61 @@
 }
 
 // both loads both ways at the same time, so that the machine is as busy for each.
-func (c *chain) both(last time.Duration) (sidecars, without *latencies) {
+func (c *chain) both(rate float64, last time.Duration) (sidecars, without *latencies) {
 	var ways sync.WaitGroup
-	ways.Go(func() { sidecars = c.load(throughSidecars, *chainRate, last) })
-	ways.Go(func() { without = c.load(direct, *chainRate, last) })
+	ways.Go(func() { sidecars = c.load(throughSidecars, rate, last) })
+	ways.Go(func() { without = c.load(direct, rate, last) })
 	ways.Wait()
 	return sidecars, without
 }
 
 // BenchmarkChainCapacity sends calls through a chain of seven sidecars, a process each, and
-// through the same applications without them. Run it with -benchtime=1x.
+// through the same applications without them, by the length of the sidecars' server lists.
+// Run it with -benchtime=1x.
 func BenchmarkChainCapacity(b *testing.B) {
 	for _, servers := range capacitySizes(b, *chainServers) {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			c := newChain(b, servers)
-			c.both(chainWarm)
-			for b.Loop() {
-				before := usages(b, c.pids...)
-				ranBefore := c.ran[0].Load()
-				sidecars, without := c.both(*chainWindow)
-				reportShare(b, "sidecar", before, usages(b, c.pids...), *chainWindow)
-				for _, way := range []*latencies{sidecars, without} {
-					if failed := len(way.failed); failed > 0 {
-						b.Fatalf("%d calls failed and %d did not, the first: %v", failed, len(way.took), way.failed[0])
-					}
-				}
-				b.ReportMetric(sidecars.quantile(0.5), "sidecars-p50-ms")
-				b.ReportMetric(sidecars.quantile(0.99), "sidecars-p99-ms")
-				b.ReportMetric(without.quantile(0.5), "direct-p50-ms")
-				b.ReportMetric(without.quantile(0.99), "direct-p99-ms")
-				b.ReportMetric(sidecars.quantile(0.99)-without.quantile(0.99), "added-p99-ms")
-				b.ReportMetric(float64(c.ran[0].Load()-ranBefore)/float64(len(sidecars.took)), "runs/call")
-			}
+			measureChain(b, newChain(b, chainDepth, servers), *chainRate)
+		})
+	}
+}
+
+// connectionServers is the length of the server list of BenchmarkCallRateCapacity.
+const connectionServers = 300
+
+// BenchmarkCallRateCapacity sends calls through one sidecar with a list of 300 servers, by
+// calls a second: its connections, processor time and memory. Run it with -benchtime=1x.
+func BenchmarkCallRateCapacity(b *testing.B) {
+	for _, rate := range []int{15, 31, 62, 124, 248} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			measureChain(b, newChain(b, 1, connectionServers), float64(rate))
 		})
 	}
 }
 
+// measureChain loads a chain that has warmed up, and reports the times of its calls and
+// what its sidecars use.
+func measureChain(b *testing.B, c *chain, rate float64) {
+	b.Helper()
+	c.both(rate, chainWarm)
+	for b.Loop() {
+		before, ranBefore := usages(b, c.pids...), c.ran[0].Load()
+		sidecars, without := c.both(rate, *chainWindow)
+		reportShare(b, "sidecar", before, usages(b, c.pids...), *chainWindow)
+		for _, way := range []*latencies{sidecars, without} {
+			if failed := len(way.failed); failed > 0 {
+				b.Fatalf("%d calls failed and %d did not, the first: %v", failed, len(way.took), way.failed[0])
+			}
+		}
+		b.ReportMetric(sidecars.quantile(0.5), "sidecars-p50-ms")
+		b.ReportMetric(sidecars.quantile(0.99), "sidecars-p99-ms")
+		b.ReportMetric(without.quantile(0.5), "direct-p50-ms")
+		b.ReportMetric(without.quantile(0.99), "direct-p99-ms")
+		b.ReportMetric(sidecars.quantile(0.99)-without.quantile(0.99), "added-p99-ms")
+		b.ReportMetric(float64(c.ran[0].Load()-ranBefore)/float64(len(sidecars.took)), "runs/call")
+	}
+}
+
 // BenchmarkSidecarListCapacity measures one sidecar without traffic, by the length of its
 // server list: at rest, and while one server a tenth of a second starts to drain or comes
 // back. Run it with -benchtime=1x.
--- a/internal/fleet/e2e/command_capacity_test.go
+++ b/internal/fleet/e2e/command_capacity_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"martendrum/internal/capacity/measure"
+	"martendrum/internal/fleet/inventory"
+	"martendrum/internal/standin/faultnet"
 )
 
 var capacityHosts = flag.String("capacity-hosts", "50,100,200,400", "numbers of hosts of the capacity benchmarks of one command")
@@ -21,11 +23,17 @@
 // inventoryFile writes the inventory of a simulated fleet for commands that run as
 // processes of their own.
 func inventoryFile(b *testing.B, fleet *simulated) string {
+	b.Helper()
+	return inventoryOf(b, fleet, func(host inventory.Host) string { return host.Address })
+}
+
+// inventoryOf writes an inventory in which each host is reached at the address given.
+func inventoryOf(b *testing.B, fleet *simulated, address func(inventory.Host) string) string {
 	b.Helper()
 	var text strings.Builder
 	text.WriteString("timeout = \"10s\"\n")
 	for _, agent := range fleet.fleet.Agents {
-		fmt.Fprintf(&text, "[[host]]\nname = %q\naddress = %q\n", agent.Host.Name, agent.Host.Address)
+		fmt.Fprintf(&text, "[[host]]\nname = %q\naddress = %q\n", agent.Host.Name, address(agent.Host))
 	}
 	path := filepath.Join(b.TempDir(), "fleet.toml")
 	if err := os.WriteFile(path, []byte(text.String()), 0o600); err != nil {
@@ -77,9 +85,9 @@
 			fleet := simulate(b, hosts, 1, time.Millisecond, time.Millisecond, nil)
 			fleet.fleet.Close()
 			heap, descriptors := measure.HeapInUse()-heapBefore, ownDescriptors(b)-descriptorsBefore
-			inventory := inventoryFile(b, fleet)
+			file := inventoryFile(b, fleet)
 			for b.Loop() {
-				measureCommand(b, "--fleet", inventory, "reload", "--all", "--batch", "100%", "--soak", "0s")
+				measureCommand(b, "--fleet", file, "reload", "--all", "--batch", "100%", "--soak", "0s")
 			}
 			b.ReportMetric(float64(heap)/float64(hosts), "agent-heap-B/host")
 			b.ReportMetric(float64(descriptors)/float64(hosts), "agent-descriptors/host")
@@ -93,10 +101,44 @@
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			fleet := simulate(b, hosts, 1, time.Millisecond, time.Millisecond, nil)
 			fleet.fleet.Close()
-			inventory := inventoryFile(b, fleet)
+			file := inventoryFile(b, fleet)
+			for b.Loop() {
+				measureCommand(b, "--fleet", file, "list", "--json")
+			}
+		})
+	}
+}
+
+// BenchmarkReloadBytesCapacity counts what one reload command sends to each host and gets
+// from it, over TCP without TLS: a relay stands before each agent. Run it with
+// -benchtime=1x.
+func BenchmarkReloadBytesCapacity(b *testing.B) {
+	for _, hosts := range capacitySizes(b, *capacityHosts) {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			fleet := simulate(b, hosts, 1, time.Millisecond, time.Millisecond, nil)
+			fleet.fleet.Close()
+			network := faultnet.New(1)
+			b.Cleanup(network.Close)
+			var links []*faultnet.Link
+			file := inventoryOf(b, fleet, func(host inventory.Host) string {
+				link, err := network.TCP(host.Name, strings.TrimPrefix(host.Address, "tcp:"))
+				if err != nil {
+					b.Fatal(err)
+				}
+				links = append(links, link)
+				return "tcp:" + link.Addr()
+			})
 			for b.Loop() {
-				measureCommand(b, "--fleet", inventory, "list", "--json")
+				measureCommand(b, "--fleet", file, "reload", "--all", "--batch", "100%", "--soak", "0s")
+			}
+			var sent, received int64
+			for _, link := range links {
+				there, back := link.Carried()
+				sent += there
+				received += back
 			}
+			b.ReportMetric(float64(sent)/float64(hosts), "sent-B/host")
+			b.ReportMetric(float64(received)/float64(hosts), "received-B/host")
 		})
 	}
 }
