TestSettingsThatCrashAreRefused runs its sidecar under a Go program, not a shell

Cause: a whole run on two cores beside other work failed: the shell that passed SIGHUP on waited for its child and lost the first one, so good settings went unanswered and counted as refused.

--- a/internal/fleet/e2e/main_test.go
+++ b/internal/fleet/e2e/main_test.go
@@ -47,6 +47,13 @@
 		}
 		return
 	}
+	if program := os.Getenv(crashingEnv); program != "" {
+		if err := crashingSidecar(program); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	code := m.Run()
 	if built != "" {
 		os.RemoveAll(built)
--- a/internal/fleet/e2e/settings_crash_test.go
+++ b/internal/fleet/e2e/settings_crash_test.go
@@ -1,25 +1,51 @@
 package e2e
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
-// crashingSidecar is a sidecar that ends when it is told to read a configuration with a memory
-// limit of crashingLimit.
-const (
-	crashingLimit   = 77
-	crashingSidecar = `#!/bin/sh
-%[1]q &
-pid=$!
-trap 'if grep -q "\"memory_mb\": %[2]d" "$BALANCER_CONFIG"; then kill -KILL $pid; exit 3; fi; kill -HUP $pid' HUP
-trap 'kill -TERM $pid; wait $pid; exit 0' TERM
-while kill -0 $pid 2>/dev/null; do wait $pid; done
-`
-)
+// crashingLimit is the memory limit at which crashingSidecar ends.
+const crashingLimit = 77
+
+// crashingEnv names the program that crashingSidecar runs, in the environment of this test's
+// own program. A shell would do, but one that waits may miss a signal.
+const crashingEnv = "E2E_CRASHING_SIDECAR"
+
+// crashingSidecar runs a sidecar and passes signals on to it, but for a SIGHUP by which it
+// would take crashingLimit: that ends both.
+func crashingSidecar(program string) error {
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM)
+	sidecar := exec.Command(program)
+	sidecar.Stdout, sidecar.Stderr = os.Stdout, os.Stderr
+	if err := sidecar.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- sidecar.Wait() }()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case got := <-signals:
+			text, err := os.ReadFile(os.Getenv("BALANCER_CONFIG"))
+			if got == syscall.SIGHUP && (err != nil || bytes.Contains(text, fmt.Appendf(nil, `"memory_mb": %d`, crashingLimit))) {
+				sidecar.Process.Kill()
+				return errors.Join(errors.New("ended by its configuration"), err)
+			}
+			sidecar.Process.Signal(got)
+		}
+	}
+}
 
 // Settings that end the process which takes them are refused after the second time: the
 // processes started since run with the last accepted ones, and a later revision gets through.
@@ -31,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	program := w.script("crashing", fmt.Sprintf(crashingSidecar, filepath.Join(w.bin, "sidecar"), crashingLimit))
+	program := w.script("crashing", fmt.Sprintf("#!/bin/sh\n%s=%q exec %q\n", crashingEnv, filepath.Join(w.bin, "sidecar"), os.Args[0]))
 	changed := strings.Replace(string(text), fmt.Sprintf("binary = %q", filepath.Join(w.bin, "sidecar")), fmt.Sprintf("binary = %q", program), 1)
 	if changed == string(text) {
 		t.Fatal("the configuration names no program to replace")
