docs/CAPACITY.md: what each role needs at 21,000 servers, from measured slopes

Need: the size that the operators expect decides the design from now on. Change: internal/capacity holds the raw results in Go's benchmark format, the fits and the program that makes the page's tables; a test fails where page and data differ, or a figure is changed. Measured: see the page.

--- /dev/null
+++ b/internal/capacity/mechanisms.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Mechanism is a need of the fleet and what carries it today.
+type Mechanism struct {
+	Need    string
+	Needed  float64 // in Unit
+	There   Interval
+	Unit    string
+	Carrier string  // empty: none
+	Factor  float64 // how many times what is there misses the need; infinite: there is nothing
+	Remark  string
+}
+
+// mechanism sets a need against what there is, where less is better.
+func mechanism(need string, needed float64, there Interval, unit, carrier, remark string) Mechanism {
+	return Mechanism{need, needed, there, unit, carrier, there.Value / needed, remark}
+}
+
+// missing is a need that nothing carries.
+func missing(need, remark string) Mechanism {
+	return Mechanism{Need: need, Factor: math.Inf(1), Remark: remark}
+}
+
+// mechanisms are all, the furthest from what is needed first.
+func mechanisms(c *curves) []Mechanism {
+	sizes := ServiceSizes()
+	length := assumedLists()
+	reload := c.at(CommandReload, "elapsed time", Servers)
+	commandBytes := c.at(CommandBytes, "sent to a host", Servers).plus(c.at(CommandBytes, "received from a host", Servers))
+	budget := make(map[string]Estimate)
+	for _, estimate := range budgetEstimates(c) {
+		budget[estimate.Figure] = estimate
+	}
+	badMinuteProcessor, memory := budget["processor time, bad minute"], budget["resident memory of both"]
+	listBytes := c.at(WholeList, "bytes of a server on the wire", length.usual).times(length.usual / ConvergeSeconds)
+	const relays = "`internal/fleet/distribution`"
+	const command, peers, watch = "one command (`internal/fleet/client`)", "`internal/peers`", "`internal/discovery`"
+	all := []Mechanism{
+		missing("an acknowledged change outlives the loss of the writer's disk", "what no relay had copied is lost; an operator promotes a relay"),
+		mechanism("settings in force at all hosts", ConvergeSeconds, c.at(Distribution, "change for all, all", Servers), "s", relays, "with 1 s in which changes are gathered; a sidecar's own time to apply comes on top"),
+		mechanism("settings reach hosts that were away", ConvergeSeconds, c.at(Distribution, "a ninth back after a cut, all", Servers), "s", relays, "after their return"),
+		mechanism("it is known whether a change is in force everywhere", ConvergeSeconds, c.at(Distribution, "change for all, known at the writer", Servers), "s", relays, ""),
+		mechanism("settings at all hosts when all start at once", ConvergeSeconds, c.at(Distribution, "after a loss of power, all", Servers), "s", relays, "21,000 handshakes of mutual TLS, both ends on one machine of 8 cores; hosts go on with what they accepted last"),
+		mechanism("13,000 changes a day by commands, one after the other", secondsPerDay/float64(ChangesPerDay), reload, "s", command, "the way before; settings go by relays now, restarts and upgrades still go this way"),
+		mechanism("one command to all hosts", ConvergeSeconds, reload, "s", command, "if it could run: see descriptors and memory"),
+		mechanism("bytes of a change at each host, within 16 s", ControlBytesPerSecond, commandBytes.times(1/ConvergeSeconds), "B/s", command, "the list of all targets goes to each host"),
+		mechanism("memory of the process that directs a change", float64(controlMachineGigabytes<<10), c.at(CommandReload, "peak memory of the command", Servers), "MiB", command, "limit assumed"),
+		mechanism("descriptors of the process that directs a change", ProcessDescriptors, c.at(CommandReload, "descriptors of the command", Servers), "descriptors", command, "it does not start to change anything: the last hosts can't be reached"),
+		mechanism("membership of all sidecars after all start", ConvergeSeconds, c.at(Membership, "time to converge", Servers), "s", peers, "16 s is borrowed; no need asks for one membership of all"),
+		mechanism("membership of those that call the largest service", ConvergeSeconds, c.at(Membership, "time to converge", callersOfLargest(sizes)), "s", peers, "16 s is borrowed"),
+		mechanism("membership of the largest service's own sidecars", ConvergeSeconds, c.at(Membership, "time to converge", float64(sizes[0])), "s", peers, "16 s is borrowed; by configuration, one fleet name for each service"),
+		mechanism("the loss of a zone is known in a membership of all", ConvergeSeconds, c.at(MembershipChange, "a zone (one in 27) lost", Servers), "s", peers, "16 s is borrowed"),
+		mechanism("bytes of a whole server list at a start, over 16 s", ControlBytesPerSecond, listBytes, "B/s", watch, "5 services"),
+		mechanism("services that one sidecar can call", 1, exactly(servicesCalled), "services", "one list of one service for each sidecar", "needed: 5, assumed; there: 1"),
+		mechanism("2 ms added at 7 deep, for 99 in 100", AddedMilliseconds, c.at(Chain, "difference of the 99th percentiles", length.usual), "ms", "`internal/front`, `internal/upstream`, the root package", "seven together"),
+		mechanism("2 ms added by one sidecar, for 99 in 100", AddedMilliseconds, c.at(CallRate, "difference of the 99th percentiles", callsPerSidecar), "ms", "the same", ""),
+		mechanism("a change of the server list is known", ConvergeSeconds, exactly(6), "s", watch, "bound in the code, tested there"),
+		mechanism("processor time for control in a bad minute", ControlCorePercent, badMinuteProcessor.Value, "% of a core", "agent and sidecar", "settings by reload"),
+		mechanism("memory for control, sidecar and agent", controlMebibyte, memory.Value, "MiB", "agent and sidecar", "5 services, one sidecar on the host"),
+		mechanism("descriptors of a sidecar", ProcessDescriptors, c.at(CallRate, "descriptors", callsPerSidecar), "descriptors", "`internal/upstream`", ""),
+	}
+	slices.SortStableFunc(all, func(a, b Mechanism) int { return -cmp.Compare(a.Factor, b.Factor) })
+	return all
+}
--- a/internal/fleetsim/membership_capacity_test.go
+++ b/internal/fleetsim/membership_capacity_test.go
@@ -76,17 +76,25 @@
 	}
 }
 
+// runUntilNineInTen runs a fleet, in steps, until a condition holds for nine in ten of its
+// sidecars, and returns how long that took.
+func runUntilNineInTen(b *testing.B, fleet *Gossip, step time.Duration, condition func(Peer) bool) time.Duration {
+	b.Helper()
+	began := fleet.Now
+	for fleet.Share(condition) < 0.9 {
+		if fleet.Now-began > *capacityLimit {
+			b.Fatalf("not converged after %v of simulated time", fleet.Now-began)
+		}
+		fleet.Run(fleet.Now+step, nil)
+	}
+	return fleet.Now - began
+}
+
 func measureMembership(b *testing.B, size int, seed uint64) {
 	heapBefore := measure.HeapInUse()
 	processorBefore := processorTime(b)
 	fleet := gossip(size, seed, platform, capacityWorkers)
-	converged := func() bool { return fleet.Share(knowsNearlyAll(fleet, size)) >= 0.9 }
-	for !converged() && fleet.Now < *capacityLimit {
-		fleet.Run(fleet.Now+membershipStep, nil)
-	}
-	if !converged() {
-		b.Fatalf("%d sidecars: not converged after %v of simulated time", size, fleet.Now)
-	}
+	runUntilNineInTen(b, fleet, membershipStep, knowsNearlyAll(fleet, size))
 	sidecarSeconds := float64(size) * fleet.Now.Seconds()
 	b.ReportMetric(fleet.Now.Seconds(), "s-to-converge")
 	b.ReportMetric(float64(sentBytes(fleet, size))/sidecarSeconds, "sent-B/s")
@@ -112,3 +120,82 @@
 		})
 	}
 }
+
+// changeStep is the resolution of the measured times of a single change.
+const changeStep = 20 * time.Millisecond
+
+// zones is the number of zones of the fleet: one of them is lost in a benchmark.
+const zones = 27
+
+// BenchmarkMembershipChangeCapacity measures changes in a fleet whose members know each
+// other: the simulated time until nine in ten know of one restart, of the loss of a zone
+// (one member in 27, all killed at once), and of the zone's return. Run it with
+// -benchtime=1x.
+func BenchmarkMembershipChangeCapacity(b *testing.B) {
+	for _, size := range capacityFleets(b) {
+		for seed := 1; seed <= *capacitySeeds; seed++ {
+			b.Run(fmt.Sprintf("size=%d/seed=%d", size, seed), func(b *testing.B) {
+				for b.Loop() {
+					measureMembershipChange(b, size, uint64(seed))
+				}
+			})
+		}
+	}
+}
+
+func measureMembershipChange(b *testing.B, size int, seed uint64) {
+	fleet := gossip(size, seed, platform, capacityWorkers)
+	runUntilNineInTen(b, fleet, membershipStep, knowsNearlyAll(fleet, size))
+	restarted := size - 1
+	fleet.Up(restarted)
+	knowsRestart := knowsAlive(fleet, []int{restarted}, lifeNumbers(fleet, []int{restarted}))
+	b.ReportMetric(runUntilNineInTen(b, fleet, changeStep, knowsRestart).Seconds(), "s-restart")
+
+	lost := make([]int, max(1, size/zones))
+	for i := range lost {
+		lost[i] = i
+		fleet.Stop(i)
+	}
+	b.ReportMetric(runUntilNineInTen(b, fleet, membershipStep, knowsLost(fleet, lost)).Seconds(), "s-zone-lost")
+	for _, rank := range lost {
+		fleet.Up(rank)
+	}
+	knowsReturn := knowsAlive(fleet, lost, lifeNumbers(fleet, lost))
+	b.ReportMetric(runUntilNineInTen(b, fleet, changeStep, knowsReturn).Seconds(), "s-zone-returned")
+}
+
+// lifeNumbers are the present life numbers of running sidecars.
+func lifeNumbers(fleet *Gossip, ranks []int) []uint64 {
+	numbers := make([]uint64, len(ranks))
+	for i, rank := range ranks {
+		peer, _ := fleet.Peer(rank)
+		numbers[i] = peer.Life()
+	}
+	return numbers
+}
+
+// knowsAlive says that a sidecar takes some others for alive, in these lives.
+func knowsAlive(fleet *Gossip, ranks []int, lives []uint64) func(Peer) bool {
+	return func(peer Peer) bool {
+		for i, rank := range ranks {
+			member := peer.Member(peers.Rank(rank), fleet.Now)
+			if member.State != peers.Alive || member.Life < lives[i] {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// knowsLost says that a sidecar takes none of some others for alive or only suspect.
+func knowsLost(fleet *Gossip, ranks []int) func(Peer) bool {
+	return func(peer Peer) bool {
+		for _, rank := range ranks {
+			state := peer.Member(peers.Rank(rank), fleet.Now).State
+			if state != peers.Dead && state != peers.Silent {
+				return false
+			}
+		}
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/return_capacity_test.go
@@ -0,0 +1,36 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// serversEach is how many sidecars there are for each server of the model's power loss.
+const serversEach = 5
+
+// BenchmarkReturnCapacity plays a power loss of the whole fleet at several sizes: all
+// sidecars start within two seconds and all servers are cold. It measures the simulated
+// time until nine tenths of the worth are served again, without and with what sidecars
+// tell each other. Run it with -benchtime=1x.
+func BenchmarkReturnCapacity(b *testing.B) {
+	for _, size := range capacityFleets(b) {
+		for _, share := range []bool{false, true} {
+			for seed := 1; seed <= *capacitySeeds; seed++ {
+				b.Run(fmt.Sprintf("size=%d/share=%v/seed=%d", size, share, seed), func(b *testing.B) {
+					for b.Loop() {
+						loss := platformLoss(size, size/serversEach, uint64(seed)).staged()
+						loss.Share, loss.Workers = share, capacityWorkers
+						returned := loss.Play()
+						seconds := returned.Back(-1, 0.9)
+						if seconds < 0 {
+							b.Fatalf("nine tenths are not served after %v", loss.Until)
+						}
+						b.ReportMetric(float64(seconds), "s-to-nine-tenths")
+						b.ReportMetric(returned.Bytes, "sent-B/s")
+						b.ReportMetric(float64(returned.Fallen), "servers-fallen")
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/sqlite/keys_capacity_test.go
@@ -0,0 +1,94 @@
+package sqlite
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"martendrum/internal/record"
+	bt "martendrum/internal/record/backendtest"
+)
+
+// capacityRecordMost is the bound of the record's file in the capacity benchmark.
+const capacityRecordMost = 256 << 20
+
+// capacityAnswer is the length of the answers that are kept, in bytes.
+const capacityAnswer = 512
+
+// capacityCommit is how many keys share a commit while the record is filled.
+const capacityCommit = 100
+
+// BenchmarkKeysCapacity measures a record by the number of its keys: bytes of its file for
+// each, one further key from its claim to its answer in three commits, and the start on the
+// file. Run it with -benchtime=200x.
+func BenchmarkKeysCapacity(b *testing.B) {
+	for _, keys := range []int{1000, 3000, 10000, 30000, 100000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			config := cfg(filepath.Join(b.TempDir(), "record.db"))
+			config.Most = capacityRecordMost
+			fillRecord(b, config, keys)
+			file, err := os.Stat(config.Path)
+			if err != nil {
+				b.Fatal(err)
+			}
+			began := time.Now()
+			store, err := Open(ctx, config)
+			if err != nil {
+				b.Fatal(err)
+			}
+			opened := time.Since(began)
+			defer store.Close()
+			key := 0
+			for b.Loop() {
+				for _, operation := range lifeOfKey(fmt.Sprint("further-", key)) {
+					applyAll(b, store, operation)
+				}
+				key++
+			}
+			b.ReportMetric(float64(file.Size())/float64(keys), "file-B/key")
+			b.ReportMetric(opened.Seconds()*1000, "ms-to-open")
+		})
+	}
+}
+
+// lifeOfKey is what a request with a key brings to the record.
+func lifeOfKey(key string) []*record.Op {
+	end := bt.End(key, key, record.Answered)
+	end.Answer = bytes.Repeat([]byte{'a'}, capacityAnswer)
+	return []*record.Op{bt.Claim(key, key, time.Hour), bt.Send(key, key, 0), end}
+}
+
+func applyAll(b *testing.B, store *Store, operations ...*record.Op) {
+	b.Helper()
+	if err := store.Apply(ctx, operations); err != nil {
+		b.Fatal(err)
+	}
+	for _, operation := range operations {
+		if operation.Result != record.Granted {
+			b.Fatalf("%s: %v", operation.Key, operation.Result)
+		}
+	}
+}
+
+// fillRecord makes a record with so many answered keys.
+func fillRecord(b *testing.B, config Config, keys int) {
+	b.Helper()
+	store, err := Open(ctx, config)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var operations []*record.Op
+	for key := range keys {
+		operations = append(operations, lifeOfKey(fmt.Sprint("key-", key))...)
+		if (key+1)%capacityCommit == 0 || key+1 == keys {
+			applyAll(b, store, operations...)
+			operations = nil
+		}
+	}
+	if err := store.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
