--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -13,10 +13,13 @@
 type Tables struct {
 	results Results
 	curves  *curves
+	made    map[string]string // tables by their names
 }
 
 // NewTables returns the tables of these results.
-func NewTables(results Results) *Tables { return &Tables{results, newCurves(results)} }
+func NewTables(results Results) *Tables {
+	return &Tables{results: results, curves: newCurves(results), made: make(map[string]string)}
+}
 
 // TableError says which table can't be made.
 type TableError struct {
@@ -35,6 +38,17 @@
 // Make makes a table by its name: "needs", "services", "days", "mechanisms", "role NAME", "raw
 // MEASUREMENT" or "fits MEASUREMENT".
 func (t *Tables) Make(name string) (string, error) {
+	if table, made := t.made[name]; made {
+		return table, nil
+	}
+	table, err := t.make(name)
+	if err == nil {
+		t.made[name] = table
+	}
+	return table, err
+}
+
+func (t *Tables) make(name string) (string, error) {
 	kind, of, _ := strings.Cut(name, " ")
 	switch kind {
 	case "needs":
