--- a/balancer.go
+++ b/balancer.go
@@ -49,6 +49,17 @@
 	Unsafe               // must not run twice
 )
 
+// String implements fmt.Stringer.
+func (e Effect) String() string {
+	switch e {
+	case Safe:
+		return "safe"
+	case Keyed:
+		return "keyed"
+	}
+	return "unsafe"
+}
+
 // Scope is the group of servers that drops repeats of a keyed request.
 type Scope int
 
--- a/cmd/sidecar/config.go
+++ b/cmd/sidecar/config.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"martendrum/internal/discovery"
 	"martendrum/internal/settings"
@@ -216,3 +218,22 @@
 	}
 	return nil
 }
+
+// logSettings logs what of the settings decides how long requests may take: an incident's
+// first question is what was in force.
+func (c *config) logSettings(event string) {
+	attributes := []any{"config", c.sum[:8], "discovery", c.discovery, "longest_deadline", c.longestDeadline(), "drain_grace", c.settings.DrainGrace}
+	for _, name := range c.settings.Names() {
+		class := c.settings.ByName(name)
+		attributes = append(attributes, "class_"+name, fmt.Sprintf("%v/%v", class.Rules.Effect, class.Wait))
+	}
+	slog.Info(event, attributes...)
+}
+
+// longestDeadline returns the longest deadline of any class.
+func (c *config) longestDeadline() (longest time.Duration) {
+	for _, deadline := range c.settings.Deadlines {
+		longest = max(longest, deadline)
+	}
+	return longest
+}
--- a/cmd/sidecar/process.go
+++ b/cmd/sidecar/process.go
@@ -243,7 +243,7 @@
 	if next.asks {
 		r.host.AskNow() // what has changed there must be known soon, whether or not a watch is open
 	}
-	slog.Info("configuration taken over", "discovery", next.discovery)
+	next.logSettings("configuration taken over")
 }
 
 // retryUntil calls done each retryInterval until it returns true, or stop is closed: for
--- a/cmd/sidecar/start.go
+++ b/cmd/sidecar/start.go
@@ -67,6 +67,7 @@
 // and predecessor are nil where processes don't hand over.
 func run(c *config, r *resources, place *link.Place, predecessor *link.New, on signals) error {
 	debug.SetGCPercent(gcPercent)
+	c.logSettings("configuration in force")
 	p := newProcess(c, r, place, predecessor)
 	if err := p.createParts(); err != nil {
 		return err
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -48,11 +48,13 @@
 	netConn  net.Conn
 	input    *sock.Lazy
 	answered sync.Cond // signals that exchange became nil
+	accepted time.Time // when the connection was accepted
 
 	// Guarded by the server's lock.
 	state      connState
 	stateSince time.Time
 	exchange   *Exchange // the request that waits for its response; nil: none
+	requests   int       // that were registered so far
 }
 
 // enter changes the state. The server's lock is held.
@@ -112,6 +114,7 @@
 		c.reject(status)
 		return false
 	}
+	c.logIfStopping(x)
 	c.server.handler.Arrive(x)
 	if x.upload == nil {
 		return true
@@ -138,12 +141,25 @@
 	if !s.ids.open(x.id) {
 		return http.StatusConflict
 	}
+	c.requests++
 	c.exchange = x
 	c.enter(stateWaiting)
 	c.netConn.SetReadDeadline(time.Time{}) // the reader notices a disconnect
 	return statusNone
 }
 
+// logIfStopping logs a request that is taken while the process stops: when, and on which
+// kind of connection.
+func (c *conn) logIfStopping(x *Exchange) {
+	s := c.server
+	s.mu.Lock()
+	since, first := s.drainingSince, c.requests == 1
+	s.mu.Unlock()
+	if !since.IsZero() {
+		slog.Info("request taken while stopping", "class", x.Class, "after", time.Since(since), "conn_age", time.Since(c.accepted), "first_on_conn", first)
+	}
+}
+
 // awaitUpload waits until nobody reads the body of x any more. Until somebody begins
 // to, it checks whether the client has disconnected, which an unread body hides.
 func (c *conn) awaitUpload(x *Exchange) {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -72,7 +72,7 @@
 	s := x.conn.server
 	s.mu.Lock()
 	x.answering = true
-	x.keepAlive = x.keepAlive && !s.draining && (x.upload == nil || x.upload.isComplete())
+	x.keepAlive = x.keepAlive && s.drainingSince.IsZero() && (x.upload == nil || x.upload.isComplete())
 	s.mu.Unlock()
 	if x.id != "" { // a request, not a health check
 		s.meter.Answered(x.Class, status)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -25,12 +25,12 @@
 	meter   Meter
 	budget  budget
 
-	mu          sync.Mutex
-	conns       map[*conn]struct{}
-	ids         requestIDs
-	draining    bool
-	health      string          // a header line of health responses
-	healthFuncs []func() string // of further header lines
+	mu            sync.Mutex
+	conns         map[*conn]struct{}
+	ids           requestIDs
+	drainingSince time.Time       // zero: not draining
+	health        string          // a header line of health responses
+	healthFuncs   []func() string // of further header lines
 }
 
 // New returns a Server that hands requests to handler.
@@ -107,7 +107,7 @@
 // add starts the goroutine of an accepted connection, or closes it if there is no room.
 func (s *Server) add(netConn net.Conn) {
 	now := time.Now()
-	c := &conn{server: s, netConn: netConn, stateSince: now}
+	c := &conn{server: s, netConn: netConn, accepted: now, stateSince: now}
 	c.answered.L = &s.mu
 	s.mu.Lock()
 	n, limit := len(s.conns), s.config.MostConns
@@ -131,7 +131,7 @@
 // CloseIdle: closing one may race with its client's next request.
 func (s *Server) Drain(keepIdle bool) {
 	s.mu.Lock()
-	s.draining = true
+	s.drainingSince = time.Now()
 	s.mu.Unlock()
 	if !keepIdle {
 		s.CloseIdle(0)
@@ -142,7 +142,7 @@
 func (s *Server) Draining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return !s.drainingSince.IsZero()
 }
 
 // CloseIdle closes the connections that have been idle for at least the given time.
