--- a/cmd/sidecar/process.go
+++ b/cmd/sidecar/process.go
@@ -122,13 +122,13 @@
 // followDiscovery starts to follow discovery, and notes each list in p.listed.
 func (p *sidecarProcess) followDiscovery() {
 	host := p.resources.host
-	p.watcher.Listed = func(list *discovery.List) {
+	p.watcher.Listed = seamListed(func(list *discovery.List) {
 		host.Listed(list)
 		select {
 		case p.listed <- struct{}{}:
 		default:
 		}
-	}
+	})
 	go p.watcher.Follow()
 }
 
--- a/cmd/sidecar/resources.go
+++ b/cmd/sidecar/resources.go
@@ -93,7 +93,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	host.Limit(r.share.Held, c.fullShare().Held)
-	r.pool, r.server, r.host = pool, front.New(frontConfig, host), host
+	r.pool, r.server, r.host = pool, front.New(frontConfig, seamHandler(host)), host
 	return nil
 }
 
--- /dev/null
+++ b/cmd/sidecar/seams_on.go
@@ -0,0 +1,63 @@
+//go:build seams
+
+package main
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/discovery"
+	"martendrum/internal/front"
+)
+
+// A build with the tag seams breaks the rules that MARTENDRUM_SEAMS names, so that a test
+// of whole processes can be seen to notice it. No release is built so.
+const (
+	seamLateStop    = "late-stop"    // a stop is planned as if the deadlines were longer
+	seamDeafToDrain = "deaf-drain"   // servers that drain or have gone stay on the list
+	seamDeafToLeave = "deaf-leaving" // a client that leaves is not noticed
+)
+
+// lateStop is by how much later seamLateStop plans a process's end.
+const lateStop = time.Hour
+
+func seam(name string) bool {
+	return slices.Contains(strings.Split(os.Getenv("MARTENDRUM_SEAMS"), ","), name)
+}
+
+// seamListed returns what takes lists of servers.
+func seamListed(listed func(*discovery.List)) func(*discovery.List) {
+	if !seam(seamDeafToDrain) {
+		return listed
+	}
+	return func(list *discovery.List) {
+		list.Entries = slices.DeleteFunc(list.Entries, func(e discovery.Entry) bool { return e.State != martendrum.Serving })
+		list.Whole = false
+		listed(list)
+	}
+}
+
+// seamStopLimit returns how long a stop waits for requests.
+func seamStopLimit(limit time.Duration) time.Duration {
+	if seam(seamLateStop) {
+		return limit + lateStop
+	}
+	return limit
+}
+
+// deafHandler does not notice clients that leave.
+type deafHandler struct{ front.Handler }
+
+// Gone implements front.Handler.
+func (deafHandler) Gone(*front.Exchange) bool { return false }
+
+// seamHandler returns the handler of the clients' requests.
+func seamHandler(handler front.Handler) front.Handler {
+	if seam(seamDeafToLeave) {
+		return deafHandler{handler}
+	}
+	return handler
+}
--- a/cmd/sidecar/start.go
+++ b/cmd/sidecar/start.go
@@ -104,7 +104,11 @@
 		c.known.Whole = true
 		p.watcher.Index = c.known.Index
 	}
-	return p.resources.createParts(p.watcher)
+	if err := p.resources.createParts(p.watcher); err != nil {
+		return err
+	}
+	p.watcher.Listed = seamListed(p.watcher.Listed)
+	return nil
 }
 
 // openRecorder opens the store of record, if the configuration has one.
--- a/cmd/sidecar/stop.go
+++ b/cmd/sidecar/stop.go
@@ -50,11 +50,7 @@
 
 // newShutdown returns a shutdown that begins now.
 func newShutdown(c *config, r *resources, successor *link.Old) *shutdown {
-	var longest time.Duration
-	for _, deadline := range c.settings.Deadlines {
-		longest = max(longest, deadline)
-	}
-	return &shutdown{resources: r, successor: successor, began: time.Now(), limit: longest + stopGrace}
+	return &shutdown{resources: r, successor: successor, began: time.Now(), limit: seamStopLimit(c.longestDeadline() + stopGrace)}
 }
 
 // run serves on as long as connections may come, and until every request is answered. If
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,359 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rule names what a breach breaks.
+type Rule string
+
+// The rules.
+const (
+	RuleNoAnswer   Rule = "lost: no answer"
+	RuleLate       Rule = "lost: answered too late"
+	RuleWrong      Rule = "lost: a wrong answer"
+	RuleClosed     Rule = "lost: read, then closed"
+	RuleTruncated  Rule = "lost: cut short"
+	RuleLeft       Rule = "lost: begun after the client left"
+	RuleKill       Rule = "lost: found by the kill"
+	RuleDuplicate  Rule = "duplicate"
+	RuleRefused    Rule = "refused though it may have run"
+	RuleDrain      Rule = "drain"
+	RuleToldLate   Rule = "time told"
+	RuleSlowStart  Rule = "slow start"
+	RuleDeadline   Rule = "deadline passed on"
+	RuleStall      Rule = "half a request not ended"
+	RuleReady      Rule = "not ready in time"
+	RuleCrash      Rule = "crash"
+	RuleNothingRan Rule = "nothing was served"
+)
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule Rule
+	At   time.Duration
+	What string
+}
+
+// String implements fmt.Stringer.
+func (b Breach) String() string { return fmt.Sprintf("%8.3f %s: %s", b.At.Seconds(), b.Rule, b.What) }
+
+// Allowances of the rules.
+const (
+	lateMost      = 500 * time.Millisecond // an answer up to so late earns nothing, and is not lost
+	leftMost      = 100 * time.Millisecond // from a client's leaving to an attempt's first byte
+	deadlineSlack = 150 * time.Millisecond
+	socketSlack   = 50 * time.Millisecond // added to each time limit of the rules
+	toldMost      = 6 * time.Second       // from a change that discovery can tell to its being told
+	readyMost     = 10 * time.Second
+	stallMost     = 3 * time.Second // bad clients are owed an error or a close within it
+	// supervisorCountsMost and supervisorGrace: see EarliestKill.
+	supervisorCountsMost = 3 * time.Second
+	supervisorGrace      = 700 * time.Millisecond
+)
+
+// EarliestKill is how long after a signal to end a process may be killed at the earliest.
+func EarliestKill(longest time.Duration) time.Duration {
+	return min(longest, supervisorCountsMost) + supervisorGrace
+}
+
+// judging is a verdict in progress.
+type judging struct {
+	script   *Script
+	record   *Record
+	attempts map[string][]*Attempt // by request
+	breaches []Breach
+}
+
+// Judge names each rule that was broken, in the order of their times.
+func Judge(script *Script, record *Record) []Breach {
+	j := &judging{script: script, record: record, attempts: make(map[string][]*Attempt)}
+	for n := range record.Attempts {
+		attempt := &record.Attempts[n]
+		j.attempts[attempt.ID] = append(j.attempts[attempt.ID], attempt)
+	}
+	for _, list := range j.attempts {
+		slices.SortFunc(list, func(a, b *Attempt) int { return cmp.Compare(a.First, b.First) })
+	}
+	for n := range record.Requests {
+		j.judgeRequest(&record.Requests[n])
+	}
+	j.judgeKeys()
+	j.judgeDrains()
+	j.judgeSlowStart()
+	j.judgeStalls()
+	j.judgeLives()
+	if !slices.ContainsFunc(record.Requests, func(r Request) bool { return r.Status == 200 }) {
+		j.breach(RuleNothingRan, 0, "no request was served: the run shows nothing")
+	}
+	slices.SortStableFunc(j.breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return j.breaches
+}
+
+func (j *judging) breach(rule Rule, at time.Duration, format string, args ...any) {
+	j.breaches = append(j.breaches, Breach{rule, at, fmt.Sprintf(format, args...)})
+}
+
+// life returns the process that a sidecar had at a time, nil if it had none.
+func (j *judging) life(sidecar int, at time.Duration) *Life {
+	for n := range j.record.Lives {
+		life := &j.record.Lives[n]
+		if life.Sidecar == sidecar && life.Started <= at && (life.Ended == 0 || at <= life.Ended) {
+			return life
+		}
+	}
+	return nil
+}
+
+// ran says that an attempt may have run.
+func (a *Attempt) ran() bool { return a.Last > 0 && !a.Declined }
+
+// judgeRequest judges a request by itself and its attempts.
+func (j *judging) judgeRequest(r *Request) {
+	attempts := j.attempts[r.ID]
+	j.judgeEnd(r, attempts)
+	for _, attempt := range attempts {
+		j.judgeAttempt(r, attempt)
+	}
+	if j.script.Class(r.Class).Effect != Unsafe {
+		return
+	}
+	var ran []*Attempt
+	for _, attempt := range attempts {
+		if attempt.ran() {
+			ran = append(ran, attempt)
+		}
+	}
+	if len(ran) > 1 {
+		j.breach(RuleDuplicate, ran[1].Last, "request %s (%s) came to %d servers", r.ID, r.Class, len(ran))
+	}
+	if len(ran) > 0 && (r.Status == 429 || r.Status == 503) {
+		j.breach(RuleRefused, r.Ended, "request %s (%s) was answered %d and had come to server %d", r.ID, r.Class, r.Status, ran[0].Server)
+	}
+}
+
+// judgeEnd judges how a request ended for its client.
+func (j *judging) judgeEnd(r *Request, attempts []*Attempt) {
+	switch r.End {
+	case EndAnswered:
+		if over := r.Ended - r.Sent - r.Wait; over > lateMost+j.record.Lateness {
+			j.breach(RuleLate, r.Ended, "request %s (%s) was answered %v after its time", r.ID, r.Class, over)
+		}
+		made := func(a *Attempt) bool { return a.Answer == r.Body }
+		if r.Status == 200 && !slices.ContainsFunc(attempts, made) {
+			j.breach(RuleWrong, r.Ended, "request %s (%s) was answered %q, which no server made for it", r.ID, r.Class, r.Body)
+		}
+	case EndNothing:
+		j.breach(RuleNoAnswer, r.Ended, "request %s (%s) got no answer within its time", r.ID, r.Class)
+	case EndClosed:
+		j.judgeClosed(r, attempts)
+	case EndTruncated:
+		if !slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.Spoilt }) {
+			j.breach(RuleTruncated, r.Ended, "request %s (%s): its answer was cut short, and no server's was", r.ID, r.Class)
+		}
+	}
+}
+
+// judgeClosed judges a request whose connection ended without a byte of an answer.
+func (j *judging) judgeClosed(r *Request, attempts []*Attempt) {
+	life := j.life(r.Sidecar, r.Sent)
+	if life != nil && life.Killed > 0 && r.Ended >= life.Killed {
+		if len(attempts) > 0 {
+			j.breach(RuleKill, r.Ended, "request %s (%s), sent %v after the signal to end, was open when the kill came", r.ID, r.Class, r.Sent-life.Told)
+		}
+		return
+	}
+	if len(attempts) > 0 {
+		j.breach(RuleClosed, r.Ended, "request %s (%s) was passed on and its connection closed without an answer", r.ID, r.Class)
+		return
+	}
+	ending := life == nil || life.Ready == 0 || r.Sent < life.Ready || life.Told > 0 && r.Ended >= life.Told
+	if r.FirstOn && !ending && j.script.Crowd == 0 {
+		j.breach(RuleClosed, r.Ended, "request %s (%s), the first on its connection, was closed without an answer", r.ID, r.Class)
+	}
+}
+
+// judgeAttempt judges one attempt of a request.
+func (j *judging) judgeAttempt(r *Request, a *Attempt) {
+	if r.End == EndLeft && a.First > r.Ended+leftMost+j.record.Lateness {
+		j.breach(RuleLeft, a.First, "request %s (%s): an attempt began %v after its client had left", r.ID, r.Class, a.First-r.Ended)
+	}
+	left := r.Sent + r.Wait - a.First
+	if a.Deadline > 0 && a.Deadline > max(left, 0)+deadlineSlack+j.record.Lateness {
+		j.breach(RuleDeadline, a.First, "request %s (%s): server %d was told %v, and its client had %v left", r.ID, r.Class, a.Server, a.Deadline, left)
+	}
+}
+
+// judgeKeys judges keyed requests: a repeat comes within the window of the first that may
+// have run.
+func (j *judging) judgeKeys() {
+	for n := range j.record.Requests {
+		r := &j.record.Requests[n]
+		class := j.script.Class(r.Class)
+		if class.Effect != Keyed {
+			continue
+		}
+		var first *Attempt
+		for _, a := range j.attempts[r.ID] {
+			if !a.ran() {
+				continue
+			}
+			if first == nil {
+				first = a
+			} else if gap := a.Last - first.Last; gap > time.Duration(class.Window)+socketSlack+j.record.Lateness {
+				j.breach(RuleDuplicate, a.Last, "request %s (%s) was repeated %v after it may have run, its window is %v", r.ID, r.Class, gap, time.Duration(class.Window))
+			}
+		}
+	}
+}
+
+// requestsByID returns the requests by their ids.
+func (j *judging) requestsByID() map[string]*Request {
+	byID := make(map[string]*Request, len(j.record.Requests))
+	for n := range j.record.Requests {
+		byID[j.record.Requests[n].ID] = &j.record.Requests[n]
+	}
+	return byID
+}
+
+// stateAt is the last change of a server at a time, nil if there was none.
+func (j *judging) stateAt(server int, at time.Duration) *Change {
+	var last *Change
+	for n := range j.record.Changes {
+		c := &j.record.Changes[n]
+		if c.Server == server && c.At <= at && (last == nil || c.At >= last.At) {
+			last = c
+		}
+	}
+	return last
+}
+
+// toldAt is when a change counts as told to a sidecar, and whether it was written to it.
+func (j *judging) toldAt(sidecar int, c *Change) (at time.Duration, written bool) {
+	limit := c.At + toldMost
+	for _, outage := range j.record.Outages {
+		if outage.From < limit && outage.To > c.At {
+			limit = max(limit, outage.To+toldMost)
+		}
+	}
+	for _, told := range j.record.Told {
+		if told.Sidecar == sidecar && told.Server == c.Server && told.At >= c.At && told.State == c.State && told.At < limit {
+			return told.At, true
+		}
+	}
+	return limit, false
+}
+
+// judgeDrains judges attempts at servers that drain or have gone.
+func (j *judging) judgeDrains() {
+	byID := j.requestsByID()
+	grace := time.Duration(j.script.DrainGrace) + socketSlack + j.record.Lateness
+	for n := range j.record.Attempts {
+		a := &j.record.Attempts[n]
+		r, c := byID[a.ID], j.stateAt(a.Server, a.First)
+		if r == nil || c == nil || c.State == Up {
+			continue
+		}
+		told, written := j.toldAt(r.Sidecar, c)
+		if a.First <= told+grace {
+			continue
+		}
+		rule := RuleDrain
+		if !written {
+			rule = RuleToldLate
+		}
+		j.breach(rule, a.First, "request %s came to server %d, %s since %v and told at %v", a.ID, a.Server, c.State, c.At, told)
+	}
+}
+
+// allowed is how many requests a server in slow start bears in the time that the settings
+// name, given n by its capacity then.
+func allowed(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// judgeSlowStart judges the sum of what all sidecars send to a server that has just started.
+func (j *judging) judgeSlowStart() {
+	byID := j.requestsByID()
+	for n := range j.record.Changes {
+		c := &j.record.Changes[n]
+		if c.State == Up && c.Since > 0 {
+			j.judgeStart(c, byID)
+		}
+	}
+}
+
+// judgeStart judges one start, at its first fall.
+func (j *judging) judgeStart(c *Change, byID map[string]*Request) {
+	s := j.script
+	warm := c.Since + time.Duration(s.ColdFor)
+	var sends []*Attempt
+	for n := range j.record.Attempts {
+		if a := &j.record.Attempts[n]; a.Server == c.Server && a.First >= c.Since && a.First < warm {
+			sends = append(sends, a)
+		}
+	}
+	slices.SortFunc(sends, func(a, b *Attempt) int { return cmp.Compare(a.First, b.First) })
+	capacity := float64(s.Workers) / time.Duration(s.Work).Seconds()
+	for first, a := range sends {
+		warmth := s.ColdFrom + (1-s.ColdFrom)*(a.First-c.Since).Seconds()/time.Duration(s.ColdFor).Seconds()
+		bears := allowed(s.FallsAt * capacity * warmth * time.Duration(s.FallsOver).Seconds())
+		count, told := 0, 0
+		for _, b := range sends[first:] {
+			if b.First >= a.First+time.Duration(s.FallsOver) {
+				break
+			}
+			count++
+			if r := byID[b.ID]; r != nil {
+				if at, _ := j.toldAt(r.Sidecar, c); at <= b.First {
+					told++
+				}
+			}
+		}
+		if float64(count) > bears && told*3 > count*2 {
+			j.breach(RuleSlowStart, a.First, "server %d, started at %v, got %d requests within %v and bears %.0f", c.Server, c.Since, count, time.Duration(s.FallsOver), bears)
+			return
+		}
+	}
+}
+
+// judgeStalls judges clients that stopped in the middle of a request.
+func (j *judging) judgeStalls() {
+	for _, stall := range j.record.Stalls {
+		ended := stall.Ended
+		if ended == 0 {
+			ended = j.record.Length
+		}
+		if took := ended - stall.Stopped; took > stallMost+socketSlack+j.record.Lateness {
+			j.breach(RuleStall, ended, "a client of sidecar %d that stopped in the middle of a request was left for %v", stall.Sidecar, took)
+		}
+	}
+}
+
+// judgeLives judges the processes.
+func (j *judging) judgeLives() {
+	for _, life := range j.record.Lives {
+		until := cmp.Or(life.Told, life.Ended, j.record.Length)
+		switch {
+		case life.Ready > 0 && life.Ready-life.Started > readyMost:
+			j.breach(RuleReady, life.Ready, "sidecar %d was ready after %v", life.Sidecar, life.Ready-life.Started)
+		case life.Ready == 0 && until-life.Started > readyMost:
+			j.breach(RuleReady, until, "sidecar %d was not ready %v after its start", life.Sidecar, until-life.Started)
+		}
+		bySignal := strings.HasPrefix(life.Exit, "signal: ") // that came before the process handled it
+		if life.Ended > 0 && life.Killed == 0 && (life.Told == 0 || life.Exit != "" && !bySignal) {
+			j.breach(RuleCrash, life.Ended, "sidecar %d ended by itself: %s", life.Sidecar, cmp.Or(life.Exit, "no signal was sent"))
+		}
+		if life.Panics > 0 {
+			j.breach(RuleCrash, life.Started, "sidecar %d logged %d panics", life.Sidecar, life.Panics)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// healthInterval is how often a process that starts is asked whether it is ready.
+	healthInterval = 5 * time.Millisecond
+	// healthTimeout is how long such a question may take.
+	healthTimeout = 500 * time.Millisecond
+	// logMost is how much is kept of a sidecar's log.
+	logMost = 8 << 20
+)
+
+// logBuffer keeps the log of all lives of a sidecar.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.text.Len() < logMost {
+		b.text.Write(p)
+	}
+	return len(p), nil
+}
+
+// String returns what is kept.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// sidecar is one sidecar through all of its processes.
+type sidecar struct {
+	number    int
+	program   string
+	seams     string // for a program that is built to break a rule; empty: none
+	directory string
+	address   string
+	discovery string
+	script    *Script
+	recorder  *recorder
+	log       logBuffer
+
+	mu       sync.Mutex // held over each change of process or configuration
+	process  *exec.Cmd
+	life     int           // in the record
+	ended    chan struct{} // closed at the process's end
+	classes  []Class       // with the deadlines of the configuration file
+	stopping bool
+}
+
+// freeAddress returns an address at which nobody listens, on an IP of the caller's own.
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (s *sidecar) configPath() string { return filepath.Join(s.directory, "config.json") }
+
+// configure writes the configuration file whole, with deadlines scaled by factor.
+func (s *sidecar) configure(factor float64) error {
+	type class struct {
+		Name           string  `json:"name"`
+		PromiseUs      int64   `json:"promiseUs"`
+		HardLimitUs    int64   `json:"hardLimitUs"`
+		Effect         Effect  `json:"effect"`
+		RepeatWindowUs int64   `json:"repeatWindowUs"`
+		Worth          float64 `json:"worth"`
+	}
+	micros := func(d Span) int64 { return time.Duration(d).Microseconds() }
+	script := s.script
+	s.classes = nil
+	var classes []class
+	for _, c := range script.Classes {
+		c.Deadline = Span(float64(c.Deadline) * factor)
+		s.classes = append(s.classes, c)
+		classes = append(classes, class{c.Name, micros(c.Deadline / 3), micros(c.Deadline), c.Effect, micros(c.Window), 1})
+	}
+	registry, guarantees := "automatic", map[string]any{
+		"drainGraceUs": micros(script.DrainGrace), "coldFrom": script.ColdFrom, "coldUs": micros(script.ColdFor),
+		"overloadFactor": script.FallsAt, "overloadForUs": micros(script.FallsOver)}
+	if script.Asked {
+		registry, guarantees["askWithinUs"] = "subscribe", 10_000_000
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("soak", s.number), "listen": s.address, "discovery": s.discovery, "seed": fmt.Sprintf("%x", script.Seed+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": script.Sockets},
+		"settings": map[string]any{
+			"replicasOfMe": script.Sidecars, "rank": s.number, "registryMode": registry,
+			"caps": map[string]any{"attemptsCap": script.Attempts, "mayCancel": true, "secondCopies": script.Copies, "connIdleUs": 3_000_000,
+				"dialTimeoutUs": 250_000, "mostHeld": 1000, "retryAfter": true, "maxRetryAfterUs": 500_000},
+			"guarantees": guarantees, "classes": classes,
+		},
+	})
+	if err != nil {
+		return fmt.Errorf("soak: configuration: %w", err)
+	}
+	next := s.configPath() + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return fmt.Errorf("soak: configuration: %w", err)
+	}
+	return os.Rename(next, s.configPath())
+}
+
+// longest is the longest deadline of the configuration file.
+func (s *sidecar) longest() (longest time.Duration) {
+	for _, class := range s.classes {
+		longest = max(longest, time.Duration(class.Deadline))
+	}
+	return longest
+}
+
+// start starts a process and, in the background, notes when it is ready. The lock is held.
+func (s *sidecar) start(ctx context.Context) error {
+	temporary, err := os.MkdirTemp(s.directory, "tmp") // empty at each start, as on the platform
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	process := exec.Command(s.program)
+	process.Env = append(os.Environ(), "TMPDIR="+temporary, "BALANCER_CONFIG="+s.configPath(), "BALANCER_LISTEN="+s.address,
+		"BALANCER_DISCOVERY="+s.discovery, "MARTENDRUM_FLEET=return", "MARTENDRUM_SEAMS="+s.seams)
+	process.Stderr = &s.log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := s.recorder.now()
+	if err := process.Start(); err != nil {
+		return fmt.Errorf("soak: sidecar: %w", err)
+	}
+	limit := unix.Rlimit{Cur: uint64(s.script.Sockets), Max: uint64(s.script.Sockets)}
+	if err := unix.Prlimit(process.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		return fmt.Errorf("soak: limit of descriptors: %w", err)
+	}
+	life, ended := 0, make(chan struct{})
+	s.recorder.do(func(record *Record) {
+		life = len(record.Lives)
+		record.Lives = append(record.Lives, Life{Sidecar: s.number, Started: started})
+	})
+	s.process, s.life, s.ended, s.stopping = process, life, ended, false
+	go func() {
+		err := process.Wait()
+		s.note(life, func(l *Life) {
+			l.Ended = s.recorder.now()
+			if err != nil && l.Killed == 0 {
+				l.Exit = err.Error()
+			}
+		})
+		close(ended)
+	}()
+	go s.noteReady(ctx, life, ended)
+	return nil
+}
+
+// note changes what is recorded of a life.
+func (s *sidecar) note(life int, change func(*Life)) {
+	s.recorder.do(func(record *Record) { change(&record.Lives[life]) })
+}
+
+// noteReady asks a process until it is ready, and records when.
+func (s *sidecar) noteReady(ctx context.Context, life int, ended <-chan struct{}) {
+	client := &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		response, err := client.Get("http://" + s.address + "/_health")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				s.note(life, func(l *Life) { l.Ready = s.recorder.now() })
+				return
+			}
+		}
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(healthInterval):
+		}
+	}
+}
+
+var signalsByName = map[string]syscall.Signal{"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "HUP": syscall.SIGHUP}
+
+// stop sends a series of signals, kills the process at the earliest, unless it has ended by
+// itself, and starts the next one at once.
+func (s *sidecar) stop(ctx context.Context, e *Event) error {
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return nil
+	}
+	s.stopping = true
+	if e.Factor > 0 {
+		if err := s.configure(e.Factor); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+	}
+	process, life, ended, longest := s.process, s.life, s.ended, s.longest()
+	s.mu.Unlock()
+	var told time.Time
+	for _, name := range e.Signals {
+		if name != "HUP" && told.IsZero() {
+			told = time.Now()
+			s.note(life, func(l *Life) { l.Told = s.recorder.now() })
+		}
+		process.Process.Signal(signalsByName[name])
+		time.Sleep(time.Duration(e.Gap))
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Until(told.Add(EarliestKill(longest)))):
+		s.note(life, func(l *Life) { l.Killed = s.recorder.now() })
+		process.Process.Kill()
+		<-ended
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return s.start(ctx)
+}
+
+// reload writes deadlines scaled by a factor and has the process read them.
+func (s *sidecar) reload(factor float64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return nil
+	}
+	if err := s.configure(factor); err != nil {
+		return err
+	}
+	return s.process.Process.Signal(syscall.SIGHUP)
+}
+
+// hold holds the process up for a time.
+func (s *sidecar) hold(most time.Duration) {
+	s.mu.Lock()
+	process := s.process
+	s.mu.Unlock()
+	process.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(most)
+	process.Process.Signal(syscall.SIGCONT)
+}
+
+// kill ends the process at the end of the day.
+func (s *sidecar) kill() {
+	s.mu.Lock()
+	process, ended := s.process, s.ended
+	s.mu.Unlock()
+	if process == nil {
+		return
+	}
+	s.note(s.life, func(l *Life) {
+		if l.Ended == 0 && l.Killed == 0 {
+			l.Killed = s.recorder.now()
+		}
+	})
+	process.Process.Kill()
+	<-ended
+}
--- /dev/null
+++ b/internal/soak/script.go
@@ -0,0 +1,333 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Span is a time.Duration that prints as text in a script.
+type Span time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*s = Span(d)
+	return err
+}
+
+// Effect says what repeating a request does, in the words of a sidecar's settings.
+type Effect string
+
+// The effects.
+const (
+	Safe   Effect = "repeatable"
+	Keyed  Effect = "by_key"
+	Unsafe Effect = "once"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Deadline Span // how long a client waits at most
+	Window   Span // within which a keyed request may be repeated
+}
+
+// Server modes. What a server does with its requests while it is in a mode.
+const (
+	ModeAnswer        = "answer"         // the usual one
+	ModeHang          = "hang"           // takes requests and never answers
+	ModeSilent        = "silent"         // reads nothing; resets what is open at the end
+	ModeDown          = "down"           // refuses connections, resets what is open
+	ModeLate          = "late"           // answers after a pause
+	ModeFail          = "fail"           // 500
+	ModeDecline       = "decline"        // turns requests away
+	ModeResetBefore   = "reset-before"   // resets at a request's first byte
+	ModeResetWithin   = "reset-within"   // resets in the middle of an answer
+	ModeResetAfter    = "reset-after"    // answers, then resets the connection
+	ModeNoLength      = "no-length"      // answers without a length
+	ModeTwice         = "twice"          // answers twice, the second time a moment later
+	ModeEndless       = "endless"        // begins an answer and never ends it
+	ModeResetRequests = "reset-requests" // takes a request whole, then resets
+)
+
+var serverModes = []string{ModeHang, ModeHang, ModeHang, ModeSilent, ModeDown, ModeLate, ModeFail, ModeDecline,
+	ModeResetBefore, ModeResetWithin, ModeResetAfter, ModeNoLength, ModeTwice, ModeEndless, ModeResetRequests}
+
+// Discovery modes.
+const (
+	DiscoveryServes = "serves"
+	DiscoveryAway   = "away"   // refuses calls, watches end
+	DiscoverySilent = "silent" // says nothing more, and answers no call
+	DiscoverySlow   = "slow"   // answers calls late
+)
+
+var discoveryModes = []string{DiscoveryAway, DiscoverySilent, DiscoverySlow}
+
+// Kinds of events.
+const (
+	EventServerMode    = "server-mode"    // Targets, Mode, For
+	EventServerDrain   = "server-drain"   // Targets
+	EventServerRemove  = "server-remove"  // Targets: gone from the list, and down
+	EventServerReturn  = "server-return"  // Targets: up again under the same name, cold
+	EventServerReset   = "server-reset"   // Targets: resets every open connection
+	EventDiscoveryMode = "discovery-mode" // Mode, For
+	EventStop          = "stop"           // Targets, Signals, Gap: kill at the earliest, restart at once
+	EventReload        = "reload"         // Targets, Factor: the deadlines are scaled by it
+	EventHold          = "hold"           // Targets, For: the process is held up
+)
+
+// Event is something that happens during a script.
+type Event struct {
+	At      Span
+	Kind    string
+	Targets []int    `json:",omitempty"` // of sidecars or servers, from 0
+	Mode    string   `json:",omitempty"`
+	For     Span     `json:",omitempty"`
+	Signals []string `json:",omitempty"`
+	Gap     Span     `json:",omitempty"` // between signals
+	Factor  float64  `json:",omitempty"` // of the deadlines, also just before a stop; 0: as they are
+}
+
+// Script is a deployment and its day.
+type Script struct {
+	Seed     uint64
+	Length   Span
+	Sidecars int
+	Servers  int
+
+	Asked      bool // discovery is asked; else lists are pushed
+	DrainGrace Span
+	Classes    []Class
+	Attempts   int
+	Copies     bool // hedged requests are allowed
+	Sockets    int
+
+	Workers   int  // of a server
+	Work      Span // of a request at a warm server
+	Queue     int
+	ColdFrom  float64 // share of its capacity that a server which has just started has
+	ColdFor   Span
+	FallsAt   float64 // multiple of its capacity that fells a cold server
+	FallsOver Span
+
+	Clients      int     // of each sidecar, that send one request after another
+	Pause        Span    // mean time between a client's requests
+	Leaving      float64 // share of requests whose client leaves early
+	Impatient    float64 // share of requests with little time
+	Stalling     int     // clients of each sidecar that stop in the middle of a request and stay
+	Slow         int     // clients of each sidecar that write slowly
+	Crowd        int     // idle connections to each sidecar
+	ImpatientFor Span
+	Events       []Event
+}
+
+// Longest is the longest deadline of any class.
+func (s *Script) Longest() (longest time.Duration) {
+	for _, class := range s.Classes {
+		longest = max(longest, time.Duration(class.Deadline))
+	}
+	return longest
+}
+
+// Class returns a class by its name, nil if there is none.
+func (s *Script) Class(name string) *Class {
+	for n := range s.Classes {
+		if s.Classes[n].Name == name {
+			return &s.Classes[n]
+		}
+	}
+	return nil
+}
+
+// String is the script as text, which Parse reads.
+func (s *Script) String() string {
+	text, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return fmt.Sprint("script: ", err)
+	}
+	return string(text)
+}
+
+// Parse reads a script that was printed.
+func Parse(text []byte) (*Script, error) {
+	s := new(Script)
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("soak: script: %w", err)
+	}
+	return s, nil
+}
+
+// Size bounds what Draw draws.
+type Size struct {
+	Sidecars int           // at most
+	Length   time.Duration // at most; at least four fifths of it
+}
+
+// drawing is a script being drawn.
+type drawing struct {
+	*rand.Rand
+	script *Script
+}
+
+// between draws from a range, evenly.
+func (d *drawing) between(low, high time.Duration) Span {
+	return Span(low + time.Duration(d.Float64()*float64(high-low)))
+}
+
+// scaled draws from a range so that each magnitude is as likely.
+func (d *drawing) scaled(low, high time.Duration) Span {
+	return Span(float64(low) * math.Pow(float64(high)/float64(low), d.Float64()))
+}
+
+func (d *drawing) chance(share float64) bool { return d.Float64() < share }
+
+// some draws at least one of n, each with a chance.
+func (d *drawing) some(n int, share float64) (targets []int) {
+	for target := range n {
+		if d.chance(share) {
+			targets = append(targets, target)
+		}
+	}
+	if targets == nil {
+		targets = []int{d.IntN(n)}
+	}
+	return targets
+}
+
+// Draw draws the script of a seed.
+func Draw(seed uint64, size Size) *Script {
+	d := &drawing{Rand: rand.New(rand.NewPCG(seed, 40)), script: &Script{Seed: seed}}
+	d.drawDeployment(size)
+	d.drawClients()
+	d.drawServerEvents()
+	d.drawDiscoveryEvents()
+	d.drawSidecarEvents()
+	slices.SortStableFunc(d.script.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return d.script
+}
+
+func (d *drawing) drawDeployment(size Size) {
+	s := d.script
+	s.Length = d.between(size.Length*4/5, size.Length)
+	s.Sidecars = 1 + d.IntN(size.Sidecars)
+	s.Servers = 2 + d.IntN(6)
+	s.Asked = d.chance(0.5)
+	s.DrainGrace = d.between(500*time.Millisecond, 2*time.Second)
+	longest := d.scaled(200*time.Millisecond, 8*time.Second)
+	for n, effect := range []Effect{Safe, Keyed, Unsafe} {
+		deadline := longest
+		if d.chance(0.6) {
+			deadline = Span(float64(longest) * (0.25 + 0.75*d.Float64()))
+		}
+		s.Classes = append(s.Classes, Class{
+			Name:     []string{"look", "book", "pay"}[n],
+			Effect:   effect,
+			Deadline: max(deadline, Span(150*time.Millisecond)),
+			Window:   Span(float64(deadline) * (0.2 + 0.6*d.Float64())),
+		})
+	}
+	s.Attempts = 1 + d.IntN(5)
+	s.Copies = d.chance(0.6)
+	s.Sockets = []int{96, 128, 256}[d.IntN(3)]
+	s.Workers, s.Queue = 2+d.IntN(3), 2+d.IntN(5)
+	s.Work = d.between(5*time.Millisecond, 40*time.Millisecond)
+	s.ColdFrom, s.FallsAt = 0.15+0.3*d.Float64(), 4
+	s.ColdFor, s.FallsOver = d.between(3*time.Second, 10*time.Second), Span(2*time.Second)
+}
+
+func (d *drawing) drawClients() {
+	s := d.script
+	s.Clients = 3 + d.IntN(6)
+	s.Pause = d.between(time.Millisecond, 60*time.Millisecond)
+	s.Leaving, s.Impatient = 0.15*d.Float64(), 0.1*d.Float64()
+	s.ImpatientFor = d.scaled(5*time.Millisecond, 150*time.Millisecond)
+	if d.chance(0.5) {
+		s.Stalling = 1 + d.IntN(3)
+	}
+	if d.chance(0.4) {
+		s.Slow = 1 + d.IntN(2)
+	}
+	if d.chance(0.25) {
+		s.Crowd = s.Sockets
+	}
+}
+
+func (d *drawing) add(e Event) { d.script.Events = append(d.script.Events, e) }
+
+// moment draws a time within parts of the day.
+func (d *drawing) moment(from, to float64) Span {
+	length := time.Duration(d.script.Length)
+	return d.between(time.Duration(from*float64(length)), time.Duration(to*float64(length)))
+}
+
+func (d *drawing) drawServerEvents() {
+	s := d.script
+	for range 1 + d.IntN(4) {
+		d.add(Event{At: d.moment(0.05, 0.8), Kind: EventServerMode, Targets: d.some(s.Servers, 0.3),
+			Mode: serverModes[d.IntN(len(serverModes))], For: d.between(300*time.Millisecond, 4*time.Second)})
+	}
+	for range d.IntN(3) {
+		d.add(Event{At: d.moment(0.1, 0.9), Kind: EventServerReset, Targets: d.some(s.Servers, 0.4)})
+	}
+	if s.Servers < 3 {
+		return
+	}
+	leaving := d.IntN(s.Servers)
+	drained := d.moment(0.1, 0.5)
+	d.add(Event{At: drained, Kind: EventServerDrain, Targets: []int{leaving}})
+	if d.chance(0.5) {
+		removed := drained + d.between(time.Second, 3*time.Second)
+		d.add(Event{At: removed, Kind: EventServerRemove, Targets: []int{leaving}})
+		if d.chance(0.7) {
+			d.add(Event{At: removed + d.between(50*time.Millisecond, time.Second), Kind: EventServerReturn, Targets: []int{leaving}})
+		}
+	}
+}
+
+func (d *drawing) drawDiscoveryEvents() {
+	for range d.IntN(3) {
+		d.add(Event{At: d.moment(0.05, 0.7), Kind: EventDiscoveryMode,
+			Mode: discoveryModes[d.IntN(len(discoveryModes))], For: d.between(300*time.Millisecond, 4*time.Second)})
+	}
+}
+
+// signalSeries are the ways in which a process is told to end.
+var signalSeries = [][]string{{"TERM"}, {"TERM"}, {"TERM", "TERM"}, {"HUP", "TERM"}, {"TERM", "HUP", "TERM"},
+	{"HUP", "HUP", "TERM", "INT"}, {"INT"}, {"INT", "HUP"}}
+
+func (d *drawing) drawSidecarEvents() {
+	s := d.script
+	for range 1 + d.IntN(3) {
+		at := d.moment(0.1, 0.75)
+		stop := Event{At: at, Kind: EventStop, Targets: d.some(s.Sidecars, 0.4),
+			Signals: signalSeries[d.IntN(len(signalSeries))], Gap: d.between(0, 30*time.Millisecond)}
+		if d.chance(0.4) && stop.Signals[0] == "HUP" {
+			stop.Factor = 0.3 + d.Float64()
+		}
+		d.add(stop)
+		if d.chance(0.6) { // servers hang through the whole of the shutdown
+			d.add(Event{At: max(0, at-d.between(0, 500*time.Millisecond)), Kind: EventServerMode,
+				Targets: d.some(s.Servers, 0.5), Mode: ModeHang, For: Span(5 * time.Second)})
+		}
+	}
+	for range d.IntN(3) {
+		at := d.moment(0.1, 0.9)
+		d.add(Event{At: at, Kind: EventReload, Targets: d.some(s.Sidecars, 0.5), Factor: 0.5 + d.Float64()})
+		if d.chance(0.4) {
+			d.add(Event{At: at + d.between(0, 50*time.Millisecond), Kind: EventReload, Targets: d.some(s.Sidecars, 0.5), Factor: 0.5 + d.Float64()})
+		}
+	}
+	if d.chance(0.5) {
+		for range 5 + d.IntN(30) {
+			d.add(Event{At: d.moment(0.05, 0.95), Kind: EventHold, Targets: []int{d.IntN(s.Sidecars)}, For: d.between(20*time.Millisecond, 145*time.Millisecond)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/seams_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// seamScript is a day on which a sidecar has occasion to break the rules of the seams.
+func seamScript(seed uint64) *Script {
+	return &Script{
+		Seed: seed, Length: Span(6 * time.Second), Sidecars: 1, Servers: 3, DrainGrace: Span(300 * time.Millisecond),
+		Classes: []Class{
+			{Name: "look", Effect: Safe, Deadline: Span(2500 * time.Millisecond)},
+			{Name: "book", Effect: Keyed, Deadline: Span(2500 * time.Millisecond), Window: Span(time.Second)},
+			{Name: "pay", Effect: Unsafe, Deadline: Span(2500 * time.Millisecond)},
+		},
+		Attempts: 5, Copies: true, Sockets: 128, Workers: 4, Work: Span(5 * time.Millisecond), Queue: 8,
+		ColdFrom: 1, FallsAt: 4, FallsOver: Span(time.Second),
+		Clients: 16, Pause: Span(5 * time.Millisecond), Leaving: 0.7,
+		Events: []Event{
+			// They reset what is open when they answer again: what may be repeated is.
+			{At: Span(500 * time.Millisecond), Kind: EventServerMode, Targets: []int{0, 1, 2}, Mode: ModeHang, For: Span(700 * time.Millisecond)},
+			{At: Span(1500 * time.Millisecond), Kind: EventServerMode, Targets: []int{0, 1, 2}, Mode: ModeHang, For: Span(700 * time.Millisecond)},
+			{At: Span(600 * time.Millisecond), Kind: EventServerDrain, Targets: []int{2}},
+			{At: Span(2400 * time.Millisecond), Kind: EventServerMode, Targets: []int{0, 1, 2}, Mode: ModeHang, For: Span(3500 * time.Millisecond)},
+			{At: Span(2500 * time.Millisecond), Kind: EventStop, Targets: []int{0}, Signals: []string{"TERM"}},
+		},
+	}
+}
+
+// A sidecar that breaks a rule is caught by a whole run, and the same day is passed by one
+// that does not.
+func TestSeamsAreCaught(t *testing.T) {
+	build(t)
+	for n, test := range []struct {
+		seams string
+		rule  Rule // empty: none
+	}{{"", ""}, {"late-stop", RuleKill}, {"deaf-drain", RuleDrain}, {"deaf-leaving", RuleLeft}} {
+		t.Run("seams "+test.seams, func(t *testing.T) {
+			t.Parallel()
+			breaches, _ := play(t, seamScript(7), programs.seamed, test.seams, 100+n)
+			if test.rule == "" {
+				for _, breach := range breaches {
+					t.Error(breach)
+				}
+				return
+			}
+			if !slices.ContainsFunc(breaches, func(b Breach) bool { return b.Rule == test.rule }) {
+				t.Errorf("a sidecar with %s passes: %v", test.seams, breaches)
+			}
+		})
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -28,6 +28,8 @@
 fi
 # The sidecar that has the store of record is a build of its own.
 go vet -tags record ./cmd/sidecar
+# So has the one that breaks rules on purpose, for the soak's own tests.
+go vet -tags seams ./cmd/sidecar
 go test -race -count=1 -tags record ./cmd/sidecar
 # -short leaves out the longer ones of the tests with many processes.
 # KNOWN-RED.txt names the tests that may fail, if any.
