A stop is planned back from the earliest kill, and takes nothing late

Cause: newShutdown planned a process's end by the longest deadline plus 0.3 s; the kill counts that deadline as 3 s at most, so above 3.3 s it came first. Besides, a busy process went on accepting to its end (next looked at busy before the listener), and a connection that had said nothing was never closed: both put requests into the last moments.

Change: internal/stopplan, pure, counts every bound back from the kill at its earliest; a table test adds them up for deadlines of 0.05 to 20 s. The spans run from when the signal came. Accepting ends in time however busy the process is; silent connections are closed after 0.5 s, half requests when all else is answered. A reload that came before the signal to end is applied before the stop is planned.

--- a/cmd/sidecar/kill_test.go
+++ b/cmd/sidecar/kill_test.go
@@ -18,6 +18,12 @@
 // at most, and adds 0.7 s. Some servers hang just then. The sidecar plans its end by its
 // own longest deadline, which is later than the kill; requests that wait for a server that
 // hangs are still open when the kill comes, and their clients see a reset.
+//
+// The evidence: two recorded runs with longest deadlines of 3.406 and 3.831 s. Their logs
+// have `stopping` within some ms of SIGTERM and a plan to have all answered 3.706 and
+// 4.131 s after it; the kill came after 3.70 s and found one request open in each. These
+// requests had come 0.97 and 1.51 s after SIGTERM, each the first on a connection that had
+// been accepted at the signal and had said nothing since.
 
 const (
 	// supervisorCountsMost and supervisorGrace are when a supervisor kills at the earliest.
@@ -116,3 +122,58 @@
 		t.Error("the process was not told to end: the test shows nothing")
 	}
 }
+
+// While a server hangs, which keeps a stopping process busy, it takes no connection any more
+// once clients have had their time to come, and none of its open connections brings a first
+// request late: both would put requests into its last moments.
+func TestStopTakesNothingLate(t *testing.T) {
+	passedOn := make(chan string, 100)
+	let := make(chan struct{})
+	s := newShopBefore(t, func(_ http.ResponseWriter, r *http.Request) {
+		passedOn <- r.Header.Get("Req-Id")
+		<-let
+	}, 256, `"promiseUs":20000000,"hardLimitUs":20000000`, `"promiseUs":400000,"hardLimitUs":2800000`)
+	t.Cleanup(func() { close(let) })
+	p := s.running()
+	busy, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	go finalAnswer(busy, bufio.NewReader(busy), "busy", "/pay")
+	if id := <-passedOn; id != "busy" {
+		t.Fatal(id)
+	}
+	silent, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	p.Process.Signal(syscall.SIGTERM)
+	eventually(t, "an end of accepting", func() bool {
+		c, err := net.Dial("tcp", s.listen)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	select {
+	case <-p.done:
+		t.Fatal("the process ended with a request open: the test shows nothing")
+	default:
+	}
+	silent.SetDeadline(time.Now().Add(patience))
+	reader := bufio.NewReader(silent)
+	if _, err := reader.Peek(1); err != io.EOF {
+		t.Errorf("the silent connection did not end: %v", err)
+	}
+	finalAnswer(silent, reader, "late", "/pay")
+	if err := p.ends(t); err != nil {
+		t.Error(err)
+	}
+	select {
+	case id := <-passedOn:
+		t.Errorf("request %s was passed on", id)
+	default:
+	}
+}
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"martendrum/internal/handover"
 	"martendrum/internal/limitlog"
@@ -19,7 +20,7 @@
 
 // signals are the signals that a running sidecar acts on.
 type signals struct {
-	terminate <-chan os.Signal // SIGTERM or an interrupt: stop
+	terminate <-chan time.Time // when SIGTERM or an interrupt came: stop
 	reload    <-chan os.Signal // SIGHUP: read the configuration again
 }
 
@@ -40,11 +41,18 @@
 	}
 }
 
-// notifySignals subscribes to the signals that a sidecar acts on.
+// notifySignals subscribes to the signals that a sidecar acts on. The time of the first
+// signal to end is taken when it comes, not when it is acted on: the supervisor's clock runs
+// from then. The goroutine that takes it ends with the process.
 func notifySignals() signals {
-	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
+	raw, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(raw, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
+	terminate := make(chan time.Time, 1)
+	go func() {
+		<-raw
+		terminate <- time.Now()
+	}()
 	return signals{terminate: terminate, reload: reload}
 }
 
--- a/cmd/sidecar/process.go
+++ b/cmd/sidecar/process.go
@@ -107,8 +107,9 @@
 			return err
 		case <-on.reload:
 			p.reload()
-		case <-on.terminate:
-			p.stop()
+		case told := <-on.terminate:
+			p.reloadPending(on.reload)
+			p.stop(told)
 			return nil
 		}
 	}
@@ -215,6 +216,16 @@
 	}
 }
 
+// reloadPending applies the file once more if a signal to do so has come and was not acted
+// on yet: the stop is planned by the deadlines of the file that is in force.
+func (p *sidecarProcess) reloadPending(reload <-chan os.Signal) {
+	select {
+	case <-reload:
+		p.reload()
+	default:
+	}
+}
+
 // reload applies the configuration file again, as a whole or not at all.
 func (p *sidecarProcess) reload() {
 	r := p.resources
--- a/cmd/sidecar/seams_off.go
+++ b/cmd/sidecar/seams_off.go
@@ -3,10 +3,9 @@
 package main
 
 import (
-	"time"
-
 	"martendrum/internal/discovery"
 	"martendrum/internal/front"
+	"martendrum/internal/stopplan"
 )
 
 // Only a build with the tag seams can break a rule on purpose: here each seam is what it
@@ -16,4 +15,4 @@
 
 func seamListed(listed func(*discovery.List)) func(*discovery.List) { return listed }
 
-func seamStopLimit(limit time.Duration) time.Duration { return limit }
+func seamPlan(plan stopplan.Plan) stopplan.Plan { return plan }
--- a/cmd/sidecar/seams_on.go
+++ b/cmd/sidecar/seams_on.go
@@ -11,6 +11,7 @@
 	"martendrum"
 	"martendrum/internal/discovery"
 	"martendrum/internal/front"
+	"martendrum/internal/stopplan"
 )
 
 // A build with the tag seams breaks the rules that MARTENDRUM_SEAMS names, so that a test
@@ -40,12 +41,12 @@
 	}
 }
 
-// seamStopLimit returns how long a stop waits for requests.
-func seamStopLimit(limit time.Duration) time.Duration {
+// seamPlan returns when a stop does what.
+func seamPlan(plan stopplan.Plan) stopplan.Plan {
 	if seam(seamLateStop) {
-		return limit + lateStop
+		plan.AnswerAll, plan.End = plan.AnswerAll+lateStop, plan.End+lateStop
 	}
-	return limit
+	return plan
 }
 
 // deafHandler does not notice clients that leave.
--- a/cmd/sidecar/stop.go
+++ b/cmd/sidecar/stop.go
@@ -5,16 +5,10 @@
 	"time"
 
 	"martendrum/internal/handover/link"
+	"martendrum/internal/stopplan"
 )
 
 const (
-	// lameDuckTime is how long new connections may still come after SIGTERM.
-	lameDuckTime = 700 * time.Millisecond
-	// Every request is answered within stopGrace after SIGTERM, beside the longest
-	// deadline; stopMargin later the process ends whatever is open. SIGKILL comes 0.7 s
-	// after stopGrace.
-	stopGrace  = 300 * time.Millisecond
-	stopMargin = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping process checks what is still open.
 	stopPollInterval = 10 * time.Millisecond
 	// successorRounds is how many polls come between two questions to the successor.
@@ -29,10 +23,10 @@
 	maxSuccessorRounds = 30
 )
 
-// stop ends the process when every request is answered. Unless a successor serves, it
-// stores what this process has learned.
-func (p *sidecarProcess) stop() {
-	replaced := newShutdown(p.config, p.resources, p.successor).run()
+// stop ends the process when every request is answered; the signal to end came at told.
+// Unless a successor serves, it stores what this process has learned.
+func (p *sidecarProcess) stop(told time.Time) {
+	replaced := newShutdown(told, p.config, p.resources, p.successor).run()
 	if p.place != nil && p.place.Locked() && !replaced {
 		p.saveSnapshot()
 	}
@@ -42,15 +36,15 @@
 type shutdown struct {
 	resources *resources
 	successor *link.Old // nil: no process can take over
-	began     time.Time
-	limit     time.Duration // from began until every request is answered
-	replaced  bool          // a successor serves
-	closed    bool          // no connection is accepted any more
+	told      time.Time // when the signal came: the plan's spans are counted from it
+	plan      stopplan.Plan
+	replaced  bool // a successor serves
+	closed    bool // no connection is accepted any more
 }
 
-// newShutdown returns a shutdown that begins now.
-func newShutdown(c *config, r *resources, successor *link.Old) *shutdown {
-	return &shutdown{resources: r, successor: successor, began: time.Now(), limit: seamStopLimit(c.longestDeadline() + stopGrace)}
+// newShutdown returns a shutdown of a process that was told to end at told.
+func newShutdown(told time.Time, c *config, r *resources, successor *link.Old) *shutdown {
+	return &shutdown{resources: r, successor: successor, told: told, plan: seamPlan(stopplan.For(c.longestDeadline()))}
 }
 
 // run serves on as long as connections may come, and until every request is answered. If
@@ -58,8 +52,8 @@
 // as their clients leave them idle. It returns whether a successor serves.
 func (s *shutdown) run() (replaced bool) {
 	host, server := s.resources.host, s.resources.server
-	slog.Info("stopping", "held", host.InFlight())
-	host.StopWithin(s.limit)
+	slog.Info("stopping", "held", host.InFlight(), "signal_ago", time.Since(s.told), "answer_all", s.plan.AnswerAll, "kill", s.plan.Kill)
+	host.StopWithin(time.Until(s.told.Add(s.plan.AnswerAll)))
 	s.resources.setStopping()
 	s.replaced = s.successor != nil && s.successor.Leave()
 	server.Drain(s.successor != nil) // one may be about to take over: idle connections stay for a moment
@@ -70,7 +64,7 @@
 			s.closed = true
 			continue
 		case stepEnd:
-			slog.Info("stopped", "busy", server.Busy(), "held", host.InFlight(), "after", time.Since(s.began))
+			slog.Info("stopped", "busy", server.Busy(), "held", host.InFlight(), "after", time.Since(s.told))
 			return s.replaced
 		}
 		time.Sleep(stopPollInterval)
@@ -78,6 +72,10 @@
 			s.replaced = s.successor.Needs(s.resources.used()) // a late one may still take over
 		}
 		server.CloseIdle(s.idleTime(round))
+		server.CloseSilent(s.plan.Silent)
+		if time.Since(s.told) >= s.plan.AnswerAll {
+			server.CloseUnfinished()
+		}
 	}
 }
 
@@ -93,20 +91,23 @@
 // next decides the next step. Whoever connects before stepClose is among the connections
 // after it, and is waited for.
 func (s *shutdown) next() shutdownStep {
-	elapsed := time.Since(s.began)
+	elapsed := time.Since(s.told)
+	accepts := !s.replaced && !s.closed
 	switch {
-	case !s.replaced && elapsed < lameDuckTime:
-		return stepWait
-	case elapsed >= s.limit+stopMargin:
+	case elapsed >= s.plan.End:
 		return stepEnd
-	case s.busy():
+	case accepts && elapsed >= s.plan.StopAccepting && !s.mayBeReplaced():
+		return stepClose
+	case accepts, s.busy():
 		return stepWait
-	case s.replaced || s.closed:
-		return stepEnd
 	}
-	return stepClose
+	return stepEnd
 }
 
+// mayBeReplaced reports whether a process has come that may take over, which needs the
+// listeners.
+func (s *shutdown) mayBeReplaced() bool { return s.successor != nil && s.successor.Talking() }
+
 // busy reports whether there are connections to wait for.
 func (s *shutdown) busy() bool {
 	server := s.resources.server
@@ -118,7 +119,7 @@
 	if s.successor == nil {
 		return 0
 	}
-	if s.replaced || round < minSuccessorRounds || round < maxSuccessorRounds && s.successor.Talking() {
+	if s.replaced || round < minSuccessorRounds || round < maxSuccessorRounds && s.mayBeReplaced() {
 		return idleBeforeClose
 	}
 	return 0
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -89,9 +89,7 @@
 func (c *conn) closeForEviction() bool {
 	switch {
 	case c.state == stateReading || c.state == stateClosed:
-		// Its goroutine ends it: a request that has been read whole by now is answered.
-		c.enter(stateClosed)
-		c.netConn.SetReadDeadline(time.Unix(1, 0))
+		c.stopReading()
 	case c.input.Quiet():
 		c.enter(stateClosed)
 		c.netConn.Close()
@@ -101,6 +99,13 @@
 	return true
 }
 
+// stopReading has the connection's goroutine end it: a request that has been read whole by
+// now is answered. The server's lock is held.
+func (c *conn) stopReading() {
+	c.enter(stateClosed)
+	c.netConn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // Trim evicts connections until their number is within the limit, or all are in use.
 func (s *Server) Trim() {
 	for {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,7 +14,7 @@
 	// acceptRetryDelay is the pause after a failed accept.
 	acceptRetryDelay = 5 * time.Millisecond
 	// newConnGrace is how long a new connection without a byte counts as busy when
-	// the sidecar stops.
+	// the sidecar stops. It is closed then (CloseSilent).
 	newConnGrace = 500 * time.Millisecond
 )
 
@@ -147,21 +147,46 @@
 
 // CloseIdle closes the connections that have been idle for at least the given time.
 func (s *Server) CloseIdle(idleFor time.Duration) {
+	s.closeQuiet(stateIdle, idleFor)
+}
+
+// CloseSilent closes the connections on which no byte has come for at least the given time
+// after their accept: on one that is left open, a first request may still come in the
+// process's last moment.
+func (s *Server) CloseSilent(silentFor time.Duration) {
+	s.closeQuiet(stateNew, silentFor)
+}
+
+// CloseUnfinished ends the connections on which a part of a request has come: nobody would
+// answer it any more. Their clients get an error. A request that has been read whole by now
+// has won, and is answered.
+func (s *Server) CloseUnfinished() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == stateReading {
+			c.stopReading()
+		}
+	}
+}
+
+// closeQuiet closes the connections that have been in a state for at least the given time.
+func (s *Server) closeQuiet(state connState, least time.Duration) {
 	s.mu.Lock()
-	closed := s.markIdleClosed(idleFor)
+	closed := s.markClosed(state, least)
 	s.mu.Unlock()
 	for _, c := range closed {
 		c.closeWrite()
 	}
 }
 
-// markIdleClosed marks the connections that have been idle for at least the given time
+// markClosed marks the connections that have been in a state for at least the given time
 // as closed and returns them. A connection on which a request has arrived is not among
 // them: its goroutine needs the lock, which is held, to take the request, so exactly one
 // of the two wins.
-func (s *Server) markIdleClosed(idleFor time.Duration) (closed []*conn) {
+func (s *Server) markClosed(state connState, least time.Duration) (closed []*conn) {
 	for c := range s.conns {
-		if c.state == stateIdle && time.Since(c.stateSince) >= idleFor && c.input.Quiet() {
+		if c.state == state && time.Since(c.stateSince) >= least && c.input.Quiet() {
 			c.enter(stateClosed)
 			closed = append(closed, c)
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -39,6 +39,7 @@
 	slow     bool
 
 	conn    net.Conn // nil: none is open
+	dialed  time.Duration
 	reader  *bufio.Reader
 	used    int // requests on conn
 	request int
@@ -67,11 +68,12 @@
 }
 
 func (c *client) dial() bool {
+	dialed := c.recorder.now()
 	conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.used = conn, bufio.NewReader(conn), 0
+	c.dialed, c.conn, c.reader, c.used = dialed, conn, bufio.NewReader(conn), 0
 	return true
 }
 
@@ -87,7 +89,7 @@
 	conn := c.conn
 	class := &c.script.Classes[c.IntN(len(c.script.Classes))]
 	c.request++
-	r := Request{ID: fmt.Sprintf("%s-%d", c.name, c.request), Sidecar: c.sidecar, Class: class.Name, FirstOn: c.used == 0}
+	r := Request{ID: fmt.Sprintf("%s-%d", c.name, c.request), Sidecar: c.sidecar, Class: class.Name, Dialed: c.dialed, FirstOn: c.used == 0}
 	r.Wait = time.Duration(class.Deadline).Truncate(time.Millisecond)
 	if c.Float64() < c.script.Impatient {
 		r.Wait = max(min(r.Wait, time.Duration(c.script.ImpatientFor)).Truncate(time.Millisecond), time.Millisecond)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -21,6 +21,7 @@
 	Class   string
 	Key     string
 	Wait    time.Duration // how long the client said it would wait
+	Dialed  time.Duration // when its connection was opened
 	Sent    time.Duration // when its last byte had been written
 	Ended   time.Duration
 	End     string
--- /dev/null
+++ b/internal/stopplan/stopplan_test.go
@@ -0,0 +1,33 @@
+package stopplan
+
+import (
+	"testing"
+	"time"
+)
+
+// The parts of a plan add up for every deadline: what is done last is done before the
+// kill at its earliest, also by a process that is held up just then.
+func TestPlansAddUp(t *testing.T) {
+	for longest := 50 * time.Millisecond; longest <= 20*time.Second; longest += 50 * time.Millisecond {
+		plan := For(longest)
+		earliest := min(longest, 3*time.Second) + 700*time.Millisecond
+		if plan.Kill != earliest {
+			t.Errorf("%v: the kill is expected at %v, it may come at %v", longest, plan.Kill, earliest)
+		}
+		for name, at := range map[string]time.Duration{"the last accept": plan.StopAccepting, "the last answer": plan.AnswerAll, "the end": plan.End} {
+			if at+HeldUpMost >= earliest {
+				t.Errorf("%v: %s at %v, and the kill at %v", longest, name, at, earliest)
+			}
+		}
+		if plan.AnswerAll >= plan.End {
+			t.Errorf("%v: all is answered at %v, and the end is at %v", longest, plan.AnswerAll, plan.End)
+		}
+		if plan.StopAccepting < NewConnectionsMost {
+			t.Errorf("%v: clients connect up to %v, they are accepted up to %v", longest, NewConnectionsMost, plan.StopAccepting)
+		}
+		// A request that was taken at the signal has its whole time, but for what the kill takes.
+		if whole := min(longest, 3*time.Second); plan.AnswerAll < whole {
+			t.Errorf("%v: a request has %v of its %v", longest, plan.AnswerAll, whole)
+		}
+	}
+}
