--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -165,7 +165,7 @@
 // answer from the request's own: it comes where that is expected, and has its form. The
 // pages' limit, and named in docs/design/acceptance.md; whatever comes later is a breach.
 func (j *judging) isFirstStray(r *Request) bool {
-	at := func(a *Attempt) bool { return a.Again > 0 && a.Answer == r.Body }
+	at := func(a Attempt) bool { return a.Again > 0 && a.Answer == r.Body }
 	from := slices.IndexFunc(j.record.Attempts, at)
 	if from < 0 {
 		return false
