A start counts from when it is told: slow start no longer hangs on the wall clock

Cause: a server's start is wall time of another machine, and was compared with this process's wall clock as it was at its start. An hour ahead, a cold server passed for warm; an hour behind, for cold for an hour.

A start told while the list is followed counts from then; of the first list no server is older than its distance to the newest start on it, nor than the own clock says. Three tests told a start 100 s before it happened; they tell it when it happens now.

--- a/balancer.go
+++ b/balancer.go
@@ -263,15 +263,21 @@
 // ServersChanged takes changed entries of the server list.
 func (b *Balancer) ServersChanged(now time.Duration, changed []Endpoint) {
 	b.askBack = b.cfg.AskWithin / 2
-	for _, e := range changed {
-		b.fleet.update(e, now)
-	}
+	b.fleet.change(changed, now)
+	b.fleet.told = true
 }
 
 // ServersListed takes the whole server list.
 func (b *Balancer) ServersListed(now time.Duration, list []Endpoint) {
 	b.askBack = b.cfg.AskWithin / 2
 	b.fleet.replace(list, now)
+	b.fleet.told = true
+}
+
+// ServersKnown takes a list that was known before discovery told one. It may be old: its
+// starts, and those of the first list that is told, may be of long ago.
+func (b *Balancer) ServersKnown(now time.Duration, list []Endpoint) {
+	b.fleet.replace(list, now)
 }
 
 // Servers counts the servers on the list, and those that get nothing for their failures.
--- a/cmd/sidecar/start.go
+++ b/cmd/sidecar/start.go
@@ -77,7 +77,7 @@
 	}
 	defer p.closeRecorder()
 	if c.known != nil {
-		r.host.Listed(c.known)
+		r.host.Known(c.known)
 	}
 	p.exportMetrics()
 	closeAdmin, err := p.openAdmin()
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -17,7 +17,12 @@
 }
 
 // Listed takes a list of servers, or the changes to it, from discovery.
-func (h *Host) Listed(list *discovery.List) {
+func (h *Host) Listed(list *discovery.List) { h.takeList(list, false) }
+
+// Known takes the list that the configuration names, before discovery has told one.
+func (h *Host) Known(list *discovery.List) { h.takeList(list, true) }
+
+func (h *Host) takeList(list *discovery.List, known bool) {
 	endpoints := make([]martendrum.Endpoint, len(list.Entries))
 	h.handle(func(now time.Duration) {
 		// The pool is updated under the lock too: it must know of a server before an
@@ -30,8 +35,13 @@
 		}
 		if list.Whole {
 			h.pool.Keep(listed)
+		}
+		switch {
+		case known:
+			h.balancer.ServersKnown(now, endpoints)
+		case list.Whole:
 			h.balancer.ServersListed(now, endpoints)
-		} else {
+		default:
 			h.balancer.ServersChanged(now, endpoints)
 		}
 	})
--- a/pick.go
+++ b/pick.go
@@ -58,7 +58,8 @@
 	group               int
 	hint                float64       // the list's capacity hint, 1 where it gives none
 	learned             float64       // corrects the hint by what was seen
-	started, warmAt     time.Duration // last start; when it is warm at the latest
+	started             time.Duration // its last start, by its own word
+	countsFrom, warmAt  time.Duration // from when that start counts, and when it is warm at the latest
 	serving, inSet      bool          // listed as serving; in the working set
 	inFlight            int
 	failures, ejections int           // in a row; for the backoff
@@ -84,6 +85,7 @@
 	fresh   time.Duration // when weights were made
 	dirty   bool          // membership or ejections changed
 	ejected []*server
+	told    bool    // discovery has told a list
 	sent    float64 // fading count of sends
 	nominal float64 // sends a second, were all taken: see Bounds
 	taken   float64 // running share of sends that were not turned away
@@ -94,7 +96,8 @@
 
 // update takes over what discovery says of one server. Members stay sorted: in a
 // large fleet many small changes come, and sorting it for each cost more than requests.
-func (f *fleet) update(e Endpoint, now time.Duration) {
+func (f *fleet) update(e Endpoint, reading startReading) {
+	now := reading.now
 	f.dirty = true
 	s := f.byName[e.Name]
 	if s == nil && e.State == Gone {
@@ -127,14 +130,16 @@
 	if !(s.hint > 0) || math.IsInf(s.hint, 0) {
 		s.hint = 1
 	}
-	if e.Started > s.started {
-		// A restarted process has none of its old faults and none of its speed.
+	if e.Started != s.started && e.Started > 0 {
+		// A restarted process has none of its old faults and none of its speed. Its own clock
+		// may have been set back meanwhile.
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
 		s.latSum, s.latN, s.learned, s.cold = 0, 0, 1, bucket{f.rand(), now}
+		s.countsFrom = reading.countsFrom(e.Started)
 	}
 	s.started, s.warmAt = e.Started, 0
 	if e.Started > 0 {
-		s.warmAt = e.Started + f.cfg.ColdFor
+		s.warmAt = s.countsFrom + f.cfg.ColdFor
 	}
 }
 
@@ -144,13 +149,22 @@
 	for _, e := range list {
 		listed[e.Name] = true
 	}
+	reading := f.readStarts(list, now)
 	for name := range f.byName { // in any order: what goes leaves the others as they are
 		if !listed[name] {
-			f.update(Endpoint{Name: name, State: Gone}, now)
+			f.update(Endpoint{Name: name, State: Gone}, reading)
 		}
 	}
 	for _, e := range list {
-		f.update(e, now)
+		f.update(e, reading)
+	}
+}
+
+// change takes changes of the list.
+func (f *fleet) change(changed []Endpoint, now time.Duration) {
+	reading := f.readStarts(changed, now)
+	for _, e := range changed {
+		f.update(e, reading)
 	}
 }
 
@@ -159,7 +173,7 @@
 	if now >= s.warmAt || f.cfg.ColdFor <= 0 {
 		return 1
 	}
-	return f.cfg.ColdFrom + (1-f.cfg.ColdFrom)*float64(max(0, now-s.started))/float64(f.cfg.ColdFor)
+	return f.cfg.ColdFrom + (1-f.cfg.ColdFrom)*float64(max(0, now-s.countsFrom))/float64(f.cfg.ColdFor)
 }
 
 // refresh rebuilds the sampling table when it is old or what it stands on changed.
--- a/pick_test.go
+++ b/pick_test.go
@@ -79,9 +79,10 @@
 	cfg := testConfig()
 	cfg.Classes = cfg.Classes[2:] // no copies
 	list := fleetOf(4)
-	list[0].Started = 100 * time.Second
 	b, r := newTest(t, cfg, list...)
 	now, cold := 100*time.Second, 0
+	list[0].Started = now
+	b.ServersChanged(now, list[:1])
 	for id := RequestID(1); id <= 400; id++ {
 		now += 5 * ms
 		b.Arrive(now, Request{ID: id, Deadline: now + 300*ms})
@@ -99,9 +100,10 @@
 // Sampling and pacing each hold a cold server back by themselves.
 func TestColdSamplingAndRoom(t *testing.T) {
 	list := fleetOf(2)
-	list[0].Started = 100 * time.Second
 	b, _ := newTest(t, testConfig(), list...)
 	f, now := &b.fleet, 100*time.Second
+	list[0].Started = now
+	b.ServersChanged(now, list[:1])
 	f.refresh(now)
 	cold, warm := f.weights[0], f.weights[1]-f.weights[0]
 	if f.set[0].name != "s000" {
@@ -128,11 +130,12 @@
 // back on it together, each with a full share.
 func TestColdGuestGetsNothing(t *testing.T) {
 	list := fleetOf(12)
-	for i := range list {
-		list[i].Started = 100 * time.Second
-	}
 	b, _ := newTest(t, testConfig(), list...)
 	f, now := &b.fleet, 100*time.Second
+	for i := range list {
+		list[i].Started = now
+	}
+	b.ServersChanged(now, list)
 	f.refresh(now)
 	if len(f.set) == len(f.members) {
 		t.Fatal("no guests to test with")
