Accept loops outlive errors of the moment; what failed calls prove is a table by errno

Cause: the hand-over's accept loop ended at its first error: after one full table of descriptors no process could take over any more. Three other loops each had a way of their own, and the clients' evicted an idle connection for any error, also one of the network.

Change: sock.Accept owns what an accept loop does with errors, for clients, admin, agents and hand-over; room is made only where descriptors are short. Looking at a socket repeats EINTR. upstream.Pool opens connections by a field that a test can make fail.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"martendrum/internal/framing"
+	"martendrum/internal/sock"
 )
 
 const (
@@ -45,8 +46,6 @@
 	// connection and could lose the response.
 	lingerTimeout = 200 * time.Millisecond
 	lingerBytes   = 256 << 10
-	// acceptRetryDelay is the pause after a failed accept.
-	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Server serves the admin endpoint.
@@ -77,14 +76,11 @@
 		listener.Close()
 	}
 	for {
-		conn, err := listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		conn, err := sock.Accept("admin", listener.Accept, nil)
+		if err != nil {
 			return
-		case err != nil: // out of descriptors, for example: retry
-			slog.Warn("the admin endpoint can't accept", "err", err)
-			time.Sleep(acceptRetryDelay)
-		case s.add(conn):
+		}
+		if s.add(conn) {
 			go s.serve(conn)
 		}
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -11,8 +10,6 @@
 )
 
 const (
-	// acceptRetryDelay is the pause after a failed accept.
-	acceptRetryDelay = 5 * time.Millisecond
 	// newConnGrace is how long a new connection without a byte counts as busy when
 	// the sidecar stops. It is closed then (CloseSilent).
 	newConnGrace = 500 * time.Millisecond
@@ -84,21 +81,22 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
-		netConn, err := listener.Accept()
+		netConn, err := sock.Accept("clients", listener.Accept, s.acceptFailed)
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			// Out of descriptors, for example: retry. Connections wait in the queue.
-			slog.Warn("can't accept", "err", err)
-			s.evict()
-			time.Sleep(acceptRetryDelay)
-			continue
+			return err
 		}
 		s.add(netConn)
 	}
 }
 
+// acceptFailed makes room where an accept failed for a lack of descriptors. Connections wait
+// in the queue.
+func (s *Server) acceptFailed(err error) {
+	if sock.IsTableFull(err) {
+		s.evict()
+	}
+}
+
 // refusalReserve is how many of the connections up to the limit are only used to tell
 // clients that they can't be served. Past the limit new connections are closed without
 // a response: descriptors are finite.
--- a/internal/handover/link/old.go
+++ b/internal/handover/link/old.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martendrum/internal/handover"
+	"martendrum/internal/sock"
 )
 
 // Host is the process that a hand-over is about. Its methods are called from one
@@ -98,7 +99,7 @@
 
 func (o *Old) accept(door *net.UnixListener) {
 	for {
-		uc, err := door.AcceptUnix()
+		uc, err := sock.Accept("hand-over", door.AcceptUnix, nil)
 		if err != nil {
 			return
 		}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"martendrum/internal/sock"
 )
 
 // Request is a request or a notification that has come.
@@ -67,7 +69,7 @@
 	s.mu.Unlock()
 	defer ln.Close()
 	for {
-		nc, err := ln.Accept()
+		nc, err := sock.Accept("msgpackrpc", ln.Accept, nil)
 		if err != nil {
 			s.mu.Lock()
 			closed := s.closed
@@ -75,12 +77,7 @@
 			if closed {
 				return nil
 			}
-			if errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			slog.Warn("msgpackrpc: can't accept", "err", err) // descriptors: it passes
-			time.Sleep(20 * time.Millisecond)
-			continue
+			return err
 		}
 		if !s.add(nc) {
 			nc.Close()
--- /dev/null
+++ b/internal/sock/accept_test.go
@@ -0,0 +1,50 @@
+package sock
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+// acceptErrnos are what accept(2) documents, and what it hands on of the network.
+var acceptErrnos = []syscall.Errno{
+	syscall.EAGAIN, syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET,
+	syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ESOCKTNOSUPPORT, syscall.EPROTONOSUPPORT,
+}
+
+// A loop that accepts outlives every error of the moment, and ends with its listener.
+func TestAcceptOutlivesErrors(t *testing.T) {
+	for _, errno := range acceptErrnos {
+		t.Run(errno.Error(), func(t *testing.T) {
+			calls, failures := 0, 0
+			accept := func() (int, error) {
+				calls++
+				switch calls {
+				case 1, 2:
+					return 0, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+				case 3:
+					return 42, nil
+				}
+				return 0, &net.OpError{Op: "accept", Net: "tcp", Err: net.ErrClosed}
+			}
+			failed := func(err error) {
+				failures++
+				if full := IsTableFull(err); full != (errno == syscall.EMFILE || errno == syscall.ENFILE) {
+					t.Errorf("table full: %v", full)
+				}
+			}
+			if conn, err := Accept("test", accept, failed); conn != 42 || err != nil {
+				t.Errorf("accepted %v, %v", conn, err)
+			}
+			if failures != 2 {
+				t.Errorf("%d failures were reported of 2", failures)
+			}
+			if _, err := Accept("test", accept, nil); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("a closed listener: %v", err)
+			}
+		})
+	}
+}
--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -178,7 +178,11 @@
 	var one [1]byte
 	still := false
 	err := l.raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		err := syscall.EINTR
+		for err == syscall.EINTR {
+			_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			err, _ = e.(syscall.Errno)
+		}
 		still = err == syscall.EAGAIN
 	})
 	return err == nil && still
@@ -195,6 +199,9 @@
 	err := l.raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(p, 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(p, 0)
+		}
 		left = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return err != nil || left
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -162,11 +162,17 @@
 	c.read(a.pool)
 }
 
+// dialTCP opens a connection.
+func dialTCP(addr string, most time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: most, KeepAlive: -1}
+	return dialer.Dial("tcp", addr)
+}
+
 // connect opens a connection; nil if that fails.
 func (a *Attempt) connect(addr string) *conn {
-	dialer := net.Dialer{Timeout: a.dialTimeout, KeepAlive: -1}
-	netConn, err := dialer.Dial("tcp", addr)
+	netConn, err := a.pool.dial(addr, a.dialTimeout)
 	if err != nil {
+		slog.Debug("no connection", "server", a.Server, "err", err)
 		a.pool.releaseSlot()
 		return nil
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,6 +22,8 @@
 
 // Pool keeps the connections to all servers.
 type Pool struct {
+	dial func(addr string, most time.Duration) (net.Conn, error) // opens a connection; a test's may fail
+
 	mu          sync.Mutex
 	config      Config
 	servers     map[string]*server
@@ -57,7 +59,7 @@
 
 // New returns an empty Pool.
 func New(config Config) *Pool {
-	return &Pool{config: config, servers: make(map[string]*server), minRest: defaultMinRest, strayRest: defaultStrayRest}
+	return &Pool{dial: dialTCP, config: config, servers: make(map[string]*server), minRest: defaultMinRest, strayRest: defaultStrayRest}
 }
 
 // Limit replaces the limits, for attempts still to come.
