Spans that processes share run on the boot clock; one package reads wall time

Cause: ids that two processes share in a hand-over were kept by Unix time, so a step forward forgot them; the age of discovery's word was a difference of wall times.

Change: internal/clock owns wall time and CLOCK_BOOTTIME. The table of ids counts by the latter, discovery's age by the monotonic clock.

Old and new versions share no ids in an upgrade between them.

--- a/cmd/sidecar/fleet.go
+++ b/cmd/sidecar/fleet.go
@@ -9,6 +9,7 @@
 
 	"martendrum"
 	"martendrum/internal/checkpoint"
+	"martendrum/internal/clock"
 	"martendrum/internal/metrics"
 	"martendrum/internal/peers"
 	"martendrum/internal/peers/link"
@@ -198,7 +199,7 @@
 	if f.checkpoint.path == "" || f.machine == nil || f.lastOrders().Phase != recovery.Serving {
 		return
 	}
-	c := checkpoint.Checkpoint{Saved: now.UnixMilli(), Demand: f.machine.Demand(), Learned: f.host.Learned()}
+	c := checkpoint.Checkpoint{Saved: clock.Wall().UnixMilli(), Demand: f.machine.Demand(), Learned: f.host.Learned()}
 	f.withNode(func(_ time.Duration, node *peers.Node) { c.Life = node.Life() })
 	f.checkpoint.save(now, c)
 }
--- a/cmd/sidecar/snapshot.go
+++ b/cmd/sidecar/snapshot.go
@@ -2,8 +2,8 @@
 
 import (
 	"log/slog"
-	"time"
 
+	"martendrum/internal/clock"
 	"martendrum/internal/handover"
 	"martendrum/internal/sidecar"
 )
@@ -11,7 +11,7 @@
 // snapshot returns what this process has learned, for the next one; empty if it can't be
 // encoded.
 func snapshot(listen string, host *sidecar.Host) []byte {
-	data, err := handover.Encode(handover.Snapshot{Listen: listen, Saved: time.Now().UnixNano(), Learned: host.Learned()})
+	data, err := handover.Encode(handover.Snapshot{Listen: listen, Saved: clock.Wall().UnixNano(), Learned: host.Learned()})
 	if err != nil {
 		slog.Warn("what was learned can't be told", "err", err)
 		return nil
@@ -41,7 +41,7 @@
 	if len(data) == 0 {
 		return false
 	}
-	learned, age, err := handover.Decode(data, p.config.listen, time.Now())
+	learned, age, err := handover.Decode(data, p.config.listen, clock.Wall())
 	if err != nil {
 		slog.Warn("cold start", "err", err)
 		return false
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -147,6 +147,8 @@
 	if c.Name != name {
 		return not(Foreign, fmt.Errorf("of %q", c.Name))
 	}
+	// The file outlives the machine, so the age is by the wall clock. A step makes it wrong:
+	// too old or from the future is not taken; too young is taken, as the hint it is.
 	age := now.Sub(time.UnixMilli(c.Saved))
 	if age < -time.Second || age > Oldest {
 		return not(Old, fmt.Errorf("saved %v ago", age.Round(time.Second)))
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -58,7 +58,7 @@
 	if _, err := body.Peek(1); err != nil {
 		return nil, silence(err, at.addr, Asking)
 	}
-	return newStream(body, conn.SetDeadline, func() { w.heard.Store(time.Now().UnixNano()) }), nil
+	return newStream(body, conn.SetDeadline, w.hear), nil
 }
 
 // opened is the end of a call to open.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -114,14 +114,23 @@
 	shut  bool
 	moves int // how often Addr has changed
 
-	heard atomic.Int64 // Unix time in ns of the last byte of a watch; 0: none yet
+	heard atomic.Pointer[time.Time] // when the last byte of a watch came; nil: none yet
 }
 
 // Age is the time since discovery was heard last, also if it had nothing to tell;
 // false if it never was.
 func (w *Watcher) Age() (time.Duration, bool) {
 	at := w.heard.Load()
-	return time.Since(time.Unix(0, at)), at != 0
+	if at == nil {
+		return 0, false
+	}
+	return time.Since(*at), true
+}
+
+// hear notes that a byte of a watch has come.
+func (w *Watcher) hear() {
+	now := time.Now()
+	w.heard.Store(&now)
 }
 
 // Move follows the list at another address and pace from now on. The watch that is open
--- a/internal/front/ids.go
+++ b/internal/front/ids.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"martendrum/internal/clock"
 )
 
 const (
@@ -14,15 +16,15 @@
 )
 
 // SharedIDs is a set of request ids shared with another process. Open adds the id of a
-// hash; it returns false if the id is in the set already.
+// hash; it returns false if the id is in the set already. at is by clock.Boot.
 type SharedIDs interface {
-	Open(hash uint64, at time.Time) bool
+	Open(hash uint64, at time.Duration) bool
 }
 
 // ShareIDs shares the known ids with another process. A set shared before is not used
 // any more.
 func (s *Server) ShareIDs(with SharedIDs) {
-	now := time.Now()
+	now := clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ids.shared = with
@@ -50,7 +52,7 @@
 
 // open adds the id of a new request; false if it is known.
 func (r *requestIDs) open(id string) bool {
-	if r.known[id] || r.shared != nil && !r.shared.Open(xxhash.Sum64String(id), time.Now()) {
+	if r.known[id] || r.shared != nil && !r.shared.Open(xxhash.Sum64String(id), clock.Boot()) {
 		return false
 	}
 	r.known[id] = true
--- a/internal/handover/idtable/idtable.go
+++ b/internal/handover/idtable/idtable.go
@@ -47,15 +47,18 @@
 func (t *Table) Full() int64 { return t.full.Load() }
 
 // alive says whether a word is known at now. Times are compared around the wrap, after
-// 48 days; one that lies further ahead than any may was written before a clock's step.
+// 48 days; one that lies further ahead than any may was written by another clock.
 func alive(w, now uint64) bool {
 	left := (w - now) & timeMask
 	return w != 0 && left > 0 && left <= life
 }
 
-// Open enters the id of that hash; false if it is known already.
-func (t *Table) Open(hash uint64, at time.Time) bool {
-	now := uint64(at.UnixMilli()/tick.Milliseconds()) & timeMask
+// Open enters the id of that hash; false if it is known already. at is of a clock that both
+// processes read alike and nobody steps (clock.Boot): a step of the wall clock would make
+// both forget what they know. A process of a version that counted by the wall clock shares
+// nothing with one of this version; each still knows its own.
+func (t *Table) Open(hash uint64, at time.Duration) bool {
+	now := uint64(at/tick) & timeMask
 	tag := hash &^ timeMask
 	if tag == 0 {
 		tag = 1 << timeBits
--- a/internal/handover/idtable/idtable_test.go
+++ b/internal/handover/idtable/idtable_test.go
@@ -10,13 +10,14 @@
 	"pgregory.net/rapid"
 )
 
-var t0 = time.Date(2026, 3, 18, 20, 0, 0, 0, time.UTC)
+// t0 is a reading of a machine's boot clock.
+const t0 = 40 * 24 * time.Hour
 
 // Against a plain map with times: an id is known exactly as long as it should be,
 // within a tick, in a table as full as it gets.
 func TestAgainstAMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tab, plain, now := Over(make([]uint64, Slots)), make(map[uint64]time.Time), t0
+		tab, plain, now := Over(make([]uint64, Slots)), make(map[uint64]time.Duration), time.Duration(t0)
 		ids := make([]uint64, 64)
 		for n := range ids {
 			// Hashes differ above the place's bits; half of them share one place.
@@ -26,10 +27,10 @@
 			}
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "openings") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			id := ids[rapid.IntRange(0, len(ids)-1).Draw(t, "which")]
 			at, was := plain[id]
-			age := now.Sub(at)
+			age := now - at
 			full := tab.Full()
 			switch ok := tab.Open(id, now); {
 			case ok && was && age <= Life-tick && tab.Full() == full:
@@ -77,7 +78,7 @@
 	if tab.Full() > 0 || once < ids*9/10 {
 		t.Errorf("%d of %d opened, %d for want of room", once, ids, tab.Full())
 	}
-	if later := t0.Add(Life + tick); !tab.Open(hash[0], later) || tab.Open(hash[0], later) {
+	if later := t0 + Life + tick; !tab.Open(hash[0], later) || tab.Open(hash[0], later) {
 		t.Error("after its life an id is not new, or not known again")
 	}
 }
@@ -85,7 +86,7 @@
 // A clock that steps back leaves words that lie too far ahead: they are free.
 func TestClockSteps(t *testing.T) {
 	tab := Over(make([]uint64, Slots))
-	if !tab.Open(7, t0) || !tab.Open(7, t0.Add(-time.Hour)) || tab.Open(7, t0.Add(-time.Hour)) {
+	if !tab.Open(7, t0) || !tab.Open(7, t0-time.Hour) || tab.Open(7, t0-time.Hour) {
 		t.Error("a word of an hour ahead is taken for a known one")
 	}
 }
@@ -93,9 +94,9 @@
 // BenchmarkOpen is one opening among those that the platform's busiest day has open.
 func BenchmarkOpen(b *testing.B) {
 	b.Run("table", func(b *testing.B) {
-		tab, at := Over(make([]uint64, Slots)), t0
+		tab, at := Over(make([]uint64, Slots)), time.Duration(t0)
 		for b.Loop() {
-			at = at.Add(800 * time.Microsecond)
+			at += 800 * time.Microsecond
 			tab.Open(rand.Uint64(), at)
 		}
 	})
--- a/internal/handover/snapshot.go
+++ b/internal/handover/snapshot.go
@@ -79,6 +79,9 @@
 	if s.Listen != listen {
 		return l, 0, fmt.Errorf("%w: of %q", ErrForeign, s.Listen)
 	}
+	// A step of the wall clock makes the age wrong: too old or from the future is not taken,
+	// which costs the hints; too young lets hints of FreshMost and the step's length through,
+	// which are hints still.
 	if age = now.Sub(time.Unix(0, s.Saved)); age < -time.Second || age > FreshMost {
 		return l, 0, fmt.Errorf("%w: %v", ErrStale, age)
 	}
--- /dev/null
+++ b/internal/sidecar/clock_test.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"martendrum"
+	"martendrum/internal/clock"
+	"martendrum/internal/discovery"
+	"martendrum/internal/standin/tcp"
+)
+
+// The wall clock is stepped while requests are open and a server drains: deadlines, windows
+// and graces are spans of real time, and a start that is told afterwards is a start.
+func TestStepsOfTheWallClockMoveNoSpan(t *testing.T) {
+	for _, by := range []time.Duration{3 * time.Second, -3 * time.Second, time.Hour, -time.Hour} {
+		t.Run(fmt.Sprint("step of ", by), func(t *testing.T) {
+			atStart := clock.Step(by) // the process starts while its clock is off
+			h, _, at := start(t, tcp.Serve(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) }))
+			atStart()
+			before := h.now()
+			began := time.Now()
+			c := dialled(t, at)
+			fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline-Ms: 400\r\nContent-Length: 0\r\n\r\n")
+			back := clock.Step(-2 * by) // and the clock is stepped past the truth
+			defer back()
+			if moved, passed := h.now()-before, time.Since(began); moved > passed+time.Second || moved < 0 {
+				t.Errorf("the balancer's time moved by %v", moved)
+			}
+			if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(began); took < 300*time.Millisecond || took > 2*time.Second {
+				t.Errorf("a request that may wait for 400 ms was answered after %v", took)
+			}
+			truth := time.Duration(time.Now().UnixNano())
+			h.Listed(&discovery.List{Index: 2, Entries: []discovery.Entry{{
+				Endpoint: martendrum.Endpoint{Name: "fresh", Hint: 1, Started: truth - 500*time.Millisecond}, Address: "127.0.0.1:1",
+			}}})
+			listed, _ := h.Servers()
+			if listed != 2 {
+				t.Errorf("%d servers are listed", listed)
+			}
+		})
+	}
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"martendrum"
+	"martendrum/internal/clock"
 	"martendrum/internal/discovery"
 	"martendrum/internal/settings"
 	"martendrum/internal/upstream"
@@ -29,7 +30,7 @@
 	wrote    func() // the meter's Wrote
 
 	started     time.Time
-	startedUnix time.Duration // started as Unix time
+	startedUnix time.Duration // started as Unix time, by a wall clock that may have been off
 
 	// Guarded by mu.
 	mu       sync.Mutex
@@ -52,7 +53,7 @@
 		watcher:     watcher,
 		meter:       unmetered{},
 		started:     started,
-		startedUnix: time.Duration(started.UnixNano()),
+		startedUnix: time.Duration(clock.Wall().UnixNano()),
 		settings:    set,
 		requests:    make(map[martendrum.RequestID]*clientRequest),
 		limits: inFlightLimits{
@@ -69,8 +70,10 @@
 	return h, err
 }
 
-// now returns Unix time that never goes back. It is read under the lock, so that the
-// Balancer's events are in the order of their times.
+// now returns Unix time as the wall clock had it at the process's start, and goes on with the
+// monotonic clock: no step moves it. What it may be off by, the Balancer allows for (package
+// martendrum, coldstart.go). It is read under the lock, so that the Balancer's events are in
+// the order of their times.
 func (h *Host) now() time.Duration { return h.startedUnix + time.Since(h.started) }
 
 // handle brings an event to the Balancer and then carries out what it asked for.
