A server of a streamed request is told what its client waits, not the upload's time

Change: upstream.Attempt.Patience bounds what is told. The soak draws long bodies and answers, whole lists, servers that close or forget idle connections, a quiet morning, and stops of the process that has just started. A seam that heeds no deadline takes the place of the one that hears of no leaving, which the look at the connection now makes up for.

--- a/cmd/sidecar/seams_on.go
+++ b/cmd/sidecar/seams_on.go
@@ -19,7 +19,7 @@
 const (
 	seamLateStop    = "late-stop"    // a stop is planned as if the deadlines were longer
 	seamDeafToDrain = "deaf-drain"   // servers that drain or have gone stay on the list
-	seamDeafToLeave = "deaf-leaving" // a client that leaves is not noticed
+	seamDeadlines   = "no-deadlines" // what clients say of how long they wait is not heeded
 )
 
 // lateStop is by how much later seamLateStop plans a process's end.
@@ -49,15 +49,18 @@
 	return plan
 }
 
-// deafHandler does not notice clients that leave.
+// deafHandler does not heed how long clients wait.
 type deafHandler struct{ front.Handler }
 
-// Gone implements front.Handler.
-func (deafHandler) Gone(*front.Exchange) bool { return false }
+// Arrive implements front.Handler.
+func (d deafHandler) Arrive(x *front.Exchange) {
+	x.Wait = 0
+	d.Handler.Arrive(x)
+}
 
 // seamHandler returns the handler of the clients' requests.
 func seamHandler(handler front.Handler) front.Handler {
-	if seam(seamDeafToLeave) {
+	if seam(seamDeadlines) {
 		return deafHandler{handler}
 	}
 	return handler
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -67,7 +67,7 @@
 		Wrote:    h.wrote,
 	}
 	if x.Request.Stream != nil {
-		a.Claimed, a.Wrote = a.claimed, a.uploaded
+		a.Claimed, a.Wrote, a.Patience = a.claimed, a.uploaded, request.timeout
 	}
 	return a
 }
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -288,3 +289,30 @@
 		}
 	}
 }
+
+// The story. A server of a request whose body was still arriving was told 4.4 s, and its
+// client would wait for 0.5 s from the body's end: the time that the rest of the body might
+// take had been added. A server is told at most what the client waits.
+func TestStreamedRequestTellsWhatItsClientWaits(t *testing.T) {
+	told := make(chan string, 1)
+	_, _, at := start(t, tcp.Requests(t, func(_, _ int, c net.Conn, r *http.Request) bool {
+		told <- r.Header.Get("Req-Deadline-Ms")
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes")
+		return true
+	}))
+	c := dialled(t, at)
+	const length = 200 << 10
+	fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline-Ms: 500\r\nContent-Length: %d\r\n\r\n", length)
+	c.Write(block(length))
+	ms, err := strconv.Atoi(<-told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ms > 500 {
+		t.Errorf("the server was told %d ms, the client waits for 500", ms)
+	}
+	if err := answered(bufio.NewReader(c)); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -48,6 +48,7 @@
 // run sends requests until the context ends.
 func (c *client) run(ctx context.Context) {
 	defer c.hangUp()
+	sleep(ctx, time.Duration(c.script.QuietUntil))
 	for ctx.Err() == nil {
 		if c.conn == nil && !c.dial() {
 			sleep(ctx, dialPause)
@@ -119,7 +120,11 @@
 
 // text is a request as it is written.
 func (c *client) text(r *Request, class *Class) string {
-	method, extra := http.MethodPost, "Content-Length: 4\r\n\r\ncard"
+	length := 4
+	if c.script.BodyMost > 4 {
+		length += c.IntN(c.script.BodyMost - 4)
+	}
+	method, extra := http.MethodPost, fmt.Sprintf("Content-Length: %d\r\n\r\ncard%s", length, strings.Repeat("x", length-4))
 	switch class.Effect {
 	case Safe:
 		method, extra = http.MethodGet, "\r\n"
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -31,6 +31,7 @@
 // records what it told to whom.
 type discovery struct {
 	recorder *recorder
+	whole    bool // every change is told by a whole list
 
 	mu       sync.Mutex
 	entries  []listed
@@ -42,8 +43,8 @@
 	wait     sync.WaitGroup
 }
 
-func newDiscovery(recorder *recorder) *discovery {
-	return &discovery{recorder: recorder, mode: DiscoveryServes, version: 1, changed: make(chan struct{})}
+func newDiscovery(script *Script, recorder *recorder) *discovery {
+	return &discovery{recorder: recorder, whole: script.WholeLists, mode: DiscoveryServes, version: 1, changed: make(chan struct{})}
 }
 
 // add puts a server on the list, before the first call.
@@ -109,8 +110,15 @@
 func (d *discovery) look(after int) (mode string, version int, entries []listed, changed <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.whole && after < d.version {
+		after = 0
+	}
 	for _, e := range d.entries {
-		if after == 0 && e.state != Removed || after > 0 && e.version > after {
+		listed := e.version > after
+		if after == 0 {
+			listed = e.state == Up || e.state == Draining && !d.whole
+		}
+		if listed {
 			entries = append(entries, e)
 		}
 	}
@@ -160,7 +168,7 @@
 		time.Sleep(slowCall)
 		_, version, entries, changed = d.look(after)
 	}
-	if !d.write(sidecar, w, version, after == 0, entries) || r.URL.Query().Get("watch") != "1" {
+	if !d.write(sidecar, w, version, after == 0 || d.whole, entries) || r.URL.Query().Get("watch") != "1" {
 		return
 	}
 	d.watch(sidecar, w, r, version, changed)
@@ -190,7 +198,7 @@
 		case mode == DiscoverySilent: // and this watch stays so
 			<-r.Context().Done()
 			return
-		case len(entries) > 0 && !d.write(sidecar, w, next, false, entries):
+		case next > version && !d.write(sidecar, w, next, d.whole, entries):
 			return
 		}
 		version = next
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -202,9 +202,18 @@
 
 var signalsByName = map[string]syscall.Signal{"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "HUP": syscall.SIGHUP}
 
-// stop sends a series of signals, kills the process at the earliest, unless it has ended by
-// itself, and starts the next one at once.
+// stop stops the process, and the one after it as well where the event says so.
 func (s *sidecar) stop(ctx context.Context, e *Event) error {
+	if err := s.stopOnce(ctx, e); err != nil || e.Again == 0 {
+		return err
+	}
+	sleep(ctx, time.Duration(e.Again))
+	return s.stopOnce(ctx, e)
+}
+
+// stopOnce sends a series of signals, kills the process at the earliest, unless it has ended
+// by itself, and starts the next one at once.
+func (s *sidecar) stopOnce(ctx context.Context, e *Event) error {
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // All times of a Record are since its world's start, on a monotonic clock.
 
@@ -93,6 +96,17 @@
 // Outage is a time in which discovery told nothing.
 type Outage struct{ From, To time.Duration }
 
+// Served is how many requests were served. A day may be drawn on which none can be; over
+// many days that must be rare.
+func (r *Record) Served() (served int) {
+	for _, request := range r.Requests {
+		if request.Status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
 // Record is what a run left.
 type Record struct {
 	Length   time.Duration
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -56,10 +56,13 @@
 	ModeTwice         = "twice"          // answers twice, the second time a moment later
 	ModeEndless       = "endless"        // begins an answer and never ends it
 	ModeResetRequests = "reset-requests" // takes a request whole, then resets
+	ModeIdleClose     = "idle-close"     // closes a connection a moment after its answer
+	ModeForget        = "forget"         // reads nothing more of a connection after an answer
 )
 
 var serverModes = []string{ModeHang, ModeHang, ModeHang, ModeSilent, ModeDown, ModeLate, ModeFail, ModeDecline,
-	ModeResetBefore, ModeResetWithin, ModeResetAfter, ModeNoLength, ModeTwice, ModeEndless, ModeResetRequests}
+	ModeResetBefore, ModeResetWithin, ModeResetAfter, ModeNoLength, ModeTwice, ModeEndless, ModeResetRequests,
+	ModeIdleClose, ModeForget}
 
 // Discovery modes.
 const (
@@ -93,6 +96,7 @@
 	For     Span     `json:",omitempty"`
 	Signals []string `json:",omitempty"`
 	Gap     Span     `json:",omitempty"` // between signals
+	Again   Span     `json:",omitempty"` // after the next process has started, it is stopped as well; 0: not
 	Factor  float64  `json:",omitempty"` // of the deadlines, also just before a stop; 0: as they are
 }
 
@@ -104,6 +108,7 @@
 	Servers  int
 
 	Asked      bool // discovery is asked; else lists are pushed
+	WholeLists bool // every change is told by a whole list, without the servers that drain
 	DrainGrace Span
 	Classes    []Class
 	Attempts   int
@@ -126,6 +131,9 @@
 	Slow         int     // clients of each sidecar that write slowly
 	Crowd        int     // idle connections to each sidecar
 	ImpatientFor Span
+	QuietUntil   Span // when the clients begin
+	BodyMost     int  // bytes of a request's body, at most
+	AnswerMost   int  // bytes added to an answer, at most
 	Events       []Event
 }
 
@@ -219,7 +227,7 @@
 	s.Length = d.between(size.Length*4/5, size.Length)
 	s.Sidecars = 1 + d.IntN(size.Sidecars)
 	s.Servers = 2 + d.IntN(6)
-	s.Asked = d.chance(0.5)
+	s.Asked, s.WholeLists = d.chance(0.5), d.chance(0.3)
 	s.DrainGrace = d.between(500*time.Millisecond, 2*time.Second)
 	longest := d.scaled(200*time.Millisecond, 8*time.Second)
 	for n, effect := range []Effect{Safe, Keyed, Unsafe} {
@@ -258,6 +266,12 @@
 	if d.chance(0.25) {
 		s.Crowd = s.Sockets
 	}
+	if d.chance(0.15) {
+		s.QuietUntil = d.moment(0.2, 0.5)
+	}
+	if d.chance(0.4) {
+		s.BodyMost, s.AnswerMost = d.IntN(100<<10), d.IntN(100<<10)
+	}
 }
 
 func (d *drawing) add(e Event) { d.script.Events = append(d.script.Events, e) }
@@ -312,6 +326,9 @@
 		if d.chance(0.4) && stop.Signals[0] == "HUP" {
 			stop.Factor = 0.3 + d.Float64()
 		}
+		if d.chance(0.3) {
+			stop.Again = d.between(time.Millisecond, 300*time.Millisecond)
+		}
 		d.add(stop)
 		if d.chance(0.6) { // servers hang through the whole of the shutdown
 			d.add(Event{At: max(0, at-d.between(0, 500*time.Millisecond)), Kind: EventServerMode,
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,6 +20,8 @@
 	secondAnswerPause = 4 * time.Millisecond
 	// answerPause is between the parts of an answer that is sent in parts.
 	answerPause = 15 * time.Millisecond
+	// answerStep is how much answers differ in length where they are long.
+	answerStep = 7919
 )
 
 // server is a stand-in for an activation server. It records each request that comes.
@@ -252,7 +255,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
-	return fmt.Sprintf("%s by %d, answer %d", id, s.number, s.answers)
+	body := fmt.Sprintf("%s by %d, answer %d", id, s.number, s.answers)
+	if s.script.AnswerMost > 0 {
+		body += strings.Repeat(".", s.answers*answerStep%s.script.AnswerMost)
+	}
+	return body
 }
 
 // work takes as long as a request does.
@@ -302,10 +309,18 @@
 	if _, err := io.WriteString(conn, whole); err != nil {
 		return false
 	}
-	if mode == ModeResetAfter {
+	switch mode {
+	case ModeResetAfter:
 		time.Sleep(answerPause)
 		reset(conn)
 		return false
+	case ModeIdleClose:
+		time.Sleep(answerPause)
+		return false
+	case ModeForget:
+		<-changed
+		reset(conn)
+		return false
 	}
 	return true
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -73,7 +73,7 @@
 
 // build makes servers, discovery and sidecars.
 func (w *world) build() error {
-	w.discovery = newDiscovery(w.recorder)
+	w.discovery = newDiscovery(w.script, w.recorder)
 	for n := range w.script.Servers {
 		s, err := startServer(n, "127.0.0.1", w.script, w.recorder)
 		if err != nil {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -56,6 +56,9 @@
 	Deadline time.Time // when the sidecar stops waiting
 	Latest   time.Time // when its last byte must have been sent, or it must not run; zero: Deadline
 	Sink     Sink
+	// Patience is the most that the server is told to have; 0: the time until Deadline. A
+	// body that is still arriving has a later Deadline than its client waits from its end.
+	Patience time.Duration
 	// Once says that the request can't be repeated: it is not sent on a reused
 	// connection while those break at their next request.
 	Once bool
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -70,7 +70,11 @@
 func (a *Attempt) appendHead(b []byte) []byte {
 	b = append(b, a.Request.Head...)
 	b = append(b, "Req-Deadline-Ms: "...)
-	b = strconv.AppendInt(b, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	left := time.Until(a.Deadline)
+	if a.Patience > 0 {
+		left = min(left, a.Patience)
+	}
+	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
 	return append(b, "\r\n\r\n"...)
 }
 
