--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -111,7 +111,7 @@
 	r.Sent = c.recorder.now()
 	atEnd := context.AfterFunc(ctx, func() { conn.SetReadDeadline(time.Unix(1, 0)) })
 	c.await(&r, leaves)
-	if !atEnd() && r.End == EndNothing {
+	if !atEnd() && (r.End == EndNothing || r.End == EndTruncated) {
 		r.End = EndLeft // the day is over
 	}
 	r.Ended = c.recorder.now()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -22,6 +22,8 @@
 	healthInterval = 5 * time.Millisecond
 	// healthTimeout is how long such a question may take.
 	healthTimeout = 500 * time.Millisecond
+	// holdRest is how long a process runs, at least, between two times that it is held up.
+	holdRest = 250 * time.Millisecond
 	// logMost is how much is kept of a sidecar's log.
 	logMost = 8 << 20
 )
@@ -67,6 +69,8 @@
 	ended    chan struct{} // closed at the process's end
 	classes  []Class       // with the deadlines of the configuration file
 	stopping bool
+
+	holdAfter time.Time // when it may be held up again
 }
 
 // freeAddress returns an address at which nobody listens, on an IP of the caller's own.
@@ -265,10 +269,17 @@
 	return s.process.Process.Signal(syscall.SIGHUP)
 }
 
-// hold holds the process up for a time.
+// hold holds the process up for a time, unless it was held up a moment ago: two times one
+// right behind the other are one that is longer than the rules allow for.
 func (s *sidecar) hold(most time.Duration) {
 	s.mu.Lock()
 	process := s.process
+	now := time.Now()
+	if now.Before(s.holdAfter) {
+		s.mu.Unlock()
+		return
+	}
+	s.holdAfter = now.Add(most + holdRest)
 	s.mu.Unlock()
 	process.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(most)
