An answer does not wait for its client: one slow client kept others' answers

Cause: many requests end in one moment (a stop, a deadline, a list), and one goroutine answers them in turn. A client that took nothing held it for up to 2 s, behind which others' answers were too late.

Change: an answer to a request that the handler has is written as far as the socket takes it; the rest, if any, by a goroutine of its own, for 2 s at most. No write deadline is left behind. A test's hook of writes covers both ways to write. The soak draws a slow discovery only where it is asked: a pushed list comes from the same machine, at once or not at all.

--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"martendrum/internal/standin/tcp"
+	"martendrum/internal/upstream"
 )
 
 // eventually waits for what must come.
@@ -57,6 +58,24 @@
 	return n, err
 }
 
+// SyscallConn hooks the writes that don't wait as well.
+func (h *hooked) SyscallConn() (syscall.RawConn, error) {
+	raw, err := h.TCPConn.SyscallConn()
+	return &hookedRaw{raw, h}, err
+}
+
+// hookedRaw runs the hook after each write.
+type hookedRaw struct {
+	syscall.RawConn
+	conn *hooked
+}
+
+func (r *hookedRaw) Write(write func(fd uintptr) (done bool)) error {
+	err := r.RawConn.Write(write)
+	r.conn.wrote(r.conn.TCPConn)
+	return err
+}
+
 // hookedListener hooks each connection that it accepts.
 type hookedListener struct {
 	net.Listener
@@ -315,3 +334,46 @@
 		t.Errorf("who comes after was answered %d", got)
 	}
 }
+
+// The story. At the end of a process all open requests end in one moment, and one goroutine
+// answers them in turn. A client that takes nothing kept it for 2 s, which the answers of
+// all others behind it were late by. Whoever answers waits for no client.
+func TestSlowClientKeepsNobodyWaiting(t *testing.T) {
+	_, h, addr := start(t, 100)
+	dial(t, addr, look("1")) // reads nothing
+	slow := receive(t, h.arrived)
+	_, reader := dial(t, addr, look("2"))
+	other := receive(t, h.arrived)
+	began := time.Now()
+	const more = 32 << 20 // than both sockets hold
+	slow.Serve(&upstream.Answer{Body: make([]byte, more), Length: more})
+	other.Refuse(0)
+	if got := status(t, reader); got != http.StatusServiceUnavailable {
+		t.Errorf("the other client was answered %d", got)
+	}
+	if took := time.Since(began); took > writeTimeout/2 {
+		t.Errorf("the other client was answered after %v", took)
+	}
+}
+
+// A connection goes on after an answer that was taken slowly, also long after the time that
+// writing it might have taken.
+func TestConnectionGoesOnAfterASlowAnswer(t *testing.T) {
+	_, h, addr := start(t, 100)
+	c, reader := dial(t, addr, "POST /pay HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\ncard")
+	first := receive(t, h.arrived)
+	const more = 32 << 20
+	first.Serve(&upstream.Answer{Body: make([]byte, more), Length: more})
+	if got := status(t, reader); got != http.StatusContinue {
+		t.Fatalf("answered %d first", got)
+	}
+	if got := status(t, reader); got != http.StatusOK {
+		t.Fatalf("answered %d", got)
+	}
+	time.Sleep(writeTimeout + 100*time.Millisecond) // any deadline that was left has passed
+	io.WriteString(c, look("2"))
+	receive(t, h.arrived).Refuse(0)
+	if got := status(t, reader); got != http.StatusServiceUnavailable {
+		t.Errorf("the next request was answered %d", got)
+	}
+}
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -13,7 +13,7 @@
 // off some of what the client still sends.
 func (c *conn) reject(status int) {
 	x := &Exchange{conn: c}
-	x.write(status, "", nil, nil)
+	c.write(x.appendResponse(nil, status, "", nil, nil))
 	c.server.mu.Lock()
 	evicted := c.state == stateClosed // another connection has its place already
 	if !evicted {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -42,8 +42,7 @@
 		return nil, status
 	}
 	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	fits, status := x.readBody(r)
 	if status == statusNone && fits && (x.upload == nil || crowded) && c.input.Buffered() > 0 {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -60,23 +60,55 @@
 	x.endAnswer(x.writeStream(ans))
 }
 
-// answer writes a buffered response, in one write, and prepares the connection for the
-// next request.
+// answer writes a buffered response and prepares the connection for the next request. The
+// answer to a request that the handler has does not wait for its client: whoever answers may
+// have others to answer next.
 func (x *Exchange) answer(status int, field string, header http.Header, body []byte) {
-	x.beginAnswer(status)
-	x.endAnswer(x.write(status, field, header, body))
+	buf := buffers.Get().(*[]byte)
+	registered := x.beginAnswer(status)
+	*buf = x.appendResponse((*buf)[:0], status, field, header, body)
+	if !registered { // its connection's own goroutine answers
+		x.endAnswer(x.conn.write(*buf))
+		giveBuffer(buf)
+		return
+	}
+	n, err := x.conn.input.WriteNow(*buf)
+	if err != nil || n == len(*buf) {
+		x.endAnswer(err)
+		giveBuffer(buf)
+		return
+	}
+	go x.finishAnswer(buf, n)
+}
+
+// finishAnswer writes the rest of a response, from byte n on, for a client that is slow to
+// take it.
+func (x *Exchange) finishAnswer(buf *[]byte, n int) {
+	defer x.conn.recoverPanic()
+	x.endAnswer(x.conn.write((*buf)[n:]))
+	giveBuffer(buf)
+}
+
+// giveBuffer gives a buffer back for reuse.
+func giveBuffer(buf *[]byte) {
+	if cap(*buf) <= maxPooledBuffer {
+		buffers.Put(buf)
+	}
 }
 
-// beginAnswer marks that the response is being written.
-func (x *Exchange) beginAnswer(status int) {
+// beginAnswer marks that the response is being written, and returns whether the handler has
+// the request.
+func (x *Exchange) beginAnswer(status int) (registered bool) {
 	s := x.conn.server
 	s.mu.Lock()
 	x.answering = true
+	registered = x.conn.exchange == x
 	x.keepAlive = x.keepAlive && s.drainingSince.IsZero() && (x.upload == nil || x.upload.isComplete())
 	s.mu.Unlock()
 	if x.id != "" { // a request, not a health check
 		s.meter.Answered(x.Class, status)
 	}
+	return registered
 }
 
 // endAnswer ends the exchange; err is from writing the response. If it could not be
@@ -111,18 +143,19 @@
 	c.answered.Signal()
 }
 
-// write writes a buffered response.
-func (x *Exchange) write(status int, field string, header http.Header, body []byte) error {
-	buf := buffers.Get().(*[]byte)
-	b := appendLength(x.appendHead((*buf)[:0], status, field, header), int64(len(body)))
+// appendResponse appends a buffered response.
+func (x *Exchange) appendResponse(b []byte, status int, field string, header http.Header, body []byte) []byte {
+	b = appendLength(x.appendHead(b, status, field, header), int64(len(body)))
 	b = append(b, "\r\n"...)
-	b = append(b, body...)
-	x.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := x.conn.netConn.Write(b)
-	if cap(b) <= maxPooledBuffer {
-		*buf = b
-		buffers.Put(buf)
-	}
+	return append(b, body...)
+}
+
+// write writes to the client, for writeTimeout at most. No deadline is left behind: one that
+// has passed would make the next WriteNow fail.
+func (c *conn) write(b []byte) error {
+	c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.netConn.Write(b)
+	c.netConn.SetWriteDeadline(time.Time{})
 	return err
 }
 
@@ -138,6 +171,7 @@
 	b = appendPiece(b, ans.Body, chunked)
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
+	defer netConn.SetWriteDeadline(time.Time{})
 	for ended := false; ; {
 		netConn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 		if _, err := netConn.Write(b); err != nil || ended {
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -307,9 +307,13 @@
 }
 
 func (d *drawing) drawDiscoveryEvents() {
+	modes := discoveryModes
+	if !d.script.Asked { // an agent on the sidecar's own machine answers at once, or not at all
+		modes = slices.DeleteFunc(slices.Clone(modes), func(mode string) bool { return mode == DiscoverySlow })
+	}
 	for range d.IntN(3) {
 		d.add(Event{At: d.moment(0.05, 0.7), Kind: EventDiscoveryMode,
-			Mode: discoveryModes[d.IntN(len(discoveryModes))], For: d.between(300*time.Millisecond, 4*time.Second)})
+			Mode: modes[d.IntN(len(modes))], For: d.between(300*time.Millisecond, 4*time.Second)})
 	}
 }
 
--- a/internal/sock/lazy.go
+++ b/internal/sock/lazy.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"net"
 	"sync"
@@ -188,6 +189,30 @@
 	return err == nil && still
 }
 
+// WriteNow writes what the socket takes at once, and returns how much that was: less than
+// all is no error. It may be called from any goroutine. What is no socket takes nothing.
+func (l *Lazy) WriteNow(b []byte) (n int, err error) {
+	if l.raw == nil {
+		return 0, nil
+	}
+	failed := l.raw.Write(func(fd uintptr) (done bool) {
+		for n < len(b) && err == nil {
+			var m int
+			if m, err = syscall.Write(int(fd), b[n:]); m > 0 {
+				n += m
+			}
+			if err == syscall.EINTR {
+				err = nil
+			}
+		}
+		return true
+	})
+	if err == syscall.EAGAIN {
+		err = nil
+	}
+	return n, cmp.Or(failed, err)
+}
+
 // Left says that the peer has closed its side or reset the connection, also where bytes
 // lie unread before that. It does not wait, and may be called from any goroutine. Of what
 // is no socket nothing is known.
