--- a/cmd/sidecar/upgrade_test.go
+++ b/cmd/sidecar/upgrade_test.go
@@ -20,7 +20,7 @@
 
 // TestMain lets the test's program be a sidecar, so that processes can hand over.
 func TestMain(m *testing.M) {
-	if os.Getenv("FAWNROCK_TEST_CHILD") != "" {
+	if os.Getenv("MARTENDRUM_TEST_CHILD") != "" {
 		main()
 		os.Exit(0)
 	}
@@ -114,7 +114,7 @@
 		s.t.Fatal(err)
 	}
 	p := &process{Cmd: exec.Command(self), mgmt: freeAddr(s.t), log: new(safeBuffer), done: make(chan error, 1)}
-	p.Env = append(os.Environ(), "FAWNROCK_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "TMPDIR="+s.dir, "BALANCER_CONFIG="+s.config, "BALANCER_MGMT="+p.mgmt, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
+	p.Env = append(os.Environ(), "MARTENDRUM_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "TMPDIR="+s.dir, "BALANCER_CONFIG="+s.config, "BALANCER_MGMT="+p.mgmt, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		s.t.Fatal(err)
--- a/internal/fleet/life/life.go
+++ b/internal/fleet/life/life.go
@@ -16,6 +16,8 @@
 import (
 	"fmt"
 	"time"
+
+	"martendrum/internal/stopplan"
 )
 
 // Phase is the state of an instance as an operator sees it.
@@ -42,7 +44,7 @@
 
 // KillLeast is the least KillAfter: the protocol lets SIGKILL come no sooner than
 // the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
-const KillLeast = 3700 * time.Millisecond
+const KillLeast = stopplan.DeadlineCountsMost + stopplan.KillGrace
 
 // Kind is what should be done.
 type Kind string
