--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -129,6 +129,8 @@
 			return
 		}
 		taken = true
+		attempts := len(request.attempts)
+		h.enqueue(func() { logLeft(x, attempts) })
 		h.markAnswered(request)
 		h.balancer.ClientGone(now, request.id)
 		h.releaseIfDone(request)
@@ -136,6 +138,12 @@
 	return taken
 }
 
+// logLeft logs that a request ended without an answer, because its client left: whether it
+// did so in its time, or because the answer was late, is the first question after an incident.
+func logLeft(x *front.Exchange, attempts int) {
+	slog.Info("client left before its answer", "class", x.Class, "after", time.Since(x.Received), "wait", x.Wait, "attempts", attempts)
+}
+
 // Refuse implements martendrum.Host.
 func (h *Host) Refuse(id martendrum.RequestID, retryAfter time.Duration) {
 	h.answer(id, func(x *front.Exchange) { x.Refuse(retryAfter) })
