One place for what the change said twice; no second lock for each request

Need: reading the whole change again. A list's entries were taken in by two loops; that a client left was kept beside the outcome that tells it; the 0.5 s of a silent connection stood in the front and in the stop's plan; each request took the front's lock once more for a log line of stops only; the seam of lists was in two places; the judge made its index of requests three times and again for each stray; the soak had two formulas of warmth and of the longest deadline, its kill test a third of the earliest kill, an end that nobody records, and a comment on clients that its function does not start.

Change: one of each. Checks, bounds and what tests expect are as before.

--- a/cmd/sidecar/fleet.go
+++ b/cmd/sidecar/fleet.go
@@ -39,7 +39,7 @@
 func startFleet(c *config, host *sidecar.Host, metricSet *metrics.Set, besidePredecessor bool) (*fleet, error) {
 	f := &fleet{host: host, stop: make(chan struct{}), started: time.Now()}
 	f.checkpoint = checkpointFile{path: c.fleet.checkpointPath, name: c.listen, savedAt: f.started}
-	f.checkpoint.load(f.started)
+	f.checkpoint.load(clock.Wall())
 	size := 1
 	if peersConfig := c.fleet.peers; peersConfig != nil {
 		size = len(peersConfig.Peers)
--- a/cmd/sidecar/kill_test.go
+++ b/cmd/sidecar/kill_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"martendrum/internal/soak"
 )
 
 // The story. A deployment's requests may take longer than 3 s. The supervisor tells a
@@ -25,17 +27,6 @@
 // requests had come 0.97 and 1.51 s after SIGTERM, each the first on a connection that had
 // been accepted at the signal and had said nothing since.
 
-const (
-	// supervisorCountsMost and supervisorGrace are when a supervisor kills at the earliest.
-	supervisorCountsMost = 3 * time.Second
-	supervisorGrace      = 700 * time.Millisecond
-)
-
-// earliestKill is how long after SIGTERM a process may be killed at the earliest.
-func earliestKill(longest time.Duration) time.Duration {
-	return min(longest, supervisorCountsMost) + supervisorGrace
-}
-
 // finalAnswer sends one request on a connection and returns the status of its answer.
 func finalAnswer(c net.Conn, r *bufio.Reader, id, path string) (int, error) {
 	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nContent-Length: 4\r\n\r\ncard", path, id); err != nil {
@@ -113,7 +104,7 @@
 	select {
 	case <-p.done:
 		p.done <- nil
-	case <-time.After(time.Until(stopAt.Add(earliestKill(longest)))):
+	case <-time.After(time.Until(stopAt.Add(soak.EarliestKill(longest)))):
 		t.Errorf("the process is still there %v after SIGTERM", time.Since(stopAt))
 		p.Process.Kill()
 	}
--- a/cmd/sidecar/process.go
+++ b/cmd/sidecar/process.go
@@ -122,14 +122,14 @@
 
 // followDiscovery starts to follow discovery, and notes each list in p.listed.
 func (p *sidecarProcess) followDiscovery() {
-	host := p.resources.host
-	p.watcher.Listed = seamListed(func(list *discovery.List) {
-		host.Listed(list)
+	takeList := p.watcher.Listed
+	p.watcher.Listed = func(list *discovery.List) {
+		takeList(list)
 		select {
 		case p.listed <- struct{}{}:
 		default:
 		}
-	})
+	}
 	go p.watcher.Follow()
 }
 
--- a/cmd/sidecar/stop.go
+++ b/cmd/sidecar/stop.go
@@ -72,7 +72,7 @@
 			s.replaced = s.successor.Needs(s.resources.used()) // a late one may still take over
 		}
 		server.CloseIdle(s.idleTime(round))
-		server.CloseSilent(s.plan.Silent)
+		server.CloseSilent()
 		if time.Since(s.told) >= s.plan.AnswerAll {
 			server.CloseUnfinished()
 		}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"martendrum/internal/sock"
+	"martendrum/internal/stopplan"
 )
 
 const (
@@ -49,12 +50,12 @@
 	input    *sock.Lazy
 	answered sync.Cond // signals that exchange became nil
 	accepted time.Time // when the connection was accepted
+	requests int       // registered so far; its goroutine's
 
 	// Guarded by the server's lock.
 	state      connState
 	stateSince time.Time
 	exchange   *Exchange // the request that waits for its response; nil: none
-	requests   int       // that were registered so far
 }
 
 // enter changes the state. The server's lock is held.
@@ -67,7 +68,7 @@
 	case stateReading, stateWaiting, stateClosed:
 		return true
 	case stateNew:
-		return time.Since(c.stateSince) < newConnGrace
+		return time.Since(c.stateSince) < stopplan.SilentMost
 	}
 	return false
 }
@@ -114,7 +115,9 @@
 		c.reject(status)
 		return false
 	}
-	c.logIfStopping(x)
+	if !x.takenInStop.IsZero() {
+		c.logTakenInStop(x)
+	}
 	c.server.handler.Arrive(x)
 	if x.upload == nil {
 		return true
@@ -142,22 +145,18 @@
 		return http.StatusConflict
 	}
 	c.requests++
+	x.takenInStop = s.drainingSince
 	c.exchange = x
 	c.enter(stateWaiting)
 	c.netConn.SetReadDeadline(time.Time{}) // the reader notices a disconnect
 	return statusNone
 }
 
-// logIfStopping logs a request that is taken while the process stops: when, and on which
+// logTakenInStop logs a request that is taken while the process stops: when, and on which
 // kind of connection.
-func (c *conn) logIfStopping(x *Exchange) {
-	s := c.server
-	s.mu.Lock()
-	since, first := s.drainingSince, c.requests == 1
-	s.mu.Unlock()
-	if !since.IsZero() {
-		slog.Info("request taken while stopping", "class", x.Class, "after", time.Since(since), "conn_age", time.Since(c.accepted), "first_on_conn", first)
-	}
+func (c *conn) logTakenInStop(x *Exchange) {
+	slog.Info("request taken while stopping", "class", x.Class, "after", time.Since(x.takenInStop),
+		"conn_age", time.Since(c.accepted), "first_on_conn", c.requests == 1)
 }
 
 // awaitUpload waits until nobody reads the body of x any more. Until somebody begins
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -22,13 +22,14 @@
 	Received time.Time     // when the request was read
 	State    any           // the handler's
 
-	conn      *conn
-	id        string
-	reserved  int64 // bytes of the budget
-	keepAlive bool  // the connection may go on
-	http10    bool
-	answering bool    // the response is being written; guarded by the server's lock
-	upload    *upload // the part of the body that is not buffered; nil: none
+	conn        *conn
+	id          string
+	reserved    int64 // bytes of the budget
+	keepAlive   bool  // the connection may go on
+	http10      bool
+	takenInStop time.Time // when the stop began in which it was taken; zero: none
+	answering   bool      // the response is being written; guarded by the server's lock
+	upload      *upload   // the part of the body that is not buffered; nil: none
 }
 
 // ClientLeft reports whether the client has closed its connection, or reset it, whether or
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,12 +7,7 @@
 	"time"
 
 	"martendrum/internal/sock"
-)
-
-const (
-	// newConnGrace is how long a new connection without a byte counts as busy when
-	// the sidecar stops. It is closed then (CloseSilent).
-	newConnGrace = 500 * time.Millisecond
+	"martendrum/internal/stopplan"
 )
 
 // Server serves the clients.
@@ -148,11 +143,11 @@
 	s.closeQuiet(stateIdle, idleFor)
 }
 
-// CloseSilent closes the connections on which no byte has come for at least the given time
-// after their accept: on one that is left open, a first request may still come in the
-// process's last moment.
-func (s *Server) CloseSilent(silentFor time.Duration) {
-	s.closeQuiet(stateNew, silentFor)
+// CloseSilent closes the connections on which no byte has come within
+// stopplan.SilentMost after their accept: on one that is left open, a first request may still
+// come in the process's last moment.
+func (s *Server) CloseSilent() {
+	s.closeQuiet(stateNew, stopplan.SilentMost)
 }
 
 // CloseUnfinished ends the connections on which a part of a request has come: nobody would
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -2,11 +2,9 @@
 
 import (
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"martendrum"
-	"martendrum/internal/front"
 	"martendrum/internal/upstream"
 )
 
@@ -22,8 +20,6 @@
 	isCopy   bool // another attempt was open when it was sent
 	unsent   bool // cancelled before a byte was written
 	neverRan bool // certainly
-
-	clientLeft atomic.Bool // found when it was about to begin
 }
 
 // Send implements martendrum.Host.
@@ -63,7 +59,7 @@
 		Latest:   latest,
 		Sink:     a,
 		Once:     x.Rules.Rules.Effect == martendrum.Unsafe,
-		Left:     func() bool { return a.findLeft(x) },
+		Left:     x.ClientLeft,
 		Wrote:    h.wrote,
 	}
 	if x.Request.Stream != nil {
@@ -72,15 +68,6 @@
 	return a
 }
 
-// findLeft reports whether the client of x has left, and notes it for the attempt's end.
-func (a *attempt) findLeft(x *front.Exchange) bool {
-	if !x.ClientLeft() {
-		return false
-	}
-	a.clientLeft.Store(true)
-	return true
-}
-
 // claimed notes that no other attempt can send the request's body any more.
 func (a *attempt) claimed() {
 	a.host.handle(func(now time.Duration) { a.host.balancer.Started(now, a.request.id, a.index) })
@@ -155,7 +142,7 @@
 		h.recordEnd(request, Served, answer, nil)
 	}
 	h.meter.Ended(outcome, a.isCopy, served)
-	if a.clientLeft.Load() && !request.answered { // its connection's goroutine has not noticed yet
+	if outcome == martendrum.NotSent && !request.answered && request.exchange.ClientLeft() { // its connection's goroutine has not noticed yet
 		h.balancer.ClientGone(now, request.id)
 		h.Fail(request.id)
 	}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -104,7 +104,6 @@
 		leaves = time.Duration(c.Float64() * float64(r.Wait) * 0.8)
 	}
 	if !c.write(c.text(&r, class)) {
-		r.End = EndUnsent
 		c.hangUp()
 		return // it never was a request
 	}
@@ -177,15 +176,13 @@
 		r.Status = response.StatusCode
 		body, err = io.ReadAll(response.Body)
 	}
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && r.Status == http.StatusOK: // begun, and never ended
+	if err != nil { // cut short, or begun and never ended
 		r.End, r.Status = EndTruncated, 0
-	case err != nil:
-		r.End, r.Status = EndTruncated, 0
-	default:
-		r.End, r.Body = EndAnswered, string(body)
+		c.hangUp()
+		return
 	}
-	if err != nil || response.Close {
+	r.End, r.Body = EndAnswered, string(body)
+	if response.Close {
 		c.hangUp()
 	}
 }
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -224,7 +225,7 @@
 	d.mu.Lock()
 	told := entries
 	if whole { // what it leaves out is gone
-		told = append([]listed(nil), d.entries...)
+		told = slices.Clone(d.entries)
 	}
 	d.mu.Unlock()
 	d.recorder.do(func(record *Record) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -66,13 +66,17 @@
 type judging struct {
 	script   *Script
 	record   *Record
+	requests map[string]*Request   // by id
 	attempts map[string][]*Attempt // by request
 	breaches []Breach
 }
 
 // Judge names each rule that was broken, in the order of their times.
 func Judge(script *Script, record *Record) []Breach {
-	j := &judging{script: script, record: record, attempts: make(map[string][]*Attempt)}
+	j := &judging{script: script, record: record, requests: make(map[string]*Request, len(record.Requests)), attempts: make(map[string][]*Attempt)}
+	for n := range record.Requests {
+		j.requests[record.Requests[n].ID] = &record.Requests[n]
+	}
 	for n := range record.Attempts {
 		attempt := &record.Attempts[n]
 		j.attempts[attempt.ID] = append(j.attempts[attempt.ID], attempt)
@@ -83,7 +87,6 @@
 	for n := range record.Requests {
 		j.judgeRequest(&record.Requests[n])
 	}
-	j.judgeKeys()
 	j.judgeDrains()
 	j.judgeSlowStart()
 	j.judgeStalls()
@@ -117,15 +120,23 @@
 	for _, attempt := range attempts {
 		j.judgeAttempt(r, attempt)
 	}
-	if j.script.Class(r.Class).Effect != Unsafe {
-		return
-	}
 	var ran []*Attempt
 	for _, attempt := range attempts {
 		if attempt.ran() {
 			ran = append(ran, attempt)
 		}
 	}
+	switch class := j.script.Class(r.Class); class.Effect {
+	case Unsafe:
+		j.judgeUnsafe(r, ran)
+	case Keyed:
+		j.judgeKeyed(r, ran, time.Duration(class.Window))
+	}
+}
+
+// judgeUnsafe judges a request that must not run twice; ran are its attempts that may have
+// run.
+func (j *judging) judgeUnsafe(r *Request, ran []*Attempt) {
 	if len(ran) > 1 {
 		j.breach(RuleDuplicate, ran[1].Last, "request %s (%s) came to %d servers", r.ID, r.Class, len(ran))
 	}
@@ -168,10 +179,9 @@
 	}
 	stray := &j.record.Attempts[from]
 	first := stray.Again
-	byID := j.requestsByID()
 	for n := range j.record.Attempts {
 		a := &j.record.Attempts[n]
-		if asked := byID[a.ID]; a.Server == stray.Server && a.Again > 0 && asked != nil && asked.Sidecar == r.Sidecar {
+		if asked := j.requests[a.ID]; a.Server == stray.Server && a.Again > 0 && asked != nil && asked.Sidecar == r.Sidecar {
 			first = min(first, a.Again)
 		}
 	}
@@ -208,38 +218,16 @@
 	}
 }
 
-// judgeKeys judges keyed requests: a repeat comes within the window of the first that may
-// have run.
-func (j *judging) judgeKeys() {
-	for n := range j.record.Requests {
-		r := &j.record.Requests[n]
-		class := j.script.Class(r.Class)
-		if class.Effect != Keyed {
-			continue
-		}
-		var first *Attempt
-		for _, a := range j.attempts[r.ID] {
-			if !a.ran() {
-				continue
-			}
-			if first == nil {
-				first = a
-			} else if gap := a.Last - first.Last; gap > time.Duration(class.Window)+socketSlack+j.record.Lateness {
-				j.breach(RuleDuplicate, a.Last, "request %s (%s) was repeated %v after it may have run, its window is %v", r.ID, r.Class, gap, time.Duration(class.Window))
-			}
+// judgeKeyed judges a keyed request: a repeat comes within the window of the first attempt
+// that may have run.
+func (j *judging) judgeKeyed(r *Request, ran []*Attempt, window time.Duration) {
+	for n := 1; n < len(ran); n++ {
+		if gap := ran[n].Last - ran[0].Last; gap > window+socketSlack+j.record.Lateness {
+			j.breach(RuleDuplicate, ran[n].Last, "request %s (%s) was repeated %v after it may have run, its window is %v", r.ID, r.Class, gap, window)
 		}
 	}
 }
 
-// requestsByID returns the requests by their ids.
-func (j *judging) requestsByID() map[string]*Request {
-	byID := make(map[string]*Request, len(j.record.Requests))
-	for n := range j.record.Requests {
-		byID[j.record.Requests[n].ID] = &j.record.Requests[n]
-	}
-	return byID
-}
-
 // stateAt is the last change of a server at a time, nil if there was none.
 func (j *judging) stateAt(server int, at time.Duration) *Change {
 	var last *Change
@@ -270,11 +258,10 @@
 
 // judgeDrains judges attempts at servers that drain or have gone.
 func (j *judging) judgeDrains() {
-	byID := j.requestsByID()
 	grace := time.Duration(j.script.DrainGrace) + socketSlack + j.record.Lateness
 	for n := range j.record.Attempts {
 		a := &j.record.Attempts[n]
-		r, c := byID[a.ID], j.stateAt(a.Server, a.First)
+		r, c := j.requests[a.ID], j.stateAt(a.Server, a.First)
 		if r == nil || c == nil || c.State == Up {
 			continue
 		}
@@ -301,17 +288,16 @@
 
 // judgeSlowStart judges the sum of what all sidecars send to a server that has just started.
 func (j *judging) judgeSlowStart() {
-	byID := j.requestsByID()
 	for n := range j.record.Changes {
 		c := &j.record.Changes[n]
 		if c.State == Up && c.Since > 0 {
-			j.judgeStart(c, byID)
+			j.judgeStart(c)
 		}
 	}
 }
 
 // judgeStart judges one start, at its first fall.
-func (j *judging) judgeStart(c *Change, byID map[string]*Request) {
+func (j *judging) judgeStart(c *Change) {
 	s := j.script
 	warm := c.Since + time.Duration(s.ColdFor)
 	var sends []*Attempt
@@ -323,15 +309,14 @@
 	slices.SortFunc(sends, func(a, b *Attempt) int { return cmp.Compare(a.First, b.First) })
 	capacity := float64(s.Workers) / time.Duration(s.Work).Seconds()
 	for first, a := range sends {
-		warmth := s.ColdFrom + (1-s.ColdFrom)*(a.First-c.Since).Seconds()/time.Duration(s.ColdFor).Seconds()
-		bears := allowed(s.FallsAt * capacity * warmth * time.Duration(s.FallsOver).Seconds())
+		bears := allowed(s.FallsAt * capacity * s.warmth(a.First-c.Since) * time.Duration(s.FallsOver).Seconds())
 		count, told := 0, 0
 		for _, b := range sends[first:] {
 			if b.First >= a.First+time.Duration(s.FallsOver) {
 				break
 			}
 			count++
-			if r := byID[b.ID]; r != nil {
+			if r := j.requests[b.ID]; r != nil {
 				if at, _ := j.toldAt(r.Sidecar, c); at <= b.First {
 					told++
 				}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -130,14 +130,6 @@
 	return os.Rename(next, s.configPath())
 }
 
-// longest is the longest deadline of the configuration file.
-func (s *sidecar) longest() (longest time.Duration) {
-	for _, class := range s.classes {
-		longest = max(longest, time.Duration(class.Deadline))
-	}
-	return longest
-}
-
 // start starts a process and, in the background, notes when it is ready. The lock is held.
 func (s *sidecar) start(ctx context.Context) error {
 	temporary, err := os.MkdirTemp(s.directory, "tmp") // empty at each start, as on the platform
@@ -230,7 +222,7 @@
 			return err
 		}
 	}
-	process, life, ended, longest := s.process, s.life, s.ended, s.longest()
+	process, life, ended, longest := s.process, s.life, s.ended, longestDeadline(s.classes)
 	s.mu.Unlock()
 	var told time.Time
 	for _, name := range e.Signals {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -14,7 +14,6 @@
 	EndTruncated = "truncated" // the connection ended in the middle of an answer
 	EndNothing   = "nothing"   // the client waited to the end of its patience
 	EndLeft      = "left"      // the client closed its connection
-	EndUnsent    = "unsent"    // the connection ended before the request was written
 )
 
 // Request is what a client recorded of a request.
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -138,13 +138,24 @@
 }
 
 // Longest is the longest deadline of any class.
-func (s *Script) Longest() (longest time.Duration) {
-	for _, class := range s.Classes {
+func (s *Script) Longest() time.Duration { return longestDeadline(s.Classes) }
+
+// longestDeadline is the longest deadline of any of the classes.
+func longestDeadline(classes []Class) (longest time.Duration) {
+	for _, class := range classes {
 		longest = max(longest, time.Duration(class.Deadline))
 	}
 	return longest
 }
 
+// warmth is the share of its capacity that a server has so long after its start.
+func (s *Script) warmth(age time.Duration) float64 {
+	if age >= time.Duration(s.ColdFor) {
+		return 1
+	}
+	return s.ColdFrom + (1-s.ColdFrom)*age.Seconds()/time.Duration(s.ColdFor).Seconds()
+}
+
 // Class returns a class by its name, nil if there is none.
 func (s *Script) Class(name string) *Class {
 	for n := range s.Classes {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -101,8 +101,7 @@
 
 func (s *server) resetLocked() {
 	for conn := range s.conns {
-		conn.(*net.TCPConn).SetLinger(0)
-		conn.Close()
+		reset(conn)
 	}
 }
 
@@ -269,8 +268,8 @@
 	s.mu.Lock()
 	warmth, since := 1.0, s.since
 	s.mu.Unlock()
-	if age := s.recorder.now() - since; since > 0 && age < time.Duration(s.script.ColdFor) {
-		warmth = s.script.ColdFrom + (1-s.script.ColdFrom)*age.Seconds()/time.Duration(s.script.ColdFor).Seconds()
+	if since > 0 {
+		warmth = s.script.warmth(s.recorder.now() - since)
 	}
 	time.Sleep(time.Duration(float64(s.script.Work) / warmth))
 	if mode == ModeLate {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -49,11 +49,10 @@
 		w.tearDown()
 		return nil, nil, err
 	}
-	stop, wait := w.begin()
+	end := w.begin()
 	w.awaitReady()
 	w.playEvents()
-	stop()
-	wait()
+	end()
 	w.tearDown()
 	record = w.recorder.finish()
 	for n, s := range w.sidecars {
@@ -103,12 +102,12 @@
 	return nil
 }
 
-// begin starts the processes and the clients. stop ends the clients, wait returns once
-// they have ended.
-func (w *world) begin() (stop func(), wait func()) {
+// begin starts the processes, and the probe of the recorder's own lateness, which end ends:
+// it returns once the probe has noted what it found.
+func (w *world) begin() (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { w.recorder.measureLateness(ctx) })
+	var probe sync.WaitGroup
+	probe.Go(func() { w.recorder.measureLateness(ctx) })
 	for _, s := range w.sidecars {
 		s.mu.Lock()
 		if err := s.start(ctx); err != nil {
@@ -116,7 +115,10 @@
 		}
 		s.mu.Unlock()
 	}
-	return cancel, group.Wait
+	return func() {
+		cancel()
+		probe.Wait()
+	}
 }
 
 // awaitReady waits until every sidecar is ready, for startMost at most.
--- a/internal/stopplan/stopplan.go
+++ b/internal/stopplan/stopplan.go
@@ -19,12 +19,14 @@
 	HeldUpMost = 150 * time.Millisecond
 	// NewConnectionsMost is how long clients may go on connecting after the signal.
 	NewConnectionsMost = 400 * time.Millisecond
+	// SilentMost is for how long, after its accept, a connection that says nothing is waited
+	// for. It is closed then.
+	SilentMost = 500 * time.Millisecond
 
 	answerMargin = 400 * time.Millisecond // from the last answer to the kill
 	endMargin    = 200 * time.Millisecond // from the end to the kill
 	acceptMargin = 250 * time.Millisecond // from the last accept to the kill
 	acceptMost   = 700 * time.Millisecond // how long connections are accepted where the kill leaves time
-	silentMost   = 500 * time.Millisecond // how long a connection may say nothing before it is closed
 )
 
 // Plan is when a stop does what, each as a span from the signal to end.
@@ -38,9 +40,6 @@
 	AnswerAll time.Duration
 	// End is when the process ends, whatever is open.
 	End time.Duration
-	// Silent is for how long, after its accept, a connection may say nothing before it is
-	// closed; a span of its own, not from the signal.
-	Silent time.Duration
 }
 
 // For returns the plan of a deployment by the longest deadline of its classes.
@@ -51,6 +50,5 @@
 		StopAccepting: min(acceptMost, kill-acceptMargin),
 		AnswerAll:     kill - answerMargin,
 		End:           kill - endMargin,
-		Silent:        silentMost,
 	}
 }
--- a/pick.go
+++ b/pick.go
@@ -149,15 +149,12 @@
 	for _, e := range list {
 		listed[e.Name] = true
 	}
-	reading := f.readStarts(list, now)
 	for name := range f.byName { // in any order: what goes leaves the others as they are
 		if !listed[name] {
-			f.update(Endpoint{Name: name, State: Gone}, reading)
+			f.update(Endpoint{Name: name, State: Gone}, startReading{now: now})
 		}
 	}
-	for _, e := range list {
-		f.update(e, reading)
-	}
+	f.change(list, now)
 }
 
 // change takes changes of the list.
