--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -32,6 +32,7 @@
 op() {
 	local out code
 	out=$(fleet "$@" 2>&1); code=$?
+	echo "$out" >"$dir/last"
 	say "martendrum $*: exit code $code"
 	tail -n 12 <<<"$out" | sed 's/^/    /' | tee -a "$record"
 	return $code
@@ -100,7 +101,11 @@
 before=$(memory)
 say "n1 on host-a: process $pid, release ${release:0:12}, memory_mb $before"
 op report "$id"
-op resume "$id" --give-up 5s
+for _ in $(seq 20); do
+	op resume "$id" --give-up 5s
+	grep -q "is held by" "$dir/last" || break
+	sleep 2 # the lease of the first command has not expired yet: 15 s, docs/operate/fleet.md
+done
 known="$known $(sidecars)"
 now_pid=$(field n1 pid) now_release=$(field n1 release) now=$(memory)
 say "n1 on host-a: process $now_pid, release ${now_release:0:12}, memory_mb $now"
