--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,6 +4,9 @@
 # the operator ends the first operation there with `martendrum resume`, as the pages say.
 # TROUBLE=0: the agent of host-b answers all the time.
 set -u
+# No run takes longer than 120 s.
+[ -n "${GUARDED:-}" ] || GUARDED=1 exec timeout --preserve-status --kill-after=4 112 bash "$0"
+trap 'say "out of time"; finish 2' TERM
 cd "$(dirname "$0")/../.."
 record=$PWD/review/2/record.txt
 trouble=${TROUBLE:-1}
@@ -11,22 +14,21 @@
 martendrum=$PWD/bin/martendrum
 dir=$(mktemp -d)
 : >"$record"
-pids=() agent_b=
+pids=() agent_b= known=
 say() { echo "$(date +%T.%3N) $*" | tee -a "$record"; }
 # sidecars prints the process ids of the sidecars that the two agents started.
 sidecars() { fleet list --json 2>/dev/null | grep -o '"pid": *[0-9]*' | grep -o '[0-9]*$' | grep -v '^0$'; }
+# ours prints those of the known processes that still run a sidecar that an agent of this case started.
+ours() { local pid; for pid in $known; do case $(readlink "/proc/$pid/exe") in "$dir"/*) echo "$pid" ;; esac; done; }
 finish() {
-	local running
-	running=$(sidecars)
-	kill -TERM "${pids[@]}" $agent_b 2>/dev/null
-	kill -TERM $running 2>/dev/null
+	known="$known $(sidecars)"
+	kill -TERM "${pids[@]}" $agent_b $(ours) 2>/dev/null
 	sleep 1
-	kill -KILL "${pids[@]}" $agent_b $running $known 2>/dev/null
+	kill -KILL "${pids[@]}" $agent_b $(ours) 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$dir"
 	exit "$1"
 }
-known=
 fleet() { "$martendrum" --fleet "$dir/fleet.toml" "$@"; }
 # op runs an operator's command and records it with its last lines.
 op() {
@@ -37,7 +39,7 @@
 	tail -n 12 <<<"$out" | sed 's/^/    /' | tee -a "$record"
 	return $code
 }
-# pid prints the process id of an instance's sidecar.
+# field prints a field of an instance, as `martendrum list` has it.
 field() { fleet list --json --instance "$1" 2>/dev/null | grep -o "\"$2\": *[^,]*" | head -1 | sed 's/.*: *//; s/"//g'; }
 say "TROUBLE=$trouble"
 
@@ -76,10 +78,9 @@
 	# The agent stops once n1 is changed and before n2 is.
 	( for _ in $(seq 300); do grep -q '"memory_mb": 80' "$dir/a/state/instances/n1.json" 2>/dev/null && break; sleep 0.02; done
 	kill -KILL "$agent_b" ) & killer=$!
-	wait_for=$killer
 fi
 op upgrade --binary bin/sidecar --overlay "$dir/old.json" --all --batch 1 --give-up 5s --on-failure stop --max-failures 1
-[ "$trouble" != 0 ] && wait "$wait_for"
+[ "$trouble" != 0 ] && wait "$killer"
 id=$(fleet operations --json 2>/dev/null | grep -o '"id": *"[^"]*"' | head -1 | sed 's/.*: *"//; s/"//')
 say "the first operation is $id"
 known="$known $(sidecars)"
--- a/review/standin/ask.go
+++ b/review/standin/ask.go
@@ -21,6 +21,7 @@
 	class := flags.String("class", "status-check", "the class; _health: a health check")
 	id := flags.String("id", "", "Req-Id")
 	key := flags.String("key", "", "Idempotency-Key")
+	field := flags.String("field", "Record-State", "a field of the answer to print")
 	bodyFile := flags.String("body", "", "file of the body; empty: a GET")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -66,7 +67,7 @@
 			verdict = " FOREIGN-ANSWER"
 		}
 	}
-	fmt.Printf("%s id=%s key=%s bytes=%d sha256=%x: %s Record-State=%q answer=%q after %v%s\n", began.Format("15:04:05.000"), *id, *key, len(body),
-		sha256.Sum256(body), response.Status, response.Header.Get("Record-State"), answer, time.Since(began).Round(time.Millisecond), verdict)
+	fmt.Printf("%s id=%s key=%s bytes=%d sha256=%x: %s %s=%q answer=%q after %v%s\n", began.Format("15:04:05.000"), *id, *key, len(body),
+		sha256.Sum256(body), response.Status, *field, response.Header.Get(*field), answer, time.Since(began).Round(time.Millisecond), verdict)
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,7 +1,7 @@
 // Command standin runs the stand-ins of the cases in review: servers with discovery, and clients.
 //
 //	standin shop DIR SIDECARS RUNS     servers and discovery, until SIGTERM
-//	standin ask ADDRESS ...            one request of a client
+//	standin ask ... ADDRESS            one request of a client
 //
 // The servers follow the operators' protocol: they begin a request when its last byte has come, and answer
 // 200 with a body that names the request and the SHA-256 of the body that they read.
