Reject a dropped operation instead of opening it anew on resume

Cause: Resume opens an operation at each host that does not know it, since the command may have died before it had opened all (client/resume.go, reopen). The agent opened whatever it did not know (agent/serve_operations.go, opOpen) and could not tell an operation that it had dropped with its steps (agent/operations.go, closeOperation) from a new one.

Change: with each drop, in the same transaction, the agent stores the latest creation time of what it has dropped, and rejects an operation that it does not know and that is not younger, unless the call says that the operation is new. This works because the stored time is never before the creation time of a dropped operation, whatever the clocks say. A record without the time (new, or of an earlier build) gets that of the agent's start. Resume takes such a host for one where the operation has ended; it ends it at the others. Report says unknown for its instances, with the reason. The same cause on related paths: a run that renews a lapsed lease of an operation that was dropped meanwhile opened it anew, and a dropped release hid that the operation had ended.

--- a/internal/fleet/api/errors.go
+++ b/internal/fleet/api/errors.go
@@ -16,7 +16,7 @@
 	Forbidden          = "forbidden"
 	LeaseHeld          = "held"       // another run holds the lease, or another operation is open on the instance
 	Fenced             = "fenced"     // the caller's token is not, or no longer, that of the lease
-	Closed             = "closed"     // the operation is closed or aborting
+	Closed             = "closed"     // the operation is closed or aborting, or was dropped after it was closed
 	Unwritable         = "unwritable" // the agent's store (package store) can't be written; nothing was changed
 	Internal           = "internal"
 	HelloRequired      = "hello_first" // a method was called before Hello
@@ -52,3 +52,17 @@
 func (e *ReturningError) Advice() string {
 	return "wait until all waves of instances on the host have begun (see `martendrum list`), then run the command again"
 }
+
+// DroppedError reports an operation that may have ended at a host whose agent does not know it: the agent
+// has dropped ended operations as old as this one from its store, or its store is newer than the operation.
+type DroppedError struct{ Operation, Host string }
+
+// Error implements error.
+func (e *DroppedError) Error() string {
+	return fmt.Sprintf("operation %s may have ended at host %s, which no longer has its record", e.Operation, e.Host)
+}
+
+// Advice says what an operator can do.
+func (e *DroppedError) Advice() string {
+	return "it changes nothing there any more: check the host's instances, and start a new operation for those that still need the change"
+}
--- a/internal/fleet/api/operations.go
+++ b/internal/fleet/api/operations.go
@@ -72,6 +72,9 @@
 	Operation   Operation     `msgpack:"operation"`
 	LeaseHolder string        `msgpack:"holder"` // identifies one run of a command
 	TTL         time.Duration `msgpack:"ttl"`
+	// New says that the caller has just created the operation. Without it, an agent that does not know
+	// the operation opens it only if it can't have carried it out and dropped it from its store.
+	New bool `msgpack:"new,omitempty"`
 }
 
 // OpenOut is the fencing token of the acquired leases and the time at which they expire.
--- a/internal/fleet/control/client/host_run.go
+++ b/internal/fleet/control/client/host_run.go
@@ -16,6 +16,7 @@
 	mu           sync.Mutex
 	token        int64          // fencing token of the host's leases; 0 if none are held
 	status       *api.OpOut     // the latest status; nil if there is none yet
+	noRecord     string         // why the host, which answers, has no record of the operation; "" if it has one or is silent
 	silentSince  time.Time      // when the host stopped answering; zero while it answers
 	givenUp      bool           // the run no longer waits for the host
 	pendingSteps map[int]string // by target index: the kind of a step that was requested and has no outcome yet
--- a/internal/fleet/control/client/report.go
+++ b/internal/fleet/control/client/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -17,8 +18,9 @@
 	Instance string        `json:"instance"`
 	Outcome  rollout.State `json:"outcome"`
 	Reason   string        `json:"reason,omitempty"`
-	// Unknown says since when the state of the instance is unknown, and when its agent was last seen.
-	// It is "" if the state is known; otherwise the fields below are as last seen.
+	// Unknown says since when the state of the instance is unknown, and when its agent was last seen, or
+	// why the agent has no record of the operation. It is "" if the state is known; otherwise the fields
+	// below are as last seen.
 	Unknown  string        `json:"unknown,omitempty"`
 	LastSeen time.Time     `json:"last_seen,omitzero"`
 	State    *api.Instance `json:"state,omitempty"`
@@ -64,6 +66,9 @@
 	}
 	var agents []*Agent
 	for _, host := range r.hostNames {
+		if r.hostRuns[host].noRecord != "" {
+			continue // the operation can't be open there
+		}
 		if r.hostRuns[host].givenUp || !r.hostRuns[host].silentSince.IsZero() {
 			r.notes = append(r.notes, fmt.Sprintf("host %s: %s: the operation may still be open there; once the host answers, `martendrum report %s` shows the state and `martendrum resume %s` ends the operation", host, r.unknownSince(r.hostRuns[host]), r.operation.ID, r.operation.ID))
 			continue
@@ -107,7 +112,10 @@
 	for _, t := range r.machine.Targets() {
 		hr := r.hostRuns[t.Host]
 		row := InstanceResult{Host: t.Host, Instance: t.Instance, Outcome: t.State, Reason: t.Reason, LastSeen: hr.agent.Seen()}
-		if !hr.silentSince.IsZero() {
+		switch {
+		case hr.noRecord != "":
+			row.Outcome, row.Unknown = rollout.Unknown, hr.noRecord
+		case !hr.silentSince.IsZero():
 			row.Unknown = r.unknownSince(hr)
 		}
 		if hr.status != nil {
@@ -157,10 +165,16 @@
 		}
 	}
 	for _, host := range r.hostNames {
-		if e := errs[host]; e != nil {
-			r.hostRuns[host].silentSince = time.Now()
-			r.machine.Silent(host, e.Error())
+		e := errs[host]
+		if e == nil {
+			continue
+		}
+		if apiErr, ok := errors.AsType[*api.Error](e); ok && apiErr.Code == api.NoOperation {
+			r.hostRuns[host].noRecord = apiErr.Message + ": it was dropped there after its end, or never opened"
+			continue
 		}
+		r.hostRuns[host].silentSince = time.Now()
+		r.machine.Silent(host, e.Error())
 	}
 	report := r.report()
 	report.Result, report.LeaseHolder, report.Why = result, holder, ""
--- a/internal/fleet/control/client/resume.go
+++ b/internal/fleet/control/client/resume.go
@@ -31,9 +31,7 @@
 			r.applyStatus(hr, status)
 		}
 	}
-	if r.previousResult != "" {
-		r.machine.Abort("the operation has already ended at another host: " + r.previousResult)
-	}
+	r.abortIfEnded()
 	if err := r.resumeStages(statuses); err != nil {
 		return nil, err
 	}
@@ -54,9 +52,10 @@
 	}
 }
 
-// reopen opens the operation at every host where it is not closed. At a host that does not answer,
-// follow opens it later. It returns an error if a host rejects the operation or is aborting it, or if
-// the operation is closed at all hosts.
+// reopen opens the operation at every host where it has not ended. At a host that does not answer,
+// follow opens it later. A host that does not know the operation opens it only if it can't have ended
+// there. It returns an error if a host rejects the operation or is aborting it, or if the operation has
+// ended at all hosts.
 func (r *runner) reopen(ctx context.Context, statuses map[string]*api.OpOut, errs map[string]error) error {
 	id := r.operation.ID
 	open := 0
@@ -73,10 +72,15 @@
 		if status != nil && status.State == api.OpAborting {
 			return &OperationAbortingError{Operation: id, Host: host}
 		}
-		open++
-		if err := r.open(ctx, hr); err != nil && !errors.As(err, new(*UnreachableError)) {
+		err := r.open(ctx, hr, false)
+		if e, ok := errors.AsType[*api.Error](err); ok && e.Code == api.Closed && status == nil {
+			hr.noRecord = e.Message
+			continue
+		}
+		if err != nil && !errors.As(err, new(*UnreachableError)) {
 			return err
 		}
+		open++
 	}
 	if open == 0 {
 		return &OperationEndedError{Operation: id, Result: r.previousResult}
@@ -84,6 +88,18 @@
 	return nil
 }
 
+// abortIfEnded aborts the rollout if the operation has ended at a host: at the others it is only closed.
+func (r *runner) abortIfEnded() {
+	if r.previousResult != "" {
+		r.machine.Abort("the operation has already ended at another host: " + r.previousResult)
+	}
+	for _, host := range r.hostNames {
+		if reason := r.hostRuns[host].noRecord; reason != "" {
+			r.machine.Abort(reason)
+		}
+	}
+}
+
 // resumeStages continues a staged change from its latest note, and with Options.Release releases it
 // from its hold. It does nothing for an operation without stages.
 func (r *runner) resumeStages(statuses map[string]*api.OpOut) error {
--- a/internal/fleet/control/client/run.go
+++ b/internal/fleet/control/client/run.go
@@ -117,11 +117,11 @@
 	return r.finish(context.WithoutCancel(ctx)), nil
 }
 
-// followHosts starts the goroutines of the hosts where the operation is not closed.
+// followHosts starts the goroutines of the hosts where the operation has not ended.
 func (r *runner) followHosts() {
 	for _, host := range r.hostNames {
 		hr := r.hostRuns[host]
-		if hr.status != nil && hr.status.State == api.OpClosed {
+		if hr.noRecord != "" || hr.status != nil && hr.status.State == api.OpClosed {
 			continue
 		}
 		r.wg.Go(func() { r.follow(hr) })
--- a/internal/fleet/control/client/start.go
+++ b/internal/fleet/control/client/start.go
@@ -28,7 +28,7 @@
 	// Every run acquires leases in the same order of hosts, so that two competing runs do not both fail:
 	// one of them gets the first host that both need, and the other stops there.
 	for n, host := range r.hostNames {
-		if err := r.open(ctx, r.hostRuns[host]); err != nil {
+		if err := r.open(ctx, r.hostRuns[host], true); err != nil {
 			r.releaseLeases(ctx, r.hostNames[:n])
 			if errors.As(err, new(*UnreachableError)) {
 				r.abortAt(ctx, host) // the operation may have been opened there
@@ -40,10 +40,10 @@
 }
 
 // open opens the operation at a host before the run has started, and stores the token of the leases
-// that the host grants.
-func (r *runner) open(ctx context.Context, hr *hostRun) error {
+// that the host grants. isNew says that the operation has just been created.
+func (r *runner) open(ctx context.Context, hr *hostRun, isNew bool) error {
 	var out api.OpenOut
-	in := &api.OpenIn{Operation: r.operation, LeaseHolder: r.options.LeaseHolder, TTL: r.options.TTL}
+	in := &api.OpenIn{Operation: r.operation, LeaseHolder: r.options.LeaseHolder, TTL: r.options.TTL, New: isNew}
 	if err := hr.agent.Call(ctx, api.OpOpen, in, &out); err != nil {
 		return err
 	}
--- a/internal/fleet/host/agent/agent.go
+++ b/internal/fleet/host/agent/agent.go
@@ -51,6 +51,7 @@
 	instances     map[string]*instance
 	instanceNames []string // in the order of the configuration file
 	operations    map[string]*store.Operation
+	droppedUntil  time.Time // operations created up to this time may have been dropped from the record
 	steps         map[stepKey]*api.Step
 	canHandover   map[string]bool      // by release: whether its processes report support for the hand-over
 	lastLeased    map[string]time.Time // by ID of an open staged operation: when one of its leases was last live
--- a/internal/fleet/host/agent/load.go
+++ b/internal/fleet/host/agent/load.go
@@ -38,9 +38,10 @@
 	if err := a.loadInstances(snapshot.Instances, initialRelease, change, detector, now); err != nil {
 		return err
 	}
+	a.loadDroppedUntil(snapshot, change, now)
 	a.resumeSteps(change, now)
 	a.recoverFromPowerLoss(detector, change, now)
-	if len(change.Instances)+len(change.DropInstances)+len(change.Steps)+len(change.Leases) == 0 {
+	if len(change.Instances)+len(change.DropInstances)+len(change.Steps)+len(change.Leases) == 0 && change.DroppedUntil.IsZero() {
 		return nil
 	}
 	return a.store.Commit(a.ctx, change)
@@ -89,6 +90,16 @@
 	return snapshot, nil
 }
 
+// loadDroppedUntil sets a.droppedUntil from the record. A record without it is new, and may replace one
+// that was lost, or is that of a build that dropped operations without a trace. Any operation that was
+// created before may therefore be missing, and now is added to change as the time.
+func (a *Agent) loadDroppedUntil(snapshot *store.Snapshot, change *store.Change, now time.Time) {
+	a.droppedUntil = snapshot.DroppedUntil
+	if a.droppedUntil.IsZero() {
+		a.droppedUntil, change.DroppedUntil = now, now
+	}
+}
+
 // loadInstances sets up the configured instances from the recorded ones and the running
 // processes. An instance that is not in the record gets initialRelease. Differences from the
 // record are added to change, and each instance is passed to detector.
--- a/internal/fleet/host/agent/operations.go
+++ b/internal/fleet/host/agent/operations.go
@@ -75,6 +75,22 @@
 	return nil, api.Errorf(api.NoOperation, "agent %s has no operation %q", a.config.Name, id)
 }
 
+// findOpen returns the operation of a call of opOpen, or nil if the call opens it here for the first time.
+// It is an error if the operation has ended here, or may have ended and been dropped: its steps could run
+// a second time. The caller holds a.mu.
+func (a *Agent) findOpen(in *api.OpenIn) (*store.Operation, error) {
+	id := in.Operation.ID
+	existing := a.operations[id]
+	switch {
+	case existing == nil && !in.New && !in.Operation.Created.After(a.droppedUntil):
+		err := &api.DroppedError{Operation: id, Host: a.config.Name}
+		return nil, api.Errorf(api.Closed, "%v: %s", err, err.Advice())
+	case existing != nil && existing.State != api.OpOpened:
+		return nil, api.Errorf(api.Closed, "operation %s is %s at agent %s: %s", id, existing.State, a.config.Name, existing.Result)
+	}
+	return existing, nil
+}
+
 // fencedError returns the API error for the error of a lease check, nil for nil.
 func (a *Agent) fencedError(err error) error {
 	if err == nil {
@@ -126,6 +142,7 @@
 	slices.SortFunc(closed, func(x, y *store.Operation) int { return x.Closed.Compare(y.Closed) })
 	for len(closed) >= a.config.Limits.Operations {
 		change.DropOperations = append(change.DropOperations, closed[0].ID)
+		change.DroppedUntil = later(closed[0].Created, later(change.DroppedUntil, a.droppedUntil))
 		closed = closed[1:]
 	}
 	if err := a.commit(change); err != nil {
@@ -133,6 +150,7 @@
 	}
 	*operation = next
 	a.leases.Put(change.Leases)
+	a.droppedUntil = later(a.droppedUntil, change.DroppedUntil)
 	for _, id := range change.DropOperations {
 		delete(a.operations, id)
 		for key := range a.steps {
--- a/internal/fleet/host/agent/serve_operations.go
+++ b/internal/fleet/host/agent/serve_operations.go
@@ -35,6 +35,12 @@
 	if err := a.checkOpen(in); err != nil {
 		return nil, err
 	}
+	a.mu.Lock()
+	_, err := a.findOpen(in) // an operation that has ended here is rejected even if its release has been dropped
+	a.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
 	if operation.Action == api.ActUpgrade || operation.Action == api.ActSettings {
 		if err := a.releases.Verify(operation.Release); err != nil {
 			return nil, api.Errorf(api.NoRelease, "agent %s: %v", a.config.Name, err)
@@ -51,11 +57,11 @@
 		err := &api.ReturningError{Host: a.config.Name, How: progress}
 		return nil, api.Errorf(api.LeaseHeld, "%v: %s", err, err.Advice())
 	}
-	existing := a.operations[operation.ID]
+	existing, err := a.findOpen(in)
+	if err != nil {
+		return nil, err
+	}
 	if existing != nil {
-		if existing.State != api.OpOpened {
-			return nil, api.Errorf(api.Closed, "operation %s is %s at agent %s: %s", operation.ID, existing.State, a.config.Name, existing.Result)
-		}
 		operation = &existing.Operation // as stored; the operation in this call is ignored
 	}
 	now := time.Now()
--- a/internal/fleet/store/postgres/commit.go
+++ b/internal/fleet/store/postgres/commit.go
@@ -44,6 +44,7 @@
 	putStep      = upsert("martendrum_steps", 3, store.StepColumns)
 	putLease     = upsert("martendrum_leases", 1, store.LeaseColumns)
 	putSettings  = upsert("martendrum_settings", 1, store.SettingsColumns)
+	putProperty  = upsert("martendrum_properties", 1, store.PropertyColumns)
 	putAudit     = `INSERT INTO martendrum_audit (agent, n, ` + store.AuditColumns + `) VALUES ($1::text,
 			(SELECT coalesce(max(n), 0) + 1 FROM martendrum_audit WHERE agent = $1::text), $2::bigint, $3::text, $4::text, $5::text, $6::text)`
 )
@@ -148,6 +149,9 @@
 	for _, entry := range change.Audit {
 		b.put(putAudit, store.AuditValues(&entry), nil)
 	}
+	for _, values := range change.PropertyValues() {
+		b.put(putProperty, values, nil)
+	}
 }
 
 // dropAll adds the statements for the rows that a change deletes, including the audit
--- a/internal/fleet/store/postgres/postgres.go
+++ b/internal/fleet/store/postgres/postgres.go
@@ -29,6 +29,7 @@
 	{`CREATE TABLE martendrum_audit (agent TEXT NOT NULL, n BIGINT NOT NULL, at BIGINT NOT NULL, who TEXT NOT NULL, what TEXT NOT NULL,
 		target TEXT NOT NULL, result TEXT NOT NULL, PRIMARY KEY (agent, n))`},
 	{`CREATE TABLE martendrum_settings (agent TEXT NOT NULL, key TEXT NOT NULL, body TEXT NOT NULL, PRIMARY KEY (agent, key))`},
+	{`CREATE TABLE martendrum_properties (agent TEXT NOT NULL, key TEXT NOT NULL, value TEXT NOT NULL, PRIMARY KEY (agent, key))`},
 }}
 
 // Version is the schema version that this build reads and writes.
@@ -122,6 +123,7 @@
 		{store.StepColumns, "martendrum_steps", "op, instance, kind", snapshot.ReadStep},
 		{store.LeaseColumns, "martendrum_leases", "instance", snapshot.ReadLease},
 		{store.SettingsColumns, "martendrum_settings", "key", snapshot.ReadSettings},
+		{store.PropertyColumns, "martendrum_properties", "key", snapshot.ReadProperty},
 	} {
 		if err := s.read(ctx, "SELECT "+table.columns+" FROM "+table.name+" WHERE agent = $1::text ORDER BY "+table.order, table.scan); err != nil {
 			return nil, fmt.Errorf("record: %w", s.db.Explain(err))
--- a/internal/fleet/store/rows.go
+++ b/internal/fleet/store/rows.go
@@ -25,8 +25,14 @@
 	LeaseColumns     = "instance, op, holder, token, granted, expires"
 	SettingsColumns  = "key, body"
 	AuditColumns     = "at, who, what, target, result"
+	// PropertyColumns hold the values of a store that are no rows of their own.
+	PropertyColumns = "key, value"
 )
 
+// droppedUntilKey is the key of the property that holds Snapshot.DroppedUntil, in the form of RFC 3339:
+// callers choose creation times, and nanoseconds since 1970 can't express all of them.
+const droppedUntilKey = "dropped_until"
+
 // toUnixNanos returns a time as it is stored: in nanoseconds since 1970, 0 for the zero time.
 func toUnixNanos(t time.Time) int64 {
 	if t.IsZero() {
@@ -140,3 +146,23 @@
 	entry.At = fromUnixNanos(at)
 	return entry, err
 }
+
+// PropertyValues returns the values of PropertyColumns of each property that the change sets.
+func (c *Change) PropertyValues() (rows [][]any) {
+	if !c.DroppedUntil.IsZero() {
+		rows = append(rows, []any{droppedUntilKey, c.DroppedUntil.UTC().Format(time.RFC3339Nano)})
+	}
+	return rows
+}
+
+// ReadProperty sets the value of the snapshot that is in a row of PropertyColumns. It ignores a key that
+// this build does not know.
+func (s *Snapshot) ReadProperty(row Scanner) error {
+	var key, value string
+	if err := row.Scan(&key, &value); err != nil || key != droppedUntilKey {
+		return err
+	}
+	var err error
+	s.DroppedUntil, err = time.Parse(time.RFC3339Nano, value)
+	return err
+}
--- a/internal/fleet/store/sqlite/compat_test.go
+++ b/internal/fleet/store/sqlite/compat_test.go
@@ -15,10 +15,11 @@
 	"martendrum/internal/goldentest"
 )
 
-// goldenChange returns the content of the golden file: a row of each kind, and an operation and a
-// step with a value in every field.
+// goldenChange returns the content of the golden file: a row of each kind that the earlier build had,
+// and an operation and a step with a value in every field.
 func goldenChange() *store.Change {
 	change := storetest.Full()
+	change.DroppedUntil = time.Time{} // the earlier build had no properties
 	operation := store.Operation{State: api.OpClosed, Result: "succeeded", Closed: time.Unix(1_789_000_100, 0)}
 	goldentest.Fill(&operation.Operation)
 	var step api.Step
@@ -55,6 +56,7 @@
 	for _, query := range []string{
 		"SELECT name, sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name", "SELECT * FROM instances ORDER BY 1", "SELECT * FROM operations ORDER BY 1",
 		"SELECT * FROM steps ORDER BY 1, 2, 3", "SELECT * FROM leases ORDER BY 1", "SELECT * FROM settings ORDER BY 1", "SELECT * FROM audit ORDER BY 1",
+		"SELECT * FROM properties ORDER BY 1",
 	} {
 		rows, err := db.Query(query)
 		if err != nil {
@@ -82,19 +84,19 @@
 }
 
 // TestRecordOfEarlierBuild checks that a store that an earlier build wrote is read with all its
-// values, and that this build writes the same schema and rows.
+// values, and that it has, once it is migrated, the schema and rows that this build writes.
 func TestRecordOfEarlierBuild(t *testing.T) {
 	written := filepath.Join(t.TempDir(), "written.db")
 	writeGolden(t, written)
 	earlier := goldentest.CopyFile(t, "agent-record.db", written)
-	if got, want := dump(t, written), dump(t, earlier); !bytes.Equal(got, want) {
-		t.Errorf("this build writes the schema and rows\n%s\nwant, as the earlier build\n%s", got, want)
-	}
 	s, err := Open(earlier, maxBytes)
 	if err != nil {
 		t.Fatalf("opening the earlier build's store: %v", err)
 	}
 	defer s.Close()
+	if got, want := dump(t, written), dump(t, earlier); !bytes.Equal(got, want) {
+		t.Errorf("this build writes the schema and rows\n%s\nwant, as the earlier build\n%s", got, want)
+	}
 	got, err := s.Load(ctx)
 	if err != nil {
 		t.Fatalf("Load from the earlier build's store: %v", err)
--- a/internal/fleet/store/sqlite/sqlite.go
+++ b/internal/fleet/store/sqlite/sqlite.go
@@ -38,6 +38,8 @@
 	ALTER TABLE instances ADD COLUMN last_exit TEXT NOT NULL DEFAULT '';`,
 	// 4: the distributed settings.
 	`CREATE TABLE settings (key TEXT PRIMARY KEY, body TEXT NOT NULL) WITHOUT ROWID;`,
+	// 5: the properties of the store, such as how old the operations are that were dropped.
+	`CREATE TABLE properties (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;`,
 }
 
 // Version is the schema version that this build reads and writes.
@@ -178,6 +180,9 @@
 	for _, entry := range change.Audit {
 		w.put("audit", store.AuditColumns, store.AuditValues(&entry), nil)
 	}
+	for _, values := range change.PropertyValues() {
+		w.put("properties", store.PropertyColumns, values, nil)
+	}
 }
 
 // dropAll deletes the rows that a change drops, including audit entries over its limit.
@@ -210,6 +215,7 @@
 		{"SELECT " + store.StepColumns + " FROM steps ORDER BY op, instance, kind", snapshot.ReadStep},
 		{"SELECT " + store.LeaseColumns + " FROM leases ORDER BY instance", snapshot.ReadLease},
 		{"SELECT " + store.SettingsColumns + " FROM settings ORDER BY key", snapshot.ReadSettings},
+		{"SELECT " + store.PropertyColumns + " FROM properties ORDER BY key", snapshot.ReadProperty},
 	} {
 		if err := sqlitefile.ForEachRow(ctx, s.db, query.text, func(row *sql.Rows) error { return query.scan(row) }); err != nil {
 			return nil, fmt.Errorf("record %s: %w", s.path, err)
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -61,8 +61,11 @@
 	DropSettings []string // keys of entries to delete
 
 	DropOperations []string // IDs of operations to delete, with their steps
-	DropInstances  []string // names of instances to delete, with their leases
-	AuditLimit     int      // if above 0, only this many of the latest audit entries are retained
+	// DroppedUntil, unless it is zero, replaces that of Snapshot.
+	DroppedUntil time.Time
+
+	DropInstances []string // names of instances to delete, with their leases
+	AuditLimit    int      // if above 0, only this many of the latest audit entries are retained
 }
 
 // Snapshot is the content of a store, except for the audit log.
@@ -72,6 +75,10 @@
 	Steps      []api.Step
 	Leases     []lease.Lease
 	Settings   []distribution.Entry
+
+	// DroppedUntil is the latest creation time of the operations that are no longer in the store. It
+	// is zero if no change has set it.
+	DroppedUntil time.Time
 }
 
 // Store is an agent's store; see the package comment for what it promises.
