Size the slow-start budget of a server by its capacity hint

Cause: hasSlowStartBudget (slowstart.go) gave each server the mean share of the working set, although requests are sampled by capacity hints. slowStartSafetyFactor covers servers of half the mean size and no smaller; the one that fell has the hint 2 where the mean is 4, so that its budget was its whole overload limit.

Ruled out: warming by requests (the large servers do that, and did not fall), late notice (the falls came 8 to 10 s after the start).

Change: the share is that of the server's hint, and at most the mean share. This works because the sum of all balancers' budgets is then slowStartSafetyFactor of the server's own limit, and a hint that is too high raises no budget. The tier simulation of the tests takes servers of different sizes; TestSlowStartSumOverBalancers plays as before.

--- a/endpoint_set.go
+++ b/endpoint_set.go
@@ -47,6 +47,7 @@
 	members          []*server     // serving servers, by priority
 	workingSet       []*server     // the servers that requests are sampled from
 	weights          []float64     // running sum of the sampling weights in workingSet
+	capacityHintSum  float64       // of the servers in workingSet, as of weightsAt
 	weightsAt        time.Duration // when weights were computed
 	dirty            bool          // members or ejections have changed since weightsAt
 	ejected          []*server
--- a/slowstart.go
+++ b/slowstart.go
@@ -60,11 +60,13 @@
 }
 
 // hasSlowStartBudget reports whether this balancer may make one more send to a server. A server
-// that is not in slow start has no limit. The budget of one in slow start is what a server at full
-// capacity takes from this balancer, multiplied by the slow-start factor, the overload factor and
-// slowStartSafetyFactor. All balancers compute it in the same way, so that their sends together
-// stay under the server's overload limit. Outside the working set a server in slow start has no
-// budget, because all balancers may fall back on it at once.
+// that is not in slow start has no limit. The budget of one in slow start is what the server at
+// full capacity takes from this balancer, multiplied by the slow-start factor, the overload factor
+// and slowStartSafetyFactor. A server that is larger than the mean of the working set by its
+// capacity hint counts as of mean size, because the hint may be wrong. All balancers compute the
+// budget in the same way, so that their sends together stay under the server's overload limit.
+// Outside the working set a server in slow start has no budget, because all balancers may fall
+// back on it at once.
 func (set *endpointSet) hasSlowStartBudget(s *server, now time.Duration) bool {
 	if now >= s.slowStartEnds {
 		return true
@@ -73,12 +75,13 @@
 		return false
 	}
 	overloadDuration := max(set.config.OverloadDuration, minOverloadDuration)
-	share := 1 / float64(len(set.workingSet)) // fraction of this balancer's sends that a server gets
+	meanShare := 1 / float64(len(set.workingSet)) // fraction of this balancer's sends that a server of mean size gets
+	share := min(meanShare, s.capacityHint/set.capacityHintSum)
 	acceptedRate := max(set.acceptedFraction*set.rate(now), set.nominalRate)
 	rate := acceptedRate * share * slowStartSafetyFactor * set.config.OverloadFactor * set.slowStartFactor(s, now)
 	// Before any send the recent rate is 0. The minimum rate is one send to the
 	// server in overloadDuration from all balancers together.
-	idleRate := min(1, float64(len(set.members))*share/float64(set.config.Instances)) / overloadDuration.Seconds()
+	idleRate := min(1, float64(len(set.members))*meanShare/float64(set.config.Instances)) / overloadDuration.Seconds()
 	rate = max(rate, idleRate)
 	burst := rate * overloadDuration.Seconds()
 	// If many balancers have budgets of less than one send in overloadDuration, each would
--- a/slowstart_tier_test.go
+++ b/slowstart_tier_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -12,14 +13,14 @@
 // tierSimulation simulates a tier, which is all balancers that share the same servers, with one clock. It
 // counts the sends to servers in slow start.
 type tierSimulation struct {
-	now        time.Duration
-	queue      tierEvents // future events
-	lastOrder  int        // order of the event that was added last
-	rng        *rand.Rand
-	sends      map[string][]time.Duration // times of sends, by server that restarts
-	inFlight   map[string]int             // requests in flight, by server
-	queueLimit int                        // most requests in flight at a server; it rejects more
-	unserved   int                        // requests that were rejected or failed
+	now       time.Duration
+	queue     tierEvents // future events
+	lastOrder int        // order of the event that was added last
+	rng       *rand.Rand
+	sends     map[string][]time.Duration // times of sends, by server that restarts
+	inFlight  map[string]int             // requests in flight, by server
+	size      map[string]float64         // capacity of each server at full capacity, divided by tierCapacity
+	unserved  int                        // requests that were rejected or failed
 }
 
 // tierHost is the Host of one Balancer in the simulation.
@@ -76,7 +77,7 @@
 		sim.sends[server] = append(sends, sim.now)
 	}
 	outcome, latency := OK, time.Duration(sim.rng.ExpFloat64()*float64(25*ms))
-	if sim.inFlight[server] >= sim.queueLimit {
+	if sim.inFlight[server] >= int(tierQueueLimit*sim.size[server]) {
 		outcome, latency = Rejected, ms
 	} else {
 		sim.inFlight[server]++
@@ -119,15 +120,23 @@
 	})
 }
 
-// Parameters of TestSlowStartSumOverBalancers.
+// Parameters of the simulated tiers.
 const (
-	tierServers  = 12
-	tierCapacity = 20.0 // requests a second of a server at full capacity
-	tierLoad     = 0.7  // traffic as a fraction of the capacity of all servers
-	restartAt    = 30 * time.Second
-	tierEnd      = restartAt + 20*time.Second
+	tierServers    = 12
+	tierCapacity   = 20.0 // requests a second of a server of size 1 at full capacity
+	tierQueueLimit = 3.0  // most requests in flight at a server of size 1; it rejects more
+	restartAt      = 30 * time.Second
+	tierEnd        = restartAt + 20*time.Second
 )
 
+// tier is a simulated tier. Each server's size is also its capacity hint.
+type tier struct {
+	config     Config    // of each balancer
+	sizes      []float64 // of each server
+	restarting int       // number of servers that restart at restartAt: the first ones
+	load       float64   // traffic as a fraction of the capacity of all servers
+}
+
 // tierConfig returns the configuration of each of count balancers.
 func tierConfig(count int) Config {
 	cfg := testConfig()
@@ -139,18 +148,22 @@
 	return cfg
 }
 
-// runTier simulates balancers with the configuration and tierServers servers, and returns the simulation
-// at tierEnd. restarting is the number of servers that restart at restartAt.
-func runTier(t *testing.T, cfg Config, restarting int, seed uint64) *tierSimulation {
+// runTier simulates a tier and returns the simulation at tierEnd.
+func runTier(t *testing.T, tier tier, seed uint64) *tierSimulation {
 	t.Helper()
+	cfg := tier.config
 	sim := &tierSimulation{
-		rng:        rand.New(rand.NewPCG(seed, 7)),
-		queueLimit: 3,
-		sends:      make(map[string][]time.Duration),
-		inFlight:   make(map[string]int),
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		sends:    make(map[string][]time.Duration),
+		inFlight: make(map[string]int),
+		size:     make(map[string]float64),
+	}
+	list, capacity := servingEndpoints(len(tier.sizes)), 0.0
+	for i, size := range tier.sizes {
+		list[i].CapacityHint, sim.size[list[i].Name] = size, size
+		capacity += size * tierCapacity
 	}
-	list := servingEndpoints(tierServers)
-	restarted := servingEndpoints(restarting)
+	restarted := slices.Clone(list[:tier.restarting])
 	for i := range restarted {
 		restarted[i].Started = restartAt
 		sim.sends[restarted[i].Name] = nil
@@ -167,7 +180,7 @@
 			t.Fatal(err)
 		}
 		host.balancer.ServersListed(0, list)
-		host.scheduleArrivals(tierLoad*tierServers*tierCapacity*weights[i]/sum, restartAt+2*time.Second, restartAt+6*time.Second, tierEnd)
+		host.scheduleArrivals(tier.load*capacity*weights[i]/sum, restartAt+2*time.Second, restartAt+6*time.Second, tierEnd)
 		notifiedAt := restartAt + time.Duration(sim.rng.Float64()*float64(100*ms))
 		if i%10 == 9 { // every tenth balancer learns of the restarts late
 			notifiedAt += 3 * time.Second
@@ -183,7 +196,8 @@
 	return min(1, cfg.SlowStartInitialFraction+(1-cfg.SlowStartInitialFraction)*(at-restartAt).Seconds()/cfg.SlowStartDuration.Seconds())
 }
 
-// serviceableRequests returns the number of requests that a restarted server can serve until tierEnd.
+// serviceableRequests returns the number of requests that a restarted server of size 1 can serve until
+// tierEnd.
 func serviceableRequests(cfg Config) float64 {
 	sum := 0.0
 	for at := restartAt; at < tierEnd; at += time.Second {
@@ -196,13 +210,13 @@
 // multiple of the bound, which is the overload limit with a margin for random variation. count is the
 // number of all sends to restarted servers since restartAt.
 func (sim *tierSimulation) worstWindow(cfg Config) (worst float64, count int) {
-	for _, sends := range sim.sends {
+	for server, sends := range sim.sends {
 		for first, from := range sends {
 			if from < restartAt {
 				continue
 			}
 			count++
-			limit := cfg.OverloadFactor * trueSlowStartFactor(cfg, from) * tierCapacity * cfg.OverloadDuration.Seconds()
+			limit := cfg.OverloadFactor * trueSlowStartFactor(cfg, from) * tierCapacity * sim.size[server] * cfg.OverloadDuration.Seconds()
 			next := first
 			for next < len(sends) && sends[next] < from+cfg.OverloadDuration {
 				next++
@@ -225,7 +239,7 @@
 				cfg := tierConfig(count)
 				serviceable := serviceableRequests(cfg)
 				for seed := range uint64(10) {
-					sim := runTier(t, cfg, restarting, seed)
+					sim := runTier(t, tier{config: cfg, sizes: slices.Repeat([]float64{1}, tierServers), restarting: restarting, load: 0.7}, seed)
 					worst, sends := sim.worstWindow(cfg)
 					if testing.Verbose() {
 						t.Logf("seed %d: highest number of sends within OverloadDuration = %.2f of the bound; %d sends to each starting server, which could serve %.0f; %d requests not served", seed, worst, sends/restarting, serviceable, sim.unserved)
@@ -241,3 +255,33 @@
 		}
 	}
 }
+
+// Guards against a small server that is overloaded in slow start because its budget is that of a server of
+// mean size. Small servers restart beside large ones, under more traffic than all servers can serve.
+func TestSlowStartSumAtSmallServers(t *testing.T) {
+	sizes := slices.Concat(slices.Repeat([]float64{1}, 4), slices.Repeat([]float64{2.5}, tierServers-4))
+	for _, count := range []int{1, 5, 32} {
+		for _, restarting := range []int{1, 4} {
+			t.Run(fmt.Sprintf("%d balancers, %d starting servers", count, restarting), func(t *testing.T) {
+				t.Parallel()
+				cfg := tierConfig(count)
+				cfg.OverloadFactor = 2
+				cfg.OverloadDuration = time.Second
+				serviceable := serviceableRequests(cfg)
+				for seed := range uint64(10) {
+					sim := runTier(t, tier{config: cfg, sizes: sizes, restarting: restarting, load: 1.2}, seed)
+					worst, sends := sim.worstWindow(cfg)
+					if testing.Verbose() {
+						t.Logf("seed %d: highest number of sends within OverloadDuration = %.2f of the bound; %d sends to each starting server, which could serve %.0f; %d requests not served", seed, worst, sends/restarting, serviceable, sim.unserved)
+					}
+					if worst > 1 {
+						t.Errorf("seed %d: a small server in slow start got %.2f times the bound of sends within OverloadDuration, want at most 1", seed, worst)
+					}
+					if float64(sends/restarting) < serviceable/8 {
+						t.Errorf("seed %d: small servers in slow start got %d sends each, want at least an eighth of the %.0f that they could serve", seed, sends/restarting, serviceable)
+					}
+				}
+			})
+		}
+	}
+}
--- a/working_set.go
+++ b/working_set.go
@@ -40,8 +40,10 @@
 	set.dirty = false
 	set.weightsAt = now
 	set.weights = set.weights[:0]
+	set.capacityHintSum = 0
 	sum := 0.0
 	for _, s := range set.workingSet {
+		set.capacityHintSum += s.capacityHint
 		if now >= s.ejectedUntil {
 			sum += s.capacityHint * s.weightCorrection * set.slowStartFactor(s, now)
 		}
