--- a/internal/fleet/e2e/store_test.go
+++ b/internal/fleet/e2e/store_test.go
@@ -73,15 +73,7 @@
 	before := w.waitReady()[0].Instances
 	h := w.hosts[0]
 	h.kill()
-	files, _ := filepath.Glob(filepath.Join(filepath.Dir(h.config), "s", "record.db*"))
-	if len(files) == 0 {
-		t.Fatal("found no file of the agent's store")
-	}
-	for _, f := range files {
-		if err := os.Remove(f); err != nil {
-			t.Fatal(err)
-		}
-	}
+	h.removeStore()
 	h.start()
 	states := w.waitReady()
 	w.checkAgainstProcesses(states)
--- a/slowstart_tier_test.go
+++ b/slowstart_tier_test.go
@@ -227,30 +227,39 @@
 	return worst, count
 }
 
+// checkSlowStartSum simulates a tier, whose starting servers have size 1, with several seeds. It checks that
+// they get at most the bound of sends within OverloadDuration, and at least an eighth of the requests that
+// they can serve.
+func checkSlowStartSum(t *testing.T, tier tier) {
+	t.Helper()
+	serviceable := serviceableRequests(tier.config)
+	for seed := range uint64(10) {
+		sim := runTier(t, tier, seed)
+		worst, sends := sim.worstWindow(tier.config)
+		sends /= tier.restarting
+		if testing.Verbose() {
+			t.Logf("seed %d: highest number of sends within OverloadDuration = %.2f of the bound; %d sends to each starting server, which could serve %.0f; %d requests not served", seed, worst, sends, serviceable, sim.unserved)
+		}
+		if worst > 1 {
+			t.Errorf("seed %d: a server in slow start got %.2f times the bound of sends within OverloadDuration, want at most 1", seed, worst)
+		}
+		if float64(sends) < serviceable/8 {
+			t.Errorf("seed %d: servers in slow start got %d sends each, want at least an eighth of the %.0f that they could serve", seed, sends, serviceable)
+		}
+	}
+}
+
 // The sends of all balancers together to a server in slow start stay under its overload limit, however
 // many balancers there are and however many servers start at the same time. Traffic is uneven and has a
 // burst, there are retries and hedges, and some balancers learn of the start late. The server still gets
 // at least an eighth of the requests that it can serve.
 func TestSlowStartSumOverBalancers(t *testing.T) {
+	sizes := slices.Repeat([]float64{1}, tierServers)
 	for _, count := range []int{1, 5, 30, 300} {
 		for _, restarting := range []int{1, 6, 12} {
 			t.Run(fmt.Sprintf("%d balancers, %d starting servers", count, restarting), func(t *testing.T) {
 				t.Parallel()
-				cfg := tierConfig(count)
-				serviceable := serviceableRequests(cfg)
-				for seed := range uint64(10) {
-					sim := runTier(t, tier{config: cfg, sizes: slices.Repeat([]float64{1}, tierServers), restarting: restarting, load: 0.7}, seed)
-					worst, sends := sim.worstWindow(cfg)
-					if testing.Verbose() {
-						t.Logf("seed %d: highest number of sends within OverloadDuration = %.2f of the bound; %d sends to each starting server, which could serve %.0f; %d requests not served", seed, worst, sends/restarting, serviceable, sim.unserved)
-					}
-					if worst > 1 {
-						t.Errorf("seed %d: a server in slow start got %.2f times the bound of sends within OverloadDuration, want at most 1", seed, worst)
-					}
-					if float64(sends/restarting) < serviceable/8 {
-						t.Errorf("seed %d: servers in slow start got %d sends each, want at least an eighth of the %.0f that they could serve", seed, sends/restarting, serviceable)
-					}
-				}
+				checkSlowStartSum(t, tier{config: tierConfig(count), sizes: sizes, restarting: restarting, load: 0.7})
 			})
 		}
 	}
@@ -264,23 +273,10 @@
 		for _, restarting := range []int{1, 4} {
 			t.Run(fmt.Sprintf("%d balancers, %d starting servers", count, restarting), func(t *testing.T) {
 				t.Parallel()
-				cfg := tierConfig(count)
-				cfg.OverloadFactor = 2
-				cfg.OverloadDuration = time.Second
-				serviceable := serviceableRequests(cfg)
-				for seed := range uint64(10) {
-					sim := runTier(t, tier{config: cfg, sizes: sizes, restarting: restarting, load: 1.2}, seed)
-					worst, sends := sim.worstWindow(cfg)
-					if testing.Verbose() {
-						t.Logf("seed %d: highest number of sends within OverloadDuration = %.2f of the bound; %d sends to each starting server, which could serve %.0f; %d requests not served", seed, worst, sends/restarting, serviceable, sim.unserved)
-					}
-					if worst > 1 {
-						t.Errorf("seed %d: a small server in slow start got %.2f times the bound of sends within OverloadDuration, want at most 1", seed, worst)
-					}
-					if float64(sends/restarting) < serviceable/8 {
-						t.Errorf("seed %d: small servers in slow start got %d sends each, want at least an eighth of the %.0f that they could serve", seed, sends/restarting, serviceable)
-					}
-				}
+				config := tierConfig(count)
+				config.OverloadFactor = 2
+				config.OverloadDuration = time.Second
+				checkSlowStartSum(t, tier{config: config, sizes: sizes, restarting: restarting, load: 1.2})
 			})
 		}
 	}
