--- /dev/null
+++ b/review/driver-2/store.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"martendrum/internal/standin/shop"
+)
+
+// recordText is deploy/record.toml with the key of activate in a header field and a wait that suits a busy
+// machine.
+const recordText = `store = "sqlite"
+[sqlite]
+path = "record.db"
+[wait]
+share = 0.5
+[[class]]
+name = "id-register"
+key = "header:Idempotency-Key"
+away = "pass"
+`
+
+// server is the behavior of the stand-in servers. As the pages say, an idempotency key runs once.
+type server struct {
+	rig   *rig
+	fails atomic.Bool   // requests run and are answered with status 500
+	work  time.Duration // until the answer
+
+	mu       sync.Mutex
+	received map[string]int // by key
+	ran      map[string]int // by key
+}
+
+// serve handles a request.
+func (s *server) serve(_ *shop.Shop, name string, w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		s.rig.note("%s: %s broke: %v", name, q.Header.Get("Req-Id"), err)
+		return
+	}
+	key := q.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	s.received[key]++
+	again := key != "" && s.ran[key] > 0
+	if !again {
+		s.ran[key]++
+	}
+	s.mu.Unlock()
+	fails := s.fails.Load()
+	s.rig.note("%s: received %s key %q, %d bytes; ran %v, fails %v", name, q.Header.Get("Req-Id"), key, len(body), !again, fails)
+	time.Sleep(s.work)
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(w, "done %s tail %s", key, tail(body))
+	s.rig.note("%s: answered %s key %q", name, q.Header.Get("Req-Id"), key)
+}
+
+// tail returns the last bytes of a body, by which the bodies of a case differ.
+func tail(body []byte) string { return string(body[max(0, len(body)-8):]) }
+
+// receivedCount returns how often servers have received a key.
+func (s *server) receivedCount(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received[key]
+}
+
+// startStore starts three servers and a sidecar with an idempotency store. It returns the servers' behavior
+// and the sidecar's address.
+func startStore(r *rig, work time.Duration) (*server, string) {
+	s := &server{rig: r, work: work, received: make(map[string]int), ran: make(map[string]int)}
+	var err error
+	r.servers, err = shop.NewWith(3, s.serve)
+	r.require(err == nil, "servers: %v", err)
+	config, listen := r.sidecarConfig("n1", 60101)
+	record := r.write("record.toml", recordText)
+	r.start("sidecar", runSidecar("review/driver-2/out/sidecar-record"), "BALANCER_NAME=n1", "BALANCER_LISTEN="+listen,
+		"BALANCER_DISCOVERY="+r.servers.Discovery, "BALANCER_CONFIG="+config, "TMPDIR="+r.temp, "MARTENDRUM_RECORD="+record)
+	r.awaitReady(listen)
+	time.Sleep(500 * time.Millisecond)
+	warm := r.send(listen, register("warm", "warm-key", "{}"))
+	r.require(warm.status == http.StatusOK, "the first request got status %d", warm.status)
+	return s, listen
+}
+
+// register returns a request to register an identity.
+func register(id, key, body string) request {
+	return request{method: http.MethodPost, path: "/id-register", class: "id-register", id: id, key: key, body: body, deadline: 2500 * time.Millisecond}
+}
+
+// sentAndRefused lets all servers answer 500 for a while. What is refused meanwhile (503: not sent) must not
+// have reached a server, and the retry that the refusal asks for must not be told that it may have run.
+func sentAndRefused(r *rig) {
+	s, listen := startStore(r, 20*time.Millisecond)
+	s.fails.Store(r.trouble)
+	refused := make(map[int]bool)
+	for n := range 8 {
+		key := fmt.Sprintf("key-%d", n)
+		if a := r.send(listen, register(fmt.Sprintf("first-%d", n), key, "{}")); a.status == http.StatusServiceUnavailable {
+			refused[n] = true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.fails.Store(false)
+	time.Sleep(2 * time.Second) // Retry-After is at most that
+	for n := range 8 {
+		key := fmt.Sprintf("key-%d", n)
+		received := s.receivedCount(key)
+		a := r.send(listen, register(fmt.Sprintf("second-%d", n), key, "{}"))
+		if refused[n] && received > 0 && a.status != http.StatusOK {
+			r.breaks("the request with %s was answered 503 (not sent, retry with the same key), though servers had received it %d times; the retry got status %d, Record-State %q", key, received, a.status, a.recordState)
+		}
+	}
+}
+
+// longBody repeats a key with another body, which differs behind its first 64 KiB.
+func longBody(r *rig) {
+	s, listen := startStore(r, 20*time.Millisecond)
+	start := strings.Repeat("x", 100<<10)
+	for n := range 5 {
+		key := fmt.Sprintf("key-%d", n)
+		first, second := start+"buyer--A", start+"buyer--A"
+		if r.trouble {
+			second = start + "buyer--B"
+		}
+		a := r.send(listen, register(fmt.Sprintf("first-%d", n), key, first))
+		r.require(a.status == http.StatusOK && strings.HasSuffix(a.body, "buyer--A"), "the first request got status %d, body %q", a.status, a.body)
+		time.Sleep(300 * time.Millisecond)
+		b := r.send(listen, register(fmt.Sprintf("second-%d", n), key, second))
+		switch {
+		case r.trouble && b.status == http.StatusOK && strings.HasSuffix(b.body, "buyer--A"):
+			r.breaks("the request with %s for buyer B was answered 200 with the answer made for buyer A; servers received the key %d times", key, s.receivedCount(key))
+		case !r.trouble && (b.status != http.StatusOK || b.body != a.body):
+			r.breaks("the repeat with %s got status %d, body %q; want the stored answer", key, b.status, b.body)
+		}
+	}
+}
+
+// clientLeaves closes a client's connection before its server answers, and repeats the key later.
+func clientLeaves(r *rig) {
+	s, listen := startStore(r, 400*time.Millisecond)
+	for n := range 5 {
+		key := fmt.Sprintf("key-%d", n)
+		q := register(fmt.Sprintf("first-%d", n), key, "{}")
+		if r.trouble {
+			conn, err := dialSend(listen, q)
+			r.require(err == nil, "no connection: %v", err)
+			received := await(2*time.Second, 5*time.Millisecond, func() bool { return s.receivedCount(key) > 0 })
+			r.require(received, "no server received %s", key)
+			conn.Close()
+			r.note("client: %s closed its connection", q.id)
+		} else {
+			r.send(listen, q)
+		}
+		time.Sleep(time.Second)
+		a := r.send(listen, register(fmt.Sprintf("second-%d", n), key, "{}"))
+		if a.status != http.StatusOK {
+			r.breaks("the repeat of %s got status %d, Record-State %q; want the answer, which its server has given", key, a.status, a.recordState)
+		}
+	}
+}
