--- a/review/driver-2/fleet.go
+++ b/review/driver-2/fleet.go
@@ -160,9 +160,7 @@
 			Hosts []struct{ Instances []instance }
 		}
 		decode(output, &wrapped)
-		for _, h := range wrapped.Hosts {
-			hosts = append(hosts, h)
-		}
+		hosts = append(hosts, wrapped.Hosts...)
 	}
 	byName := make(map[string]instance)
 	for _, h := range hosts {
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(r *rig){
 	"sent-and-refused":    sentAndRefused,
 	"long-body":           longBody,
+	"answer-in-pieces":    answerInPieces,
 	"client-leaves":       clientLeaves,
 	"removal-lost":        removalLost,
 	"crash-rollback":      crashRollback,
--- a/review/driver-2/store.go
+++ b/review/driver-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,8 +13,7 @@
 	"martendrum/internal/standin/shop"
 )
 
-// recordText is deploy/record.toml with the key of activate in a header field and a wait that suits a busy
-// machine.
+// recordText is deploy/record.toml with a wait that suits a busy machine.
 const recordText = `store = "sqlite"
 [sqlite]
 path = "record.db"
@@ -23,19 +23,27 @@
 name = "id-register"
 key = "header:Idempotency-Key"
 away = "pass"
+[[class]]
+name = "activate"
+key = "json:/sim/iccid"
+away = "refuse"
 `
 
 // server is the behavior of the stand-in servers. As the pages say, an idempotency key runs once.
 type server struct {
-	rig   *rig
-	fails atomic.Bool   // requests run and are answered with status 500
-	work  time.Duration // until the answer
+	rig    *rig
+	fails  atomic.Bool   // requests run and are answered with status 500
+	pieces atomic.Bool   // answers come in four pieces, in chunks
+	work   time.Duration // until the answer
 
 	mu       sync.Mutex
 	received map[string]int // by key
 	ran      map[string]int // by key
 }
 
+// pieceInterval is the time between the pieces of an answer.
+const pieceInterval = 150 * time.Millisecond
+
 // serve handles a request.
 func (s *server) serve(_ *shop.Shop, name string, w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(q.Body)
@@ -44,6 +52,10 @@
 		return
 	}
 	key := q.Header.Get("Idempotency-Key")
+	var activation struct{ Sim struct{ Iccid string } }
+	if json.Unmarshal(body, &activation) == nil && activation.Sim.Iccid != "" {
+		key = activation.Sim.Iccid
+	}
 	s.mu.Lock()
 	s.received[key]++
 	again := key != "" && s.ran[key] > 0
@@ -58,7 +70,16 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	fmt.Fprintf(w, "done %s tail %s", key, tail(body))
+	if s.pieces.Load() {
+		for _, piece := range []string{"done ", key, " tail "} {
+			io.WriteString(w, piece)
+			w.(http.Flusher).Flush()
+			time.Sleep(pieceInterval)
+		}
+		io.WriteString(w, tail(body))
+	} else {
+		fmt.Fprintf(w, "done %s tail %s", key, tail(body))
+	}
 	s.rig.note("%s: answered %s key %q", name, q.Header.Get("Req-Id"), key)
 }
 
@@ -166,3 +187,21 @@
 		}
 	}
 }
+
+// answerInPieces lets servers send short answers in four pieces. A client must get the answer that its server has
+// given, at once or on a repeat of its key.
+func answerInPieces(r *rig) {
+	s, listen := startStore(r, 20*time.Millisecond)
+	s.pieces.Store(r.trouble)
+	for n := range 5 {
+		key := fmt.Sprintf("896210-%d", n)
+		q := request{method: http.MethodPost, path: "/activate", class: "activate", id: fmt.Sprintf("first-%d", n), body: fmt.Sprintf(`{"sim":{"iccid":%q}}`, key), deadline: 2500 * time.Millisecond}
+		first := r.send(listen, q)
+		time.Sleep(time.Second)
+		q.id = fmt.Sprintf("second-%d", n)
+		second := r.send(listen, q)
+		if first.status != http.StatusOK && second.status != http.StatusOK {
+			r.breaks("the request with %s, which its server has run and answered 200, got status %d; the repeat of its key got status %d, Record-State %q; servers received it %d times", key, first.status, second.status, second.recordState, s.receivedCount(key))
+		}
+	}
+}
