--- a/review/driver-2/discovery.go
+++ b/review/driver-2/discovery.go
@@ -26,7 +26,7 @@
 	Since   int64   `json:"since_ms"`
 }
 
-// catalog is a discovery service as PROTOCOL describes it, which can go down and come back.
+// catalog is a discovery service as PROTOCOL describes it, whose watches can be reset.
 type catalog struct {
 	rig      *rig
 	listener net.Listener
@@ -36,7 +36,6 @@
 	list    []endpoint
 	changed []int         // by position in list: the version of the last change
 	wake    chan struct{} // closed at each change
-	down    bool
 	calls   int
 	open    map[net.Conn]bool
 }
@@ -52,7 +51,7 @@
 	return c
 }
 
-// connState keeps the open connections, which end when discovery goes down.
+// connState keeps the open connections.
 func (c *catalog) connState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,7 +64,7 @@
 }
 
 // since returns what has changed after a version, as a line.
-func (c *catalog) since(after int) ([]byte, int, <-chan struct{}, bool) {
+func (c *catalog) since(after int) ([]byte, int, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	entries := []endpoint{}
@@ -75,7 +74,7 @@
 		}
 	}
 	line, _ := json.Marshal(map[string]any{"index": c.index, "snapshot": after == 0, "endpoints": entries})
-	return append(line, '\n'), c.index, c.wake, c.down
+	return append(line, '\n'), c.index, c.wake
 }
 
 // serve answers a call: the whole list, or a watch.
@@ -88,12 +87,8 @@
 	if !watch {
 		after = 0
 	}
-	line, index, wake, down := c.since(after)
-	c.rig.note("discovery: call %s, down %v", q.URL, down)
-	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
+	line, index, wake := c.since(after)
+	c.rig.note("discovery: call %s", q.URL)
 	w.Write(line)
 	if !watch {
 		return
@@ -106,10 +101,7 @@
 		case <-ticker.C:
 			io.WriteString(w, "\n")
 		case <-wake:
-			line, index, wake, down = c.since(index)
-			if down {
-				panic(http.ErrAbortHandler)
-			}
+			line, index, wake = c.since(index)
 			w.Write(line)
 			c.rig.note("discovery: told %s", strings.TrimSpace(string(line)))
 		case <-q.Context().Done():
@@ -119,85 +111,169 @@
 	}
 }
 
-// setDown lets discovery go down, which ends all watches, or come back.
-func (c *catalog) setDown(down bool) {
+// callCount returns the number of calls so far.
+func (c *catalog) callCount() int {
 	c.mu.Lock()
-	c.down = down
-	if down {
-		for conn := range c.open {
-			conn.Close()
-		}
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// resetWatches ends all open watches once; discovery goes on.
+func (c *catalog) resetWatches() {
+	c.mu.Lock()
+	for conn := range c.open {
+		conn.Close()
 	}
 	c.mu.Unlock()
-	c.rig.note("discovery: down %v", down)
+	c.rig.note("discovery: all open watches are reset")
 }
 
-// change changes the status of a server.
-func (c *catalog) change(n int, status string) {
+// replace lets a server be gone, and another one be up at its address.
+func (c *catalog) replace(n int, next endpoint) {
 	c.mu.Lock()
 	c.index++
-	c.list[n].Status, c.changed[n] = status, c.index
+	c.list[n].Status, c.changed[n] = "removed", c.index
+	c.list, c.changed = append(c.list, next), append(c.changed, c.index)
 	close(c.wake)
 	c.wake = make(chan struct{})
 	c.mu.Unlock()
-	c.rig.note("discovery: version %d: %s is %s", c.index, c.list[n].Name, status)
+	c.rig.note("discovery: version %d: %s is removed, %s of group %d is up at %s", c.index, c.list[n].Name, next.Name, next.Group, next.Address)
 }
 
-// callCount returns the number of calls so far.
-func (c *catalog) callCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.calls
+// cells are the stand-in servers of a deployment whose dedup groups are cells: the servers of a cell share the keys
+// that they have seen.
+type cells struct {
+	rig *rig
+
+	mu      sync.Mutex
+	ran     map[string]map[int]string // by key and cell: the server that ran it
+	failing string                    // this server runs a keyed request and answers 500
 }
 
-// discoveryForgotten changes registryMode at SIGHUP, which our pages say only a new process applies. Then
-// discovery is down for 2 s, as at a restart, and a server begins to drain 3 s after its return.
-func discoveryForgotten(r *rig) {
-	var mu sync.Mutex
-	received := make(map[string]int)
-	var late []string
-	var deadline time.Time // no send to the draining server begins later
+// start starts a server at an address; port 0 takes a free one.
+func (s *cells) start(e *endpoint, address string) *http.Server {
+	listener, err := net.Listen("tcp", address)
+	s.rig.require(err == nil, "%v", err)
+	e.Address = listener.Addr().String()
+	name, cell := e.Name, e.Group
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, name, cell) })}
+	go server.Serve(listener)
+	return server
+}
+
+// serve handles a request at a server.
+func (s *cells) serve(w http.ResponseWriter, q *http.Request, name string, cell int) {
+	io.Copy(io.Discard, q.Body)
+	id, key := q.Header.Get("Req-Id"), q.Header.Get("Idempotency-Key")
+	if id == "" {
+		http.NotFound(w, q)
+		return
+	}
+	s.mu.Lock()
+	fails := key != "" && name == s.failing
+	if key != "" {
+		if s.ran[key] == nil {
+			s.ran[key] = make(map[int]string)
+		}
+		if s.ran[key][cell] == "" {
+			s.ran[key][cell] = name
+			s.rig.note("%s (cell %d): runs %s key %s; fails %v", name, cell, id, key, fails)
+		}
+	}
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(w, "done %s", id)
+}
+
+// startCells starts the servers of four cells of two, and discovery, which is asked.
+func startCells(r *rig) (s *cells, c *catalog, running []*http.Server) {
+	s = &cells{rig: r, ran: make(map[string]map[int]string)}
 	var list []endpoint
-	for n := range 4 {
-		name := fmt.Sprintf("s-%d", n)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		r.require(err == nil, "%v", err)
-		go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			id := q.Header.Get("Req-Id")
-			mu.Lock()
-			received[name]++
-			if n == 0 && !deadline.IsZero() && time.Now().After(deadline) {
-				late = append(late, id)
-			}
-			mu.Unlock()
-			r.note("%s: received %s", name, id)
-			time.Sleep(20 * time.Millisecond)
-			fmt.Fprintf(w, "done %s", id)
-		}))
-		list = append(list, endpoint{Name: name, Address: listener.Addr().String(), Zone: "jakarta", Type: "standard", Status: "up", Weight: 1})
-	}
-	c := startCatalog(r, list)
-	listen := r.freeAddress(60401)
-	text := fmt.Sprintf(`{"name": "n1", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
- "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": %s}`, listen, c.listener.Addr(), strings.Replace(settingsText, `"registryMode": "automatic"`, `"registryMode": "subscribe"`, 1))
-	config := r.write("n1.json", text)
-	sidecar := r.start("sidecar", runSidecar("bin/sidecar"), "BALANCER_NAME=n1", "BALANCER_LISTEN="+listen, "BALANCER_CONFIG="+config, "TMPDIR="+r.temp)
-	r.awaitReady(listen)
-	time.Sleep(6 * time.Second)
-	stop := make(chan struct{})
+	for n := range 8 {
+		e := endpoint{Name: fmt.Sprintf("s-%d", n), Zone: "jakarta", Type: "standard", Group: 1 + n/2, Status: "up", Weight: 1}
+		running = append(running, s.start(&e, "127.0.0.1:0"))
+		list = append(list, e)
+	}
+	return s, startCatalog(r, list), running
+}
+
+// cellSettings are settings with discovery that is asked, and keyed requests whose repeats a cell drops.
+var cellSettings = strings.NewReplacer(`"registryMode": "automatic"`, `"registryMode": "subscribe"`,
+	`{"dedupScope": "all", "effect": "by_key"`, `{"dedupScope": "cell", "effect": "by_key"`).Replace(settingsText)
+
+// sendKeyed lets clients send keyed requests until the returned function is called.
+func sendKeyed(r *rig, listen string, count int) (stop func()) {
+	ended := make(chan struct{})
 	var clients sync.WaitGroup
-	for n := range 4 {
+	for n := range count {
 		clients.Go(func() {
 			for i := 0; ; i++ {
 				select {
-				case <-stop:
+				case <-ended:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(150 * time.Millisecond):
 				}
-				r.send(listen, request{method: http.MethodGet, path: "/status-check", class: "status-check", id: fmt.Sprintf("c%d-%d", n, i), deadline: 3 * time.Second})
+				r.send(listen, register(fmt.Sprintf("c%d-%d", n, i), fmt.Sprintf("key-%d-%d", n, i), "{}"))
 			}
 		})
 	}
+	return func() {
+		close(ended)
+		clients.Wait()
+	}
+}
+
+// replaceServer lets a server be gone, and another one, of a new cell, be up at its address.
+func replaceServer(s *cells, c *catalog, running []*http.Server, n int) {
+	next := endpoint{Name: fmt.Sprintf("s-%d", 8+n), Zone: "jakarta", Type: "standard", Group: 5 + n, Status: "up", Weight: 1, Since: time.Now().UnixMilli()}
+	running[n].Close()
+	c.mu.Lock()
+	address := c.list[n].Address
+	c.mu.Unlock()
+	s.start(&next, address)
+	c.replace(n, next)
+}
+
+// toldAndGrace is after how long nothing may go to a server that is gone: told at the latest after 6 s; the grace, its
+// slack, and a stall.
+const toldAndGrace = 6*time.Second + 2*time.Second + 200*time.Millisecond
+
+// setFailing lets a server run keyed requests and answer 500.
+func (s *cells) setFailing(name string) {
+	s.mu.Lock()
+	s.failing = name
+	s.mu.Unlock()
+	s.rig.note("%s begins to answer 500", name)
+}
+
+// judge reports the keys that ran in two cells.
+func (s *cells) judge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, at := range s.ran {
+		if len(at) > 1 {
+			s.rig.breaks("%s ran twice, in different cells: %v; s-8 and later ones are new at the address of a server that was removed from the list more than 8 s before", key, at)
+		}
+	}
+}
+
+// discoveryForgotten changes registryMode at SIGHUP, which our pages say only a new process applies, and then the
+// open watches are reset. Afterwards, with and without that, a server is replaced by one of another cell at its
+// address, and another server begins to answer 500.
+func discoveryForgotten(r *rig) {
+	s, c, running := startCells(r)
+	listen := r.freeAddress(60401)
+	text := fmt.Sprintf(`{"name": "n1", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
+ "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": %s}`, listen, c.listener.Addr(), cellSettings)
+	config := r.write("n1.json", text)
+	sidecar := r.start("sidecar", runSidecar("bin/sidecar"), "BALANCER_NAME=n1", "BALANCER_LISTEN="+listen, "BALANCER_CONFIG="+config, "TMPDIR="+r.temp)
+	r.awaitReady(listen)
+	time.Sleep(6 * time.Second)
+	stop := sendKeyed(r, listen, 4)
 	time.Sleep(3 * time.Second)
 	if r.trouble {
 		next := r.write("n1.json.new", strings.Replace(text, `"registryMode": "subscribe"`, `"registryMode": "automatic"`, 1))
@@ -206,24 +282,61 @@
 		r.note("SIGHUP with registryMode automatic")
 		applied := await(5*time.Second, 20*time.Millisecond, func() bool { sum, _ := health(listen); return sum == fileSum(config) })
 		r.require(applied, "the configuration was not applied")
-		time.Sleep(5 * time.Second)
-		c.setDown(true)
-		time.Sleep(2 * time.Second)
-		c.setDown(false)
+		time.Sleep(3 * time.Second)
+		c.resetWatches()
 	}
+	time.Sleep(3 * time.Second)
 	calls := c.callCount()
+	replaceServer(s, c, running, 0)
+	time.Sleep(toldAndGrace)
+	s.setFailing("s-1")
+	time.Sleep(15 * time.Second)
+	stop()
+	r.note("calls to discovery since the reset: %d", c.callCount()-calls)
+	s.judge()
+}
+
+// upgradeStale replaces three servers by ones of other cells at their addresses. Later a new process takes over, three
+// times in a row, as the page on upgrades says; in each round another server answers 500.
+func upgradeStale(r *rig) {
+	s, c, running := startCells(r)
+	known, _, _ := c.since(0)
+	listen := r.freeAddress(60601)
+	config := r.write("n1.json", fmt.Sprintf(`{"name": "n1", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
+ "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "known": %s, "settings": %s}`, listen, c.listener.Addr(), known, cellSettings))
+	begin := func(n int) (p *process, mgmt string) {
+		mgmt = r.freeAddress(60602 + n)
+		return r.start(fmt.Sprintf("sidecar-%d", n), runSidecar("bin/sidecar"), "BALANCER_NAME=n1", "BALANCER_LISTEN="+listen, "BALANCER_MGMT="+mgmt,
+			"BALANCER_CONFIG="+config, "TMPDIR="+r.temp), mgmt
+	}
+	serving, _ := begin(0)
+	r.awaitReady(listen)
+	time.Sleep(6 * time.Second)
+	stop := sendKeyed(r, listen, 8)
 	time.Sleep(3 * time.Second)
-	c.change(0, "draining")
-	mu.Lock()
-	deadline = time.Now().Add(6*time.Second + 2*time.Second + 50*time.Millisecond + 150*time.Millisecond) // told at the latest 6 s later; the grace, its slack, and a stall
-	mu.Unlock()
-	time.Sleep(20 * time.Second)
-	close(stop)
-	clients.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	r.note("calls to discovery since its return: %d; requests by server: %v; sent to s-0 too late: %d", c.callCount()-calls, received, len(late))
-	if len(late) > 0 {
-		r.breaks("%d requests were sent to s-0 more than 6 s (told) and 2.2 s (grace and slack) after it began to drain; the sidecar has made %d calls to discovery since its return", len(late), c.callCount()-calls)
+	for n := range 3 {
+		replaceServer(s, c, running, 2*n)
+	}
+	time.Sleep(toldAndGrace)
+	for n := range 3 {
+		s.setFailing(fmt.Sprintf("s-%d", 2*n+1))
+		if r.trouble {
+			next, mgmt := begin(n + 1)
+			ready := await(15*time.Second, 10*time.Millisecond, func() bool {
+				response, err := http.Get("http://" + mgmt + "/api/ready")
+				if err != nil {
+					return false
+				}
+				response.Body.Close()
+				return response.StatusCode == http.StatusOK
+			})
+			r.require(ready, "the new process is not ready")
+			r.note("the new process is ready")
+			serving.signal(syscall.SIGTERM)
+			serving = next
+		}
+		time.Sleep(8 * time.Second)
 	}
+	stop()
+	s.judge()
 }
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -12,15 +12,17 @@
 	"time"
 )
 
-// cases are the cases by name.
+// cases are the cases by name: those that have a folder, and further ones that the report names.
 var cases = map[string]func(r *rig){
-	"sent-and-refused":    sentAndRefused,
-	"long-body":           longBody,
+	"discovery-forgotten": discoveryForgotten,
+	"upgrade-stale":       upgradeStale,
 	"answer-in-pieces":    answerInPieces,
-	"client-leaves":       clientLeaves,
-	"removal-lost":        removalLost,
+	"sent-and-refused":    sentAndRefused,
 	"crash-rollback":      crashRollback,
-	"discovery-forgotten": discoveryForgotten,
+
+	"removal-lost":  removalLost,
+	"gone-client":   goneClient,
+	"client-leaves": clientLeaves,
 }
 
 func main() {
--- a/review/driver-2/store.go
+++ b/review/driver-2/store.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,29 +140,6 @@
 	}
 }
 
-// longBody repeats a key with another body, which differs behind its first 64 KiB.
-func longBody(r *rig) {
-	s, listen := startStore(r, 20*time.Millisecond)
-	start := strings.Repeat("x", 100<<10)
-	for n := range 5 {
-		key := fmt.Sprintf("key-%d", n)
-		first, second := start+"buyer--A", start+"buyer--A"
-		if r.trouble {
-			second = start + "buyer--B"
-		}
-		a := r.send(listen, register(fmt.Sprintf("first-%d", n), key, first))
-		r.require(a.status == http.StatusOK && strings.HasSuffix(a.body, "buyer--A"), "the first request got status %d, body %q", a.status, a.body)
-		time.Sleep(300 * time.Millisecond)
-		b := r.send(listen, register(fmt.Sprintf("second-%d", n), key, second))
-		switch {
-		case r.trouble && b.status == http.StatusOK && strings.HasSuffix(b.body, "buyer--A"):
-			r.breaks("the request with %s for buyer B was answered 200 with the answer made for buyer A; servers received the key %d times", key, s.receivedCount(key))
-		case !r.trouble && (b.status != http.StatusOK || b.body != a.body):
-			r.breaks("the repeat with %s got status %d, body %q; want the stored answer", key, b.status, b.body)
-		}
-	}
-}
-
 // clientLeaves closes a client's connection before its server answers, and repeats the key later.
 func clientLeaves(r *rig) {
 	s, listen := startStore(r, 400*time.Millisecond)
