--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -17,6 +17,7 @@
 	"discovery-forgotten": discoveryForgotten,
 	"upgrade-stale":       upgradeStale,
 	"answer-in-pieces":    answerInPieces,
+	"two-writers":         twoWriters,
 	"sent-and-refused":    sentAndRefused,
 	"crash-rollback":      crashRollback,
 
--- a/review/driver-2/store.go
+++ b/review/driver-2/store.go
@@ -31,7 +31,6 @@
 // server is the behavior of the stand-in servers. As the pages say, an idempotency key runs once.
 type server struct {
 	rig    *rig
-	fails  atomic.Bool   // requests run and are answered with status 500
 	pieces atomic.Bool   // answers come in four pieces, in chunks
 	work   time.Duration // until the answer
 
@@ -62,13 +61,8 @@
 		s.ran[key]++
 	}
 	s.mu.Unlock()
-	fails := s.fails.Load()
-	s.rig.note("%s: received %s key %q, %d bytes; ran %v, fails %v", name, q.Header.Get("Req-Id"), key, len(body), !again, fails)
+	s.rig.note("%s: received %s key %q, %d bytes; ran %v", name, q.Header.Get("Req-Id"), key, len(body), !again)
 	time.Sleep(s.work)
-	if fails {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	if s.pieces.Load() {
 		for _, piece := range []string{"done ", key, " tail "} {
 			io.WriteString(w, piece)
@@ -115,20 +109,19 @@
 	return request{method: http.MethodPost, path: "/id-register", class: "id-register", id: id, key: key, body: body, deadline: 2500 * time.Millisecond}
 }
 
-// sentAndRefused lets all servers answer 500 for a while. What is refused meanwhile (503: not sent) must not
+// sentAndRefused sends requests that leave the servers too little time. What is refused (503: not sent) must not
 // have reached a server, and the retry that the refusal asks for must not be told that it may have run.
 func sentAndRefused(r *rig) {
-	s, listen := startStore(r, 20*time.Millisecond)
-	s.fails.Store(r.trouble)
+	s, listen := startStore(r, 300*time.Millisecond)
 	refused := make(map[int]bool)
 	for n := range 8 {
-		key := fmt.Sprintf("key-%d", n)
-		if a := r.send(listen, register(fmt.Sprintf("first-%d", n), key, "{}")); a.status == http.StatusServiceUnavailable {
-			refused[n] = true
+		q := register(fmt.Sprintf("first-%d", n), fmt.Sprintf("key-%d", n), "{}")
+		if r.trouble {
+			q.deadline = 150 * time.Millisecond
 		}
+		refused[n] = r.send(listen, q).status == http.StatusServiceUnavailable
 		time.Sleep(100 * time.Millisecond)
 	}
-	s.fails.Store(false)
 	time.Sleep(2 * time.Second) // Retry-After is at most that
 	for n := range 8 {
 		key := fmt.Sprintf("key-%d", n)
